--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+VENV := .venv
+PYTHON := $(VENV)/bin/python
+
+.PHONY: demo test lint format clean
+
+$(VENV)/installed: pyproject.toml
+	python3 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: $(VENV)/installed
+	$(VENV)/bin/rattanrelay demo
+
+lint: $(VENV)/installed
+	$(VENV)/bin/black --check --quiet rattanrelay tests
+	$(VENV)/bin/ruff check --quiet rattanrelay tests
+
+format: $(VENV)/installed
+	$(VENV)/bin/black --quiet rattanrelay tests
+	$(VENV)/bin/ruff check --quiet --fix rattanrelay tests
+
+test: lint
+	$(PYTHON) -m behave tests --format progress
+
+clean:
+	rm -rf $(VENV) build *.egg-info
--- /dev/null
+++ b/rattanrelay/emulator/__init__.py
@@ -0,0 +1,1 @@
+"""emulator"""
--- /dev/null
+++ b/rattanrelay/http/client.py
@@ -0,0 +1,95 @@
+"""HTTP/1.1 client connection: one request at a time, with what is known when it breaks."""
+
+import h11
+import trio
+
+from ..errors import RelayError
+from .model import Request, Response
+
+__all__ = ["MAX_ANSWER_BYTES", "HttpConnection"]
+
+MAX_ANSWER_BYTES = 8 * 1024 * 1024
+
+RECEIVE_BYTES = 65536
+
+
+class HttpConnection:
+    """A connection that a pool owns; it is not reusable after an error or a cancelled request."""
+
+    def __init__(self, stream: trio.abc.Stream, peer: str) -> None:
+        self.stream = stream
+        self.peer = peer
+        self.h11 = h11.Connection(h11.CLIENT)
+        self.usable = True
+
+    @classmethod
+    async def open(cls, host: str, port: int) -> "HttpConnection":
+        """Connect; raises `connect_failed`."""
+        peer = f"{host}:{port}"
+        try:
+            stream = await trio.open_tcp_stream(host, port)
+        except OSError as error:
+            raise RelayError("connect_failed", str(error), step="connect", peer=peer) from error
+        return cls(stream, peer)
+
+    async def request(self, request: Request) -> Response:
+        """Send a request and return its response.
+
+        Raises `connection_lost` with `ran="not_run"` if nothing was written, else `"unknown"`.
+        """
+        if not self.usable:
+            raise RelayError("connection_lost", "closed", step="send request", peer=self.peer)
+        self.usable = False
+        data = self._encode(request)
+        try:
+            await self.stream.send_all(data)
+            response = await self._read()
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
+            raise self._lost(str(error)) from error
+        except h11.RemoteProtocolError as error:
+            raise self._lost(f"malformed answer: {error}") from error
+        if self.h11.our_state is h11.DONE and self.h11.their_state is h11.DONE:
+            self.h11.start_next_cycle()
+            self.usable = not self.h11.trailing_data[0]
+        return response
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self.usable = False
+        await trio.aclose_forcefully(self.stream)
+
+    def _encode(self, request: Request) -> bytes:
+        headers = {"host": self.peer, **request.headers}
+        headers["content-length"] = str(len(request.body))
+        head = h11.Request(
+            method=request.method, target=request.target, headers=list(headers.items())
+        )
+        data = self.h11.send(head)
+        if request.body:
+            data += self.h11.send(h11.Data(data=request.body))
+        return data + self.h11.send(h11.EndOfMessage())
+
+    async def _read(self) -> Response:
+        head = None
+        body = bytearray()
+        while True:
+            event = self.h11.next_event()
+            if event is h11.NEED_DATA:
+                self.h11.receive_data(await self.stream.receive_some(RECEIVE_BYTES))
+            elif isinstance(event, h11.Response):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > MAX_ANSWER_BYTES:
+                    raise self._lost(f"answer exceeds {MAX_ANSWER_BYTES} bytes")
+            elif isinstance(event, h11.EndOfMessage):
+                break
+            elif isinstance(event, h11.ConnectionClosed):
+                raise self._lost("closed before the answer")
+        headers = {name.decode("ascii"): value.decode("latin-1") for name, value in head.headers}
+        return Response(head.status_code, headers, bytes(body))
+
+    def _lost(self, text: str) -> RelayError:
+        return RelayError(
+            "connection_lost", text, step="read answer", peer=self.peer, ran="unknown"
+        )
--- /dev/null
+++ b/rattanrelay/metrics.py
@@ -0,0 +1,44 @@
+"""Metrics of a daemon and their text form for `/metrics`."""
+
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
+
+__all__ = ["LATENCY_BUCKETS_S", "Metrics"]
+
+LATENCY_BUCKETS_S = [
+    0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.13, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0
+]  # fmt: skip
+
+
+class Metrics:
+    """Collectors of one daemon; each has a registry of its own."""
+
+    def __init__(self, instance: str) -> None:
+        self.registry = Registry()
+        self.labels = {"instance": instance}
+        self.latency = self._add(
+            Histogram,
+            "query_latency_seconds",
+            "Latency of answers by service, tenant and class",
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.answers = self._add(Counter, "answers_total", "Answers by service and outcome")
+        self.refusals = self._add(Counter, "refusals_total", "Refusals by service and code")
+        self.shards = self._add(Counter, "shards_total", "Shards by service and result or reason")
+        self.subrequests = self._add(
+            Counter, "subrequests_total", "Sub-requests by service and kind (first, hedge, retry)"
+        )
+        self.slots = self._add(Gauge, "slots_in_use", "Slots in use by searcher")
+        self.slot_limit = self._add(Gauge, "slots_limit", "Slots allowed now by searcher")
+        self.store_calls = self._add(Gauge, "store_calls_total", "Calls to the store by kind")
+        self.revision = self._add(Gauge, "document_revision", "Revision in force by document")
+        self.degraded = self._add(Gauge, "degraded", "1 for each condition that holds, by reason")
+
+    def _add(self, kind, name: str, doc: str, **options):
+        collector = kind(f"rattanrelay_{name}", doc, const_labels=self.labels, **options)
+        self.registry.register(collector)
+        return collector
+
+    def text(self, accept: str = "text/plain") -> tuple[bytes, dict[str, str]]:
+        """Return the exposition and its headers for the given `Accept` value."""
+        content, headers = render(self.registry, [accept])
+        return content, {name.lower(): value for name, value in headers.items()}
--- /dev/null
+++ b/rattanrelay/table/model.py
@@ -0,0 +1,156 @@
+"""Rows of the operators' table and the catalog of a service."""
+
+from typing import Literal, NamedTuple
+
+import msgspec
+
+__all__ = [
+    "Catalog",
+    "DomainRow",
+    "InstanceRow",
+    "Policy",
+    "RowState",
+    "ServerRow",
+    "ServiceRow",
+    "Shard",
+    "Snapshot",
+    "Table",
+    "TenantRow",
+    "decode_catalog",
+    "decode_table",
+    "encode_document",
+    "searcher_name",
+    "server_of",
+]
+
+#: `in` takes work; `out` takes no new work.
+RowState = Literal["in", "out"]
+
+#: `tail` answers at the soft deadline with named gaps; `coverage` retries within the deadline.
+Policy = Literal["tail", "coverage"]
+
+
+class ServiceRow(NamedTuple):
+    """A service; times in milliseconds, limits in sub-requests over the fleet."""
+
+    name: str
+    policy: Policy = "tail"
+    timeout_ms: int = 1000
+    soft_deadline_ms: int = 100
+    max_in_flight: int = 1000
+    queue: int = 16
+    warm_latency_ms: float = 20.0
+    hedge: bool = True
+    canary: bool = True
+    weight: int = 1
+    state: RowState = "in"
+
+
+class DomainRow(NamedTuple):
+    """A failure domain; `max_in_flight` counts sub-requests over the fleet."""
+
+    name: str
+    max_in_flight: int = 1000
+    weight: int = 1
+    state: RowState = "in"
+
+
+class ServerRow(NamedTuple):
+    """A backend server; slots, connections and cold slots hold for each of its searchers."""
+
+    name: str
+    service: str
+    failure_domain: str
+    #: One `host:port` for each searcher, separated by blanks.
+    addresses: str
+    slots: int = 2
+    connections: int = 25
+    connect_ms: float = 6.0
+    cold_slots: int = 1
+    weight: int = 1
+    state: RowState = "in"
+
+    @property
+    def searchers(self) -> tuple[str, ...]:
+        """Names of the searchers, in the order of `addresses`."""
+        count = len(self.addresses.split())
+        return tuple(searcher_name(self.name, index) for index in range(count))
+
+
+class InstanceRow(NamedTuple):
+    """An entry instance."""
+
+    name: str
+    failure_domain: str
+    weight: int = 1
+    state: RowState = "in"
+
+
+class TenantRow(NamedTuple):
+    """A caller's tenant; `max_in_flight` counts its queries over the fleet."""
+
+    name: str
+    team: str = ""
+    weight: int = 1
+    max_in_flight: int = 100
+
+
+class Table(NamedTuple):
+    """The whole table; the keys of each map are the row names."""
+
+    revision: int
+    services: dict[str, ServiceRow] = {}
+    domains: dict[str, DomainRow] = {}
+    servers: dict[str, ServerRow] = {}
+    instances: dict[str, InstanceRow] = {}
+    tenants: dict[str, TenantRow] = {}
+    #: Who made this revision and what changed, for the history.
+    author: str = ""
+    change: str = ""
+
+
+class Shard(NamedTuple):
+    """A shard of a snapshot and the searchers that hold a replica of it."""
+
+    name: str
+    searchers: tuple[str, ...]
+
+
+class Snapshot(NamedTuple):
+    """A version of the index and all of its shards."""
+
+    name: str
+    shards: tuple[Shard, ...]
+
+
+class Catalog(NamedTuple):
+    """Snapshots of a service, newest first."""
+
+    service: str
+    revision: int
+    snapshots: tuple[Snapshot, ...]
+
+
+def searcher_name(server: str, index: int) -> str:
+    """Return the name of a searcher of a backend server."""
+    return f"{server}/{index}"
+
+
+def server_of(searcher: str) -> str:
+    """Return the backend server that runs a searcher."""
+    return searcher.rpartition("/")[0]
+
+
+def encode_document(value: tuple) -> bytes:
+    """Encode a table or catalog as JSON: named tuples become arrays in field order."""
+    return msgspec.json.encode(value)
+
+
+def decode_table(data: bytes) -> Table:
+    """Decode a table; raises `msgspec.ValidationError`."""
+    return msgspec.json.decode(data, type=Table)
+
+
+def decode_catalog(data: bytes) -> Catalog:
+    """Decode a catalog; raises `msgspec.ValidationError`."""
+    return msgspec.json.decode(data, type=Catalog)
--- /dev/null
+++ b/rattanrelay/wire/link.py
@@ -0,0 +1,291 @@
+"""Multiplexed connections between instances: calls, casts and streamed answers."""
+
+import itertools
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+
+import trio
+
+from ..errors import CODES, RelayError
+from .framing import Frame, FrameKind, FrameReader, encode_frame
+from .messages import Failure
+
+__all__ = ["Emit", "Handlers", "PeerLink", "open_link", "serve_peers"]
+
+#: Sends one item of a streamed answer.
+Emit = Callable[[tuple], Awaitable[None]]
+
+RECEIVE_BYTES = 65536
+WRITE_QUEUE_FRAMES = 1024
+STREAM_QUEUE_ITEMS = 4096
+
+
+class Handlers:
+    """Handlers of one node by message type, filled by decorators."""
+
+    def __init__(self) -> None:
+        self.calls: dict[type, Callable] = {}
+        self.streams: dict[type, Callable] = {}
+
+    def on(self, cls: type):
+        """Register `async (message) -> message | None` for calls and casts."""
+
+        def register(handler):
+            self.calls[cls] = handler
+            return handler
+
+        return register
+
+    def on_stream(self, cls: type):
+        """Register `async (message, emit) -> None` for streamed answers."""
+
+        def register(handler):
+            self.streams[cls] = handler
+            return handler
+
+        return register
+
+
+class _FrameWriter:
+    """Writes queued frames to a stream, several in one system call when they are ready."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self.stream = stream
+        self.sender, self.receiver = trio.open_memory_channel[bytes](WRITE_QUEUE_FRAMES)
+
+    async def run(self) -> None:
+        async for frame in self.receiver:
+            waiting = self.receiver.statistics().current_buffer_used
+            more = [self.receiver.receive_nowait() for _ in range(waiting)]
+            await self.stream.send_all(b"".join((frame, *more)))
+
+
+class PeerLink:
+    """The calling side of a connection to another instance."""
+
+    def __init__(self, stream: trio.abc.Stream, peer: str) -> None:
+        self.stream = stream
+        self.peer = peer
+        self.closed = False
+        self.writer = _FrameWriter(stream)
+        self._ids = itertools.count(1)
+        self._waiting: dict[int, trio.MemorySendChannel] = {}
+
+    async def run(self) -> None:
+        """Read and write until the connection ends; then fail all open calls."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.writer.run)
+                await self._read()
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError, RelayError):
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Fail all open calls and take no more."""
+        self.closed = True
+        waiting = list(self._waiting.values())
+        self._waiting.clear()
+        for channel in waiting:
+            channel.close()
+
+    async def call(self, message: tuple) -> tuple:
+        """Send a message and return its reply."""
+        async with self._open(FrameKind.CALL, message) as channel:
+            async for frame in channel:
+                if frame.kind is FrameKind.REPLY:
+                    return frame.message
+                raise self._failure(frame)
+        raise self._lost()
+
+    async def cast(self, message: tuple) -> None:
+        """Send a message that has no reply."""
+        await self._send(encode_frame(FrameKind.CAST, 0, message))
+
+    @asynccontextmanager
+    async def stream_of(self, message: tuple):
+        """Send a message; yields an async iterator over its answer items.
+
+        Leaving the block before the end cancels the call at the peer.
+        """
+        async with self._open(FrameKind.STREAM, message) as channel:
+            yield self._items(channel)
+
+    async def _items(self, channel) -> AsyncIterator[tuple]:
+        async for frame in channel:
+            if frame.kind is FrameKind.END:
+                return
+            if frame.kind is not FrameKind.ITEM:
+                raise self._failure(frame)
+            yield frame.message
+        raise self._lost()
+
+    @asynccontextmanager
+    async def _open(self, kind: FrameKind, message: tuple):
+        if self.closed:
+            raise self._lost("not_run")
+        call_id = next(self._ids)
+        sender, receiver = trio.open_memory_channel[Frame](STREAM_QUEUE_ITEMS)
+        self._waiting[call_id] = sender
+        try:
+            await self._send(encode_frame(kind, call_id, message))
+            yield receiver
+        finally:
+            if self._waiting.pop(call_id, None) is not None and not self.closed:
+                self._cancel(call_id)
+            sender.close()
+            receiver.close()
+
+    def _cancel(self, call_id: int) -> None:
+        try:
+            self.writer.sender.send_nowait(encode_frame(FrameKind.CANCEL, call_id))
+        except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
+            self.closed = True
+
+    async def _send(self, data: bytes) -> None:
+        try:
+            await self.writer.sender.send(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            raise self._lost("not_run") from None
+
+    async def _read(self) -> None:
+        reader = FrameReader()
+        while data := await self.stream.receive_some(RECEIVE_BYTES):
+            for frame in reader.feed(data):
+                self._deliver(frame)
+
+    def _deliver(self, frame: Frame) -> None:
+        channel = self._waiting.get(frame.call_id)
+        if channel is None:
+            return
+        if frame.kind in (FrameKind.REPLY, FrameKind.END, FrameKind.ERROR):
+            del self._waiting[frame.call_id]
+        try:
+            channel.send_nowait(frame)
+        except (trio.WouldBlock, trio.BrokenResourceError):
+            self._waiting.pop(frame.call_id, None)
+            channel.close()
+
+    def _failure(self, frame: Frame) -> RelayError:
+        failure = frame.message
+        if not isinstance(failure, Failure):
+            return RelayError("bad_answer", "unexpected frame", step="peer call", peer=self.peer)
+        code = failure.code if failure.code in CODES else "internal"
+        return RelayError(
+            code, failure.message, step=failure.step, peer=failure.peer, ran=failure.ran
+        )
+
+    def _lost(self, ran: str = "unknown") -> RelayError:
+        return RelayError(
+            "peer_unavailable",
+            "the connection is closed",
+            step="peer call",
+            peer=self.peer,
+            ran=ran,
+        )
+
+
+@asynccontextmanager
+async def open_link(host: str, port: int):
+    """Connect to an instance; yields a running `PeerLink`."""
+    peer = f"{host}:{port}"
+    try:
+        stream = await trio.open_tcp_stream(host, port)
+    except OSError as error:
+        raise RelayError("connect_failed", str(error), step="peer connect", peer=peer) from error
+    async with stream, trio.open_nursery() as nursery:
+        link = PeerLink(stream, peer)
+        nursery.start_soon(link.run)
+        try:
+            yield link
+        finally:
+            link.close()
+            nursery.cancel_scope.cancel()
+
+
+class _PeerConnection:
+    """The answering side of a connection: each call runs in a task of its own."""
+
+    def __init__(self, stream: trio.abc.Stream, handlers: Handlers) -> None:
+        self.stream = stream
+        self.handlers = handlers
+        self.writer = _FrameWriter(stream)
+        self.scopes: dict[int, trio.CancelScope] = {}
+
+    async def run(self) -> None:
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.writer.run)
+                reader = FrameReader()
+                while data := await self.stream.receive_some(RECEIVE_BYTES):
+                    for frame in reader.feed(data):
+                        self._start(frame, nursery)
+                nursery.cancel_scope.cancel()
+        except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError, RelayError):
+            pass
+
+    def _start(self, frame: Frame, nursery: trio.Nursery) -> None:
+        if frame.kind is FrameKind.CANCEL:
+            scope = self.scopes.get(frame.call_id)
+            if scope is not None:
+                scope.cancel()
+        elif frame.kind in (FrameKind.CALL, FrameKind.CAST, FrameKind.STREAM):
+            nursery.start_soon(self._serve, frame)
+
+    async def _serve(self, frame: Frame) -> None:
+        with trio.CancelScope() as scope:
+            if frame.kind is not FrameKind.CAST:
+                self.scopes[frame.call_id] = scope
+            try:
+                await self._answer(frame)
+            except RelayError as error:
+                await self._fail(frame, error)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                pass
+            except Exception as error:
+                text = f"{type(error).__name__}: {error}"
+                await self._fail(frame, RelayError("internal", text, ran="unknown"))
+            finally:
+                self.scopes.pop(frame.call_id, None)
+
+    async def _answer(self, frame: Frame) -> None:
+        streamed = frame.kind is FrameKind.STREAM
+        table = self.handlers.streams if streamed else self.handlers.calls
+        handler = table.get(type(frame.message))
+        if handler is None:
+            name = type(frame.message).__name__
+            raise RelayError("bad_request", f"no handler for {name}", step="peer call")
+        if streamed:
+            await handler(frame.message, self._emitter(frame.call_id))
+            await self.writer.sender.send(encode_frame(FrameKind.END, frame.call_id))
+            return
+        reply = await handler(frame.message)
+        if frame.kind is FrameKind.CALL:
+            await self.writer.sender.send(encode_frame(FrameKind.REPLY, frame.call_id, reply))
+
+    def _emitter(self, call_id: int) -> Emit:
+        async def emit(item: tuple) -> None:
+            await self.writer.sender.send(encode_frame(FrameKind.ITEM, call_id, item))
+
+        return emit
+
+    async def _fail(self, frame: Frame, error: RelayError) -> None:
+        if frame.kind is FrameKind.CAST:
+            return
+        failure = Failure(error.code, error.message, error.step, error.peer, error.ran)
+        data = encode_frame(FrameKind.ERROR, frame.call_id, failure)
+        try:
+            await self.writer.sender.send(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+
+async def serve_peers(handlers: Handlers, listeners: list[trio.SocketListener]) -> None:
+    """Serve the messages of other instances until cancelled."""
+
+    async def serve(stream: trio.SocketStream) -> None:
+        await _PeerConnection(stream, handlers).run()
+
+    await trio.serve_listeners(serve, listeners)
--- /dev/null
+++ b/rattanrelay/wire/messages.py
@@ -0,0 +1,257 @@
+"""Messages between instances as named tuples, bound to the structs of relay.thrift."""
+
+from pathlib import Path
+from typing import NamedTuple
+
+import thriftpy2
+
+__all__ = [
+    "MESSAGES",
+    "Accepted",
+    "Action",
+    "ActionResult",
+    "BlockedRequest",
+    "Cancel",
+    "Document",
+    "DocumentRevision",
+    "Failure",
+    "Heartbeat",
+    "HeartbeatAck",
+    "Message",
+    "Pull",
+    "Release",
+    "RunAction",
+    "ShardResult",
+    "ShardResults",
+    "SubQuery",
+    "Target",
+    "message",
+    "struct_of",
+]
+
+_IDL = thriftpy2.load(str(Path(__file__).with_name("relay.thrift")), module_name="relay_thrift")
+
+#: Any class in `MESSAGES`.
+Message = tuple
+
+#: Top-level messages by their type code on the wire.
+MESSAGES: dict[int, type] = {}
+_CODES: dict[type, int] = {}
+_PARTS: dict[str, type] = {}
+
+
+def message(code: int | None = None):
+    """Bind a named tuple to the struct of the same name; `code` marks a top-level message."""
+
+    def bind(cls):
+        cls.thrift_spec = getattr(_IDL, cls.__name__).thrift_spec
+        _PARTS[cls.__name__] = cls
+        if code is not None:
+            MESSAGES[code] = cls
+            _CODES[cls] = code
+        return cls
+
+    return bind
+
+
+def struct_of(cls: type) -> type:
+    """Return the thrift struct that decodes into `cls`."""
+    return getattr(_IDL, cls.__name__)
+
+
+def type_code(cls: type) -> int:
+    """Return the type code of a top-level message class."""
+    return _CODES[cls]
+
+
+def from_struct(value):
+    """Convert a decoded struct, list or scalar into named tuples and tuples."""
+    if isinstance(value, list):
+        return tuple(from_struct(item) for item in value)
+    cls = _PARTS.get(type(value).__name__)
+    if cls is None:
+        return value
+    fields = cls._field_defaults
+    parts = []
+    for name in cls._fields:
+        part = getattr(value, name)
+        parts.append(fields.get(name) if part is None else from_struct(part))
+    return cls(*parts)
+
+
+@message()
+class DocumentRevision(NamedTuple):
+    """The revision of a document that an instance holds."""
+
+    name: str
+    revision: int
+
+
+@message()
+class BlockedRequest(NamedTuple):
+    """A fingerprint that is blocked, with the time that remains in seconds."""
+
+    fingerprint: str
+    seconds_left: int
+
+
+@message(1)
+class Heartbeat(NamedTuple):
+    """Asks a member of the view to acknowledge the sender's epoch."""
+
+    instance: str
+    incarnation: str
+    epoch: int
+    sequence: int
+    digest: tuple[DocumentRevision, ...] = ()
+    blocked: tuple[BlockedRequest, ...] = ()
+
+
+@message(2)
+class HeartbeatAck(NamedTuple):
+    """Acknowledges a heartbeat; `released` lists backend servers given up under an older epoch."""
+
+    instance: str
+    incarnation: str
+    epoch: int
+    sequence: int
+    digest: tuple[DocumentRevision, ...] = ()
+    released: tuple[str, ...] = ()
+
+
+@message()
+class Target(NamedTuple):
+    """A shard and the searcher that is asked for it."""
+
+    shard: str
+    searcher: str
+
+
+@message(3)
+class SubQuery(NamedTuple):
+    """The part of a query that one owner runs; `deadline_ms` is Unix time."""
+
+    query_id: str
+    svc: str
+    snapshot: str
+    tenant: str
+    body: bytes
+    deadline_ms: int
+    epoch: int
+    targets: tuple[Target, ...]
+    kind: str = "query"
+    canary: bool = False
+
+
+@message()
+class ShardResult(NamedTuple):
+    """What one searcher answered; `status` is `ok` or `failed` with a reason code."""
+
+    query_id: str
+    shard: str
+    searcher: str
+    status: str
+    reason: str = ""
+    snapshot: str = ""
+    payload: bytes = b""
+    held: tuple[str, ...] = ()
+    service_us: int = 0
+    queue_us: int = 0
+    in_flight: int = 0
+    limit: int = 0
+
+
+@message(4)
+class ShardResults(NamedTuple):
+    """Shard results of one query that were ready at the same time."""
+
+    results: tuple[ShardResult, ...]
+
+
+@message(5)
+class Cancel(NamedTuple):
+    """Gives up one sub-request of a query."""
+
+    query_id: str
+    shard: str
+    searcher: str
+
+
+@message(6)
+class Action(NamedTuple):
+    """A non-idempotent request on its way to the coordinator of its key."""
+
+    key: str
+    svc: str
+    route: str
+    tenant: str
+    body: bytes
+    deadline_ms: int
+    request_id: str
+
+
+@message(7)
+class ActionResult(NamedTuple):
+    """Outcome `done`, `not_run` or `unknown` of a non-idempotent request."""
+
+    outcome: str
+    code: str = ""
+    message: str = ""
+    payload: bytes = b""
+
+
+@message(8)
+class Pull(NamedTuple):
+    """Asks for a document newer than `revision`."""
+
+    name: str
+    revision: int
+
+
+@message(9)
+class Document(NamedTuple):
+    """A document with its revision; `value` is JSON."""
+
+    name: str
+    revision: int
+    value: bytes = b""
+
+
+@message(10)
+class Release(NamedTuple):
+    """Tells the new owner that the sender has given up a backend server."""
+
+    epoch: int
+    server: str
+
+
+@message(11)
+class Accepted(NamedTuple):
+    """Says whether the receiver took over what it was sent."""
+
+    accepted: bool
+
+
+@message(12)
+class Failure(NamedTuple):
+    """An error that a handler raised, with the fields of `RelayError`."""
+
+    code: str
+    message: str
+    step: str = ""
+    peer: str = ""
+    ran: str = "unknown"
+
+
+@message(13)
+class RunAction(NamedTuple):
+    """A claimed non-idempotent request on its way to the owner of a searcher."""
+
+    request_id: str
+    svc: str
+    shard: str
+    searcher: str
+    tenant: str
+    body: bytes
+    deadline_ms: int
+    epoch: int
--- /dev/null
+++ b/rattanrelay/wire/relay.thrift
@@ -0,0 +1,44 @@
+// Messages between rattanrelay instances.
+// `service` is a reserved word of the IDL, so the field is called `svc`.
+
+struct DocumentRevision { 1: string name, 2: i64 revision }
+struct BlockedRequest { 1: string fingerprint, 2: i64 seconds_left }
+
+struct Heartbeat {
+  1: string instance, 2: string incarnation, 3: i64 epoch, 4: i64 sequence,
+  5: list<DocumentRevision> digest, 6: list<BlockedRequest> blocked
+}
+struct HeartbeatAck {
+  1: string instance, 2: string incarnation, 3: i64 epoch, 4: i64 sequence,
+  5: list<DocumentRevision> digest, 6: list<string> released
+}
+
+struct Target { 1: string shard, 2: string searcher }
+struct SubQuery {
+  1: string query_id, 2: string svc, 3: string snapshot, 4: string tenant, 5: binary body,
+  6: i64 deadline_ms, 7: i64 epoch, 8: list<Target> targets, 9: string kind, 10: bool canary
+}
+struct ShardResult {
+  1: string query_id, 2: string shard, 3: string searcher, 4: string status, 5: string reason,
+  6: string snapshot, 7: binary payload, 8: list<string> held, 9: i64 service_us,
+  10: i64 queue_us, 11: i32 in_flight, 12: i32 limit
+}
+struct ShardResults { 1: list<ShardResult> results }
+struct Cancel { 1: string query_id, 2: string shard, 3: string searcher }
+
+struct Action {
+  1: string key, 2: string svc, 3: string route, 4: string tenant, 5: binary body,
+  6: i64 deadline_ms, 7: string request_id
+}
+struct ActionResult { 1: string outcome, 2: string code, 3: string message, 4: binary payload }
+
+struct RunAction {
+  1: string request_id, 2: string svc, 3: string shard, 4: string searcher, 5: string tenant,
+  6: binary body, 7: i64 deadline_ms, 8: i64 epoch
+}
+
+struct Pull { 1: string name, 2: i64 revision }
+struct Document { 1: string name, 2: i64 revision, 3: binary value }
+struct Release { 1: i64 epoch, 2: string server }
+struct Accepted { 1: bool accepted }
+struct Failure { 1: string code, 2: string message, 3: string step, 4: string peer, 5: string ran }
--- /dev/null
+++ b/tests/steps/link_steps.py
@@ -0,0 +1,135 @@
+"""Steps for links between instances."""
+
+import random
+
+import trio
+from behave import given, then, when
+
+from rattanrelay.errors import RelayError
+from rattanrelay.wire import (
+    Document,
+    FrameKind,
+    FrameReader,
+    Handlers,
+    Pull,
+    encode_frame,
+    open_link,
+    serve_peers,
+)
+
+HANG_LIMIT_S = 20.0
+
+
+async def _with_link(serve, use):
+    with trio.fail_after(HANG_LIMIT_S):
+        async with trio.open_nursery() as nursery:
+            listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+            port = listeners[0].socket.getsockname()[1]
+            nursery.start_soon(serve, listeners)
+            async with open_link("127.0.0.1", port) as link:
+                await use(link)
+            nursery.cancel_scope.cancel()
+
+
+@given("a peer that answers later calls first")
+def peer_reverses(context):
+    handlers = Handlers()
+    waiting = []
+
+    @handlers.on(Pull)
+    async def pull(message):
+        turn = trio.Event()
+        waiting.append(turn)
+        if len(waiting) == 20:
+            waiting.pop().set()
+        await turn.wait()
+        if waiting:
+            waiting.pop().set()
+        return Document(message.name, message.revision, message.name.encode())
+
+    async def serve(listeners):
+        await serve_peers(handlers, listeners)
+
+    context.serve = serve
+
+
+@given("a peer that closes the connection on the first message")
+def peer_closes(context):
+    async def answer(stream):
+        await stream.receive_some(1)
+
+    async def serve(listeners):
+        await trio.serve_listeners(answer, listeners)
+
+    context.serve = serve
+
+
+@when("{count:d} calls are made at once over one link")
+def many_calls(context, count):
+    context.replies = {}
+
+    async def use(link):
+        async def call(number):
+            context.replies[number] = await link.call(Pull(f"doc-{number}", number))
+
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(call, number)
+
+    trio.run(_with_link, context.serve, use)
+
+
+@when("one call is made over the link")
+def one_call(context):
+    async def use(link):
+        try:
+            await link.call(Pull("doc", 1))
+        except RelayError as error:
+            context.error = error
+
+    trio.run(_with_link, context.serve, use)
+
+
+@then("each call has the answer to its own message")
+def own_answers(context):
+    assert len(context.replies) == 20
+    for number, reply in context.replies.items():
+        assert reply == Document(f"doc-{number}", number, f"doc-{number}".encode()), reply
+
+
+@then('the call fails with code "{code}" and ran "{ran}"')
+def call_failed(context, code, ran):
+    assert (context.error.code, context.error.ran) == (code, ran), context.error
+
+
+@when("{count:d} random frame sequences are cut at random places")
+def random_frames(context, count):
+    chance = random.Random(7)
+    context.pairs = []
+    for _ in range(count):
+        sent = [_random_frame(chance) for _ in range(chance.randint(1, 6))]
+        data = b"".join(encode_frame(*frame) for frame in sent)
+        context.pairs.append((sent, _decode_in_pieces(chance, data)))
+
+
+def _random_frame(chance):
+    name = "n" * chance.randint(0, 40)
+    body = chance.randbytes(chance.randint(0, 200))
+    message = Document(name, chance.getrandbits(62), body)
+    return FrameKind.ITEM, chance.getrandbits(60), message
+
+
+def _decode_in_pieces(chance, data):
+    reader = FrameReader()
+    frames = []
+    while data:
+        size = chance.randint(1, 64)
+        frames += reader.feed(data[:size])
+        data = data[size:]
+    return frames
+
+
+@then("each sequence decodes to the frames that were encoded")
+def same_frames(context):
+    for sent, received in context.pairs:
+        assert [tuple(frame) for frame in received] == sent
