--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -109,14 +109,14 @@
 
 @message(2)
 class HeartbeatAck(NamedTuple):
-    """Acknowledges a heartbeat; `released` lists backend servers given up under an older epoch."""
+    """Acknowledges a heartbeat; `holding` lists servers of another owner still being given up."""
 
     instance: str
     incarnation: str
     epoch: int
     sequence: int
     digest: tuple[DocumentRevision, ...] = ()
-    released: tuple[str, ...] = ()
+    holding: tuple[str, ...] = ()
 
 
 @message()
--- a/rattanrelay/wire/relay.thrift
+++ b/rattanrelay/wire/relay.thrift
@@ -10,7 +10,7 @@
 }
 struct HeartbeatAck {
   1: string instance, 2: string incarnation, 3: i64 epoch, 4: i64 sequence,
-  5: list<DocumentRevision> digest, 6: list<string> released
+  5: list<DocumentRevision> digest, 6: list<string> holding
 }
 
 struct Target { 1: string shard, 2: string searcher }
