--- /dev/null
+++ b/rattanrelay/cli/main.py
@@ -0,0 +1,92 @@
+"""Parses the command line, runs a command and maps errors to exit codes."""
+
+import contextlib
+import io
+import sys
+from collections.abc import Callable
+
+import defopt
+
+from ..errors import RelayError
+from .registry import command_tree, group_names
+
+__all__ = ["EXIT_INPUT", "EXIT_INTERRUPTED", "EXIT_OK", "EXIT_REFUSED", "main"]
+
+EXIT_OK = 0
+#: Refused by the server, or the network failed.
+EXIT_REFUSED = 1
+#: Bad arguments, settings or input files.
+EXIT_INPUT = 2
+EXIT_INTERRUPTED = 130
+
+
+def main(argv: list[str] | None = None) -> int:
+    """Run one command and return its exit code; errors go to standard error in one line."""
+    argv = sys.argv[1:] if argv is None else argv
+    try:
+        call = _parse(argv)
+        return call() or EXIT_OK
+    except RelayError as error:
+        return _report(error)
+    except BaseExceptionGroup as group:
+        return _report_group(group)
+    except KeyboardInterrupt:
+        return EXIT_INTERRUPTED
+    except BrokenPipeError:
+        sys.stderr.close()
+        return EXIT_REFUSED
+    except Exception as error:
+        return _report(_internal(error))
+
+
+def _parse(argv: list[str]) -> Callable[[], int | None]:
+    """Return the command bound to its arguments; `--help` exits through `SystemExit`."""
+    names = group_names()
+    chosen = [argv[0]] if argv and argv[0] in names else names
+    errors = io.StringIO()
+    try:
+        with contextlib.redirect_stderr(errors):
+            return defopt.bind(
+                command_tree(chosen),
+                argv=argv,
+                short={},
+                no_negated_flags=True,
+                version=False,
+                argparse_kwargs={"prog": "rattanrelay"},
+            )
+    except SystemExit as stop:
+        if not stop.code:
+            raise
+        text = errors.getvalue().strip().splitlines()[-1].partition(": error: ")
+        words = text[0].removeprefix("rattanrelay").strip() or "rattanrelay"
+        raise RelayError("bad_arguments", f"{words}: {text[2]}") from None
+
+
+def _report(error: RelayError) -> int:
+    """Print an error in one line and return its exit code."""
+    print(" ".join(str(error).split()), file=sys.stderr)
+    local = not error.peer
+    return EXIT_INPUT if local and error.status == 400 else EXIT_REFUSED
+
+
+def _report_group(group: BaseExceptionGroup) -> int:
+    """Report the first error of a group; an interruption in it has priority."""
+    leaves = list(_leaves(group))
+    if any(isinstance(leaf, KeyboardInterrupt) for leaf in leaves):
+        return EXIT_INTERRUPTED
+    for leaf in leaves:
+        if isinstance(leaf, RelayError):
+            return _report(leaf)
+    return _report(_internal(leaves[0]))
+
+
+def _leaves(group: BaseExceptionGroup):
+    for error in group.exceptions:
+        if isinstance(error, BaseExceptionGroup):
+            yield from _leaves(error)
+        else:
+            yield error
+
+
+def _internal(error: BaseException) -> RelayError:
+    return RelayError("internal", f"{type(error).__name__}: {error}")
--- a/rattanrelay/errors.py
+++ b/rattanrelay/errors.py
@@ -88,6 +88,7 @@
 register_code("internal", 500, "An internal error")
 # Configuration.
 register_code("bad_settings", 400, "A setting is missing or has a value that is not allowed")
+register_code("bad_arguments", 400, "The command line lacks an argument or has a wrong one")
 register_code("bad_table", 400, "The table has a cell that is not allowed")
 register_code("edit_conflict", 409, "Another operator changed the same cell")
 register_code("version_conflict", 409, "The stored version is another than expected")
