--- /dev/null
+++ b/rattanrelay/table/cells.py
@@ -0,0 +1,212 @@
+"""Edits of cells and rows, and their application to a table that may have changed meanwhile."""
+
+from collections.abc import Iterable, Mapping
+
+from ..errors import RelayError
+from .checks import check_table, new_problems
+from .columns import COLUMNS, KINDS, bad_cell, column_of, parse_cell, row_of, rows_of
+from .model import CellChange, CellValue, HistoryEntry, Table
+
+__all__ = [
+    "HISTORY_CHANGES",
+    "MAX_CHANGES",
+    "add_row",
+    "apply_changes",
+    "cell_of",
+    "commit",
+    "describe",
+    "parse_row",
+    "remove_row",
+    "set_cell",
+    "set_state",
+    "table_at",
+]
+
+#: Cell changes that the history keeps. They are sent to each instance with the table.
+HISTORY_CHANGES = 100
+
+#: Cell changes that one edit may contain.
+MAX_CHANGES = 1000
+
+#: Kinds with a column `state`.
+KINDS_WITH_STATE = tuple(kind for kind, columns in COLUMNS.items() if "state" in columns)
+
+
+def cell_of(table: Table, kind: str, name: str, column: str) -> CellValue:
+    """Return a cell, the row as a tuple for an empty `column`, None if the row is not there."""
+    row = rows_of(table, kind).get(name)
+    if row is None:
+        return None
+    return getattr(row, column) if column else tuple(row)
+
+
+def set_cell(table: Table, kind: str, name: str, column: str, raw, before=None) -> CellChange:
+    """Return the change of one cell; `before` is the value that the author saw, if it is known.
+
+    Raises `not_found`, `bad_arguments` or `bad_table`.
+    """
+    spec = column_of(kind, column)
+    if column == "name":
+        raise bad_cell(kind, name, column, raw, "a row keeps its name; add a row and remove this")
+    row = row_of(table, kind, name)
+    seen = getattr(row, column) if before is None else parse_cell(spec, name, before)
+    return CellChange(kind, name, column, seen, parse_cell(spec, name, raw))
+
+
+def set_state(table: Table, kind: str, name: str, state: str) -> CellChange:
+    """Return the change that takes a row out of service or back; raises `not_found`."""
+    if kind not in KINDS_WITH_STATE:
+        allowed = ", ".join(KINDS_WITH_STATE)
+        text = f"{kind} cannot be taken out of service; allowed: {allowed}"
+        raise RelayError("bad_arguments", text, step="set state")
+    return set_cell(table, kind, name, "state", state)
+
+
+def parse_row(kind: str, name: str, values: Mapping):
+    """Build a row from texts or JSON values by column; columns left out take their default."""
+    cells = {}
+    for column, raw in {**values, "name": name}.items():
+        cells[column] = parse_cell(column_of(kind, column), name, raw)
+    row_class = KINDS[kind]
+    for column in row_class._fields:
+        if column not in cells and column not in row_class._field_defaults:
+            raise bad_cell(kind, name, column, "", COLUMNS[kind][column].allowed)
+    return row_class(**cells)
+
+
+def add_row(kind: str, name: str, values: Mapping) -> CellChange:
+    """Return the change that adds a row; raises `bad_table` or `bad_arguments`."""
+    return CellChange(kind, name, "", None, tuple(parse_row(kind, name, values)))
+
+
+def remove_row(table: Table, kind: str, name: str) -> CellChange:
+    """Return the change that removes a row; raises `not_found`."""
+    return CellChange(kind, name, "", tuple(row_of(table, kind, name)), None)
+
+
+def apply_changes(table: Table, changes: Iterable[CellChange]) -> Table:
+    """Apply changes to a table that may be newer than the one that their author saw.
+
+    A change is applied if its cell still holds the value that the author saw, or already holds the
+    new value. Otherwise `edit_conflict` says what was written there and by whom.
+    """
+    return _apply(table, changes)[0]
+
+
+def _apply(table: Table, changes: Iterable[CellChange]) -> tuple[Table, tuple[CellChange, ...]]:
+    """Return the new table and the changes with the values that they actually replaced."""
+    done = []
+    for change in changes:
+        current = cell_of(table, change.kind, change.name, change.column)
+        if current not in (change.before, change.after):
+            raise _conflict(table, change, current)
+        if current != change.after:
+            table = _write(table, change)
+            done.append(change._replace(before=current))
+    return table, tuple(done)
+
+
+def commit(
+    table: Table, changes: tuple[CellChange, ...], *, author: str, now: float, note: str = ""
+) -> Table:
+    """Return the next revision with the changes, checked as a whole, and its history entry.
+
+    `now` is Unix time in seconds. Raises `edit_conflict` or `bad_table`.
+    """
+    if len(changes) > MAX_CHANGES:
+        text = f"an edit has at most {MAX_CHANGES} cell changes, this one has {len(changes)}"
+        raise RelayError("bad_table", text, step="apply edit")
+    edited, done = _apply(table, changes)
+    entry = HistoryEntry(table.revision + 1, author, now, note, done)
+    edited = edited._replace(
+        revision=entry.revision,
+        author=author,
+        change=describe(done),
+        history=_bounded((*table.history, entry)),
+    )
+    check_table(new_problems(table, edited))
+    return edited
+
+
+def describe(changes: tuple[CellChange, ...]) -> str:
+    """Return a short text for a list of changes."""
+    if not changes:
+        return "no change"
+    first = _describe_one(changes[0])
+    return first if len(changes) == 1 else f"{first} and {len(changes) - 1} more"
+
+
+def table_at(table: Table, revision: int) -> Table:
+    """Return the rows as they were at an earlier revision.
+
+    Raises `precondition_failed` if the history does not reach back that far, or if `revision` is
+    higher than that of `table`.
+    """
+    later = [entry for entry in table.history if entry.revision > revision]
+    if revision > table.revision or len(later) != table.revision - revision:
+        text = f"revision {revision} is not in the history of revision {table.revision}"
+        raise RelayError("precondition_failed", text, step="find revision")
+    for entry in reversed(later):
+        for change in reversed(entry.changes):
+            table = _write(table, change._replace(after=change.before))
+    return table._replace(revision=revision, history=table.history[: -len(later) or None])
+
+
+def _describe_one(change: CellChange) -> str:
+    place = f"{change.kind}/{change.name}"
+    if change.column:
+        return f"{place}/{change.column}: {change.before!r} to {change.after!r}"
+    if change.before is None:
+        return f"{place} added"
+    return f"{place} removed" if change.after is None else f"{place} replaced"
+
+
+def _write(table: Table, change: CellChange) -> Table:
+    rows = dict(rows_of(table, change.kind))
+    if change.column:
+        rows[change.name] = rows[change.name]._replace(**{change.column: change.after})
+    elif change.after is None:
+        rows.pop(change.name, None)
+    else:
+        rows[change.name] = KINDS[change.kind](*change.after)
+    return table._replace(**{change.kind: rows})
+
+
+def _conflict(table: Table, change: CellChange, current: CellValue) -> RelayError:
+    place = f"{change.kind}/{change.name}" + (f"/{change.column}" if change.column else "")
+    wrote = "removed the row" if current is None else f"wrote {_shown(current)}"
+    text = (
+        f"{place}: {_writer(table, change)} {wrote}; you saw {_shown(change.before)} "
+        f"and wrote {_shown(change.after)}, which is not applied"
+    )
+    return RelayError("edit_conflict", text, step="apply edit")
+
+
+def _shown(value: CellValue) -> str:
+    if value is None:
+        return "no row"
+    return repr(list(value)) if isinstance(value, tuple) else repr(value)
+
+
+def _writer(table: Table, change: CellChange) -> str:
+    """Return who last changed the cell or its row, as far as the history reaches."""
+    for entry in reversed(table.history):
+        if any(_same_place(change, other) for other in entry.changes):
+            return f"{entry.author} (revision {entry.revision})"
+    return "another operator"
+
+
+def _same_place(mine: CellChange, other: CellChange) -> bool:
+    if (mine.kind, mine.name) != (other.kind, other.name):
+        return False
+    return "" in (mine.column, other.column) or mine.column == other.column
+
+
+def _bounded(history: tuple[HistoryEntry, ...]) -> tuple[HistoryEntry, ...]:
+    """Drop the oldest entries beyond `HISTORY_CHANGES`; the newest entry is always kept."""
+    count = 0
+    for index in range(len(history) - 1, -1, -1):
+        count += max(1, len(history[index].changes))
+        if count > HISTORY_CHANGES and index < len(history) - 1:
+            return history[index + 1 :]
+    return history
--- a/rattanrelay/table/model.py
+++ b/rattanrelay/table/model.py
@@ -6,7 +6,10 @@
 
 __all__ = [
     "Catalog",
+    "CellChange",
+    "CellValue",
     "DomainRow",
+    "HistoryEntry",
     "InstanceRow",
     "Policy",
     "RowState",
@@ -95,6 +98,33 @@
     max_in_flight: int = 100
 
 
+#: A cell, a whole row as a tuple in column order, or None for a row that is not there.
+CellValue = bool | int | float | str | tuple[bool | int | float | str, ...] | None
+
+
+class CellChange(NamedTuple):
+    """A change of one cell; an empty `column` stands for the whole row.
+
+    `before` is the value that the author saw, `after` the value that the author wrote.
+    """
+
+    kind: str
+    name: str
+    column: str
+    before: CellValue
+    after: CellValue
+
+
+class HistoryEntry(NamedTuple):
+    """Who made a revision, when (Unix time in seconds), why and what changed."""
+
+    revision: int
+    author: str
+    time: float
+    note: str
+    changes: tuple[CellChange, ...]
+
+
 class Table(NamedTuple):
     """The whole table; the keys of each map are the row names."""
 
@@ -107,6 +137,8 @@
     #: Who made this revision and what changed, for the history.
     author: str = ""
     change: str = ""
+    #: The latest changes, oldest first, in the same document so that both change in one swap.
+    history: tuple[HistoryEntry, ...] = ()
 
 
 class Shard(NamedTuple):
