--- /dev/null
+++ b/rattanrelay/node/admin_access.py
@@ -0,0 +1,197 @@
+"""Tokens of the administration API, and which rows and cells a team may read and change.
+
+Services belong to the teams whose tokens list them, servers to the team of their service, tenants
+to the team in their row. Failure domains and instances belong to the operators; each team may read
+them, since its servers refer to them. A token of team `operators` without a list of services covers
+all rows. Weights divide capacity between teams, so only such a token may change them or add
+services and tenants.
+"""
+
+import hashlib
+import hmac
+from collections.abc import Iterable, Mapping
+from pathlib import Path
+from typing import NamedTuple
+
+from ..errors import RelayError
+from ..settings import AdminToken
+from ..table import CellChange, Table
+from ..table.cells import cell_of
+from ..table.columns import KINDS, rows_of
+
+__all__ = ["OPERATORS", "Access", "Tokens"]
+
+#: Team whose tokens cover all rows unless they list services.
+OPERATORS = "operators"
+
+MIN_TOKEN_LENGTH = 16
+
+#: Kinds that belong to the operators and that each team may read.
+SHARED_KINDS = ("domains", "instances")
+
+#: Cells that decide what a team gets of the capacity of all.
+RESERVED = {
+    ("services", "weight"),
+    ("servers", "weight"),
+    ("tenants", "weight"),
+    ("tenants", "team"),
+}
+
+#: Kinds whose rows only the operators add, remove or replace.
+RESERVED_ROWS = ("services", "tenants", *SHARED_KINDS)
+
+
+class Access(NamedTuple):
+    """What the holder of one token may do."""
+
+    team: str
+    scopes: frozenset[str]
+    services: frozenset[str]
+
+    @property
+    def fleet_wide(self) -> bool:
+        """Say whether all rows of the table are covered."""
+        return self.team == OPERATORS and not self.services
+
+    def require(self, scope: str) -> None:
+        """Raise `forbidden` without the scope."""
+        if scope not in self.scopes:
+            text = f"the token of team {self.team} lacks the scope {scope}"
+            raise RelayError("forbidden", text, step="check token")
+
+    def require_fleet_wide(self, what: str) -> None:
+        """Raise `forbidden` unless all rows are covered."""
+        if not self.fleet_wide:
+            text = f"{what} needs a token of team {OPERATORS} that covers all services"
+            raise RelayError("forbidden", text, step="check token")
+
+    def sees(self, kind: str, row) -> bool:
+        """Say whether a row may be read."""
+        return self.fleet_wide or kind in SHARED_KINDS or self.owns(kind, row)
+
+    def owns(self, kind: str, row) -> bool:
+        """Say whether a row belongs to the team."""
+        if self.fleet_wide:
+            return True
+        if kind == "services":
+            return row.name in self.services
+        if kind == "servers":
+            return row.service in self.services
+        return kind == "tenants" and row.team == self.team
+
+    def visible(self, table: Table) -> Table:
+        """Return the table without rows and history of other teams."""
+        if self.fleet_wide:
+            return table
+        parts = {
+            kind: {name: row for name, row in rows_of(table, kind).items() if self.sees(kind, row)}
+            for kind in KINDS
+        }
+        history = []
+        for entry in table.history:
+            changes = tuple(change for change in entry.changes if self._sees_change(table, change))
+            if changes:
+                note = entry.note if changes == entry.changes else ""
+                history.append(entry._replace(changes=changes, note=note))
+        return table._replace(**parts, history=tuple(history), author="", change="")
+
+    def check(self, table: Table, changes: Iterable[CellChange]) -> None:
+        """Raise `forbidden`, `not_found` or `edit_conflict` unless the changes are permitted."""
+        for change in changes:
+            self._check_state(table, change)
+            if not self.fleet_wide:
+                self._check_change(table, change)
+
+    def _check_state(self, table: Table, change: CellChange) -> None:
+        if change.column == "state":
+            self.require("operate")
+
+    def _check_change(self, table: Table, change: CellChange) -> None:
+        kind, name, column = change.kind, change.name, change.column
+        row = rows_of(table, kind).get(name)
+        if row is not None and not self.sees(kind, row):
+            if column == "" and change.before is None:
+                text = f"{kind}/{name}: the name is taken; choose another"
+                raise RelayError("edit_conflict", text, step="check token")
+            raise RelayError("not_found", f"{kind} have no row {name!r}", step="find row")
+        if column == "" and kind in RESERVED_ROWS:
+            self.require_fleet_wide(f"adding or removing rows of {kind}")
+        if kind in SHARED_KINDS or (kind, column) in RESERVED:
+            self.require_fleet_wide(f"a change of {kind}/{name}/{column}")
+        after = _row_after(table, change)
+        if after is not None and not self.owns(kind, after):
+            raise RelayError(
+                "forbidden", f"{kind}/{name} would belong to another team", step="check token"
+            )
+        if column == "" and after is not None and after.weight != 1:
+            self.require_fleet_wide("a weight other than 1")
+
+    def _sees_change(self, table: Table, change: CellChange) -> bool:
+        row = rows_of(table, change.kind).get(change.name)
+        if row is not None:
+            return self.sees(change.kind, row)
+        whole = change.before if change.before is not None else change.after
+        if change.column or not isinstance(whole, tuple):
+            return change.kind in SHARED_KINDS
+        return self.sees(change.kind, KINDS[change.kind](*whole))
+
+
+class Tokens:
+    """Access by bearer token; only hashes of the tokens are kept."""
+
+    def __init__(self, entries: Iterable[AdminToken]) -> None:
+        self.by_hash: dict[bytes, Access] = {}
+        for number, entry in enumerate(entries):
+            digest = _hash(_read_token(entry.file, number))
+            if digest in self.by_hash:
+                raise _bad_file(entry.file, number, "the same token as in another file")
+            scopes = frozenset(entry.scopes)
+            self.by_hash[digest] = Access(entry.team, scopes, frozenset(entry.services))
+
+    def find(self, headers: Mapping[str, str]) -> Access:
+        """Return the access of a request's bearer token; raises `unauthorized`.
+
+        All known tokens are compared, each in constant time, so that the time of an answer says
+        nothing about them.
+        """
+        scheme, _, token = headers.get("authorization", "").partition(" ")
+        given = _hash(token.strip())
+        found = None
+        for digest, access in self.by_hash.items():
+            if hmac.compare_digest(digest, given):
+                found = access
+        if found is None or scheme.lower() != "bearer":
+            text = "the request has no bearer token, or an unknown one"
+            raise RelayError("unauthorized", text, step="check token")
+        return found
+
+
+def _row_after(table: Table, change: CellChange):
+    """Return the row after a change, None if it is gone."""
+    if not change.column:
+        return None if change.after is None else KINDS[change.kind](*change.after)
+    if cell_of(table, change.kind, change.name, "") is None:
+        return None
+    row = rows_of(table, change.kind)[change.name]
+    return row._replace(**{change.column: change.after})
+
+
+def _hash(token: str) -> bytes:
+    return hashlib.sha256(token.encode("utf-8", "surrogateescape")).digest()
+
+
+def _read_token(path: str, number: int) -> str:
+    try:
+        token = Path(path).read_text("ascii").strip()
+    except (OSError, UnicodeDecodeError) as error:
+        reason = getattr(error, "strerror", None) or "not ASCII"
+        raise _bad_file(path, number, reason) from None
+    if len(token) < MIN_TOKEN_LENGTH or not token.isprintable() or " " in token:
+        text = f"the file must hold one token of at least {MIN_TOKEN_LENGTH} printable characters"
+        raise _bad_file(path, number, text)
+    return token
+
+
+def _bad_file(path: str, number: int, reason: str) -> RelayError:
+    text = f"key admin_tokens[{number}].file: value {path!r} is not allowed: {reason}"
+    return RelayError("bad_settings", text, step="read token")
--- /dev/null
+++ b/rattanrelay/node/admin_ports.py
@@ -0,0 +1,59 @@
+"""What the administration API needs of the other tasks."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol, TypedDict
+
+from ..wire import Document
+from .ports import Configuration, Latest, Member
+
+__all__ = ["DocumentsPort", "MembershipPort", "Status", "StatusSource"]
+
+
+class Status(TypedDict, total=False):
+    """Live state as this instance knows it; conditions must not name rows of teams."""
+
+    ready: bool
+    #: Conditions that hold now, such as `store_unavailable` or `no_quorum`.
+    degraded: list[str]
+    #: Revision of each document by instance and document name.
+    revisions: dict[str, dict[str, int]]
+    #: State of each backend server that this instance owns: `cold`, `warm` and so on.
+    servers: dict[str, str]
+    #: Former members that are not known to have stopped.
+    departed: list[str]
+
+
+#: Returns the live state now.
+StatusSource = Callable[[], Status | Awaitable[Status]]
+
+
+class DocumentsPort(Protocol):
+    """The documents task: what is in force here, and edits in the store."""
+
+    configuration: Latest[Configuration]
+
+    async def edit(self, name: str, change: Callable[[bytes | None], bytes]) -> Document:
+        """Apply `change` in the store; it is called again with the newer value after a lost swap.
+
+        Raises what `change` raises, or `store_unavailable`, `version_conflict`, `outcome_unknown`.
+        """
+
+
+class MembershipPort(Protocol):
+    """The members task: the view, the owners, and the statement that an instance has stopped."""
+
+    instance: str
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the adopted view, 0 before the first."""
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Members of the adopted view."""
+
+    def owner(self, name: str) -> Member | None:
+        """Return the member that owns a backend server, None without a view."""
+
+    async def confirm_stopped(self, instance: str) -> object:
+        """Record that all processes of an instance have stopped."""
--- a/rattanrelay/table/capacity.py
+++ b/rattanrelay/table/capacity.py
@@ -35,7 +35,7 @@
 def capacity_without(
     table: Table, catalogs: Mapping[str, Catalog], kind: str, name: str
 ) -> CapacityReport:
-    """Return what remains when a row is taken out; raises `not_found` or `bad_arguments`."""
+    """Return what remains when a row is taken out; raises `not_found` or `bad_request`."""
     after = apply_changes(table, [set_state(table, kind, name, "out")])
     lines = tuple(_lines(slots_by_place(table), slots_by_place(after)))
     warnings = (
--- a/rattanrelay/table/cells.py
+++ b/rattanrelay/table/cells.py
@@ -1,6 +1,6 @@
 """Edits of cells and rows, and their application to a table that may have changed meanwhile."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from ..errors import RelayError
 from .checks import check_table, new_problems
@@ -43,7 +43,7 @@
 def set_cell(table: Table, kind: str, name: str, column: str, raw, before=None) -> CellChange:
     """Return the change of one cell; `before` is the value that the author saw, if it is known.
 
-    Raises `not_found`, `bad_arguments` or `bad_table`.
+    Raises `not_found`, `bad_request` or `bad_table`.
     """
     spec = column_of(kind, column)
     if column == "name":
@@ -58,7 +58,7 @@
     if kind not in KINDS_WITH_STATE:
         allowed = ", ".join(KINDS_WITH_STATE)
         text = f"{kind} cannot be taken out of service; allowed: {allowed}"
-        raise RelayError("bad_arguments", text, step="set state")
+        raise RelayError("bad_request", text, step="set state")
     return set_cell(table, kind, name, "state", state)
 
 
@@ -75,7 +75,7 @@
 
 
 def add_row(kind: str, name: str, values: Mapping) -> CellChange:
-    """Return the change that adds a row; raises `bad_table` or `bad_arguments`."""
+    """Return the change that adds a row; raises `bad_table` or `bad_request`."""
     return CellChange(kind, name, "", None, tuple(parse_row(kind, name, values)))
 
 
@@ -107,11 +107,18 @@
 
 
 def commit(
-    table: Table, changes: tuple[CellChange, ...], *, author: str, now: float, note: str = ""
+    table: Table,
+    changes: tuple[CellChange, ...],
+    *,
+    author: str,
+    now: float,
+    note: str = "",
+    visible: Callable[[str, str], bool] = lambda kind, name: True,
 ) -> Table:
     """Return the next revision with the changes, checked as a whole, and its history entry.
 
-    `now` is Unix time in seconds. Raises `edit_conflict` or `bad_table`.
+    `now` is Unix time in seconds; `visible` says which rows an error may name. Raises
+    `edit_conflict` or `bad_table`.
     """
     if len(changes) > MAX_CHANGES:
         text = f"an edit has at most {MAX_CHANGES} cell changes, this one has {len(changes)}"
@@ -124,7 +131,11 @@
         change=describe(done),
         history=_bounded((*table.history, entry)),
     )
-    check_table(new_problems(table, edited))
+    found = new_problems(table, edited)
+    shown = [problem for problem in found if visible(problem.kind, problem.name)]
+    if found and not shown:
+        raise RelayError("bad_table", "rows of other teams do not fit the edit", step="check table")
+    check_table(shown)
     return edited
 
 
--- a/rattanrelay/table/columns.py
+++ b/rattanrelay/table/columns.py
@@ -156,20 +156,20 @@
 
 
 def kind_of(word: str) -> str:
-    """Return the kind for its plural or singular; raises `bad_arguments`."""
+    """Return the kind for its plural or singular; raises `bad_request`."""
     for kind in KINDS:
         if word in (kind, kind.removesuffix("s")):
             return kind
     text = f"kind {word!r} is not known; allowed: {', '.join(KINDS)}"
-    raise RelayError("bad_arguments", text, step="read kind")
+    raise RelayError("bad_request", text, step="read kind")
 
 
 def column_of(kind: str, name: str) -> Column:
-    """Return a column; raises `bad_arguments`."""
+    """Return a column; raises `bad_request`."""
     column = COLUMNS[kind].get(name)
     if column is None:
         text = f"{kind} have no column {name!r}; allowed: {', '.join(COLUMNS[kind])}"
-        raise RelayError("bad_arguments", text, step="read column")
+        raise RelayError("bad_request", text, step="read column")
     return column
 
 
--- /dev/null
+++ b/tests/steps/operator_admin_steps.py
@@ -0,0 +1,208 @@
+"""Steps for the administration API."""
+
+import json
+from unittest.mock import patch
+
+from behave import given, then, when
+from operator_fakes import Lab, call_admin, live_status, token_of
+from operator_samples import sample_table
+
+from rattanrelay.errors import RelayError
+from rattanrelay.node import admin
+from rattanrelay.node.ports import Configuration, Latest
+from rattanrelay.table import Catalog, Shard, Snapshot
+from rattanrelay.table.cells import cell_of, set_cell
+
+READABLE = (
+    "/v1/table",
+    "/v1/table/servers",
+    "/v1/table/tenants",
+    "/v1/export/servers",
+    "/v1/export/services",
+    "/v1/export/tenants",
+    "/v1/history",
+    "/v1/members",
+    "/v1/status",
+    "/v1/capacity/domains/oviedo",
+    "/v1/capacity/servers/log-1",
+)
+
+
+@given("an administration API for these tokens")
+def given_api(context):
+    context.token_rows = [row.as_dict() for row in context.table]
+    context.lab = Lab(sample_table(), context.token_rows)
+    context.add_cleanup(context.lab.close)
+    context.answers = []
+    context.logged = []
+    recorder = patch.object(admin, "event", lambda name, **f: context.logged.append((name, f)))
+    recorder.start()
+    context.add_cleanup(recorder.stop)
+
+
+def send(context, token, method, path, body, headers=None):
+    name = None if token == "nobody" else token
+    context.answer = call_admin(context.lab, name, method, path, body, headers)
+    context.answers.append(context.answer)
+
+
+@given('"{token}" has called "{method}" "{path}" with {body}')
+def given_called(context, token, method, path, body):
+    send(context, token, method, path, json.loads(body))
+    assert context.answers.pop().status == 200
+
+
+@when('"{token}" calls "{method}" "{path}" with {body}')
+def when_called(context, token, method, path, body):
+    send(context, token, method, path, json.loads(body))
+
+
+@when('with If-Match "{revision:d}" "{token}" sends "{method}" "{path}" with {body}')
+def when_called_if_match(context, token, method, path, body, revision):
+    send(context, token, method, path, json.loads(body), {"if-match": f'"{revision}"'})
+
+
+@when('"{token}" reads everything that it may read')
+def when_reads_all(context, token):
+    for path in READABLE:
+        send(context, token, "GET", path, None)
+        assert context.answer.status == 200, (path, context.answer)
+
+
+@then('the answer has status {status:d} and code "{code}"')
+@then('the answer has status {status:d} and code ""')
+def then_status(context, status, code=""):
+    answer = context.answer
+    assert answer.status == status, answer
+    if code:
+        assert answer.headers["content-type"] == "application/problem+json", answer
+        assert answer.json()["code"] == code, answer
+
+
+@then('the answer says "{text}"')
+def then_says(context, text):
+    assert text in context.answer.body.decode(), context.answer.body
+
+
+@then("the answer has the JSON {text}")
+def then_says_json(context, text):
+    assert text in context.answer.body.decode(), context.answer.body
+
+
+@then('the answer has the entity tag "{revision:d}"')
+def then_tag(context, revision):
+    assert context.answer.headers.get("etag") == f'"{revision}"', context.answer
+
+
+@then('the answer has the header "{name}" with "{value}"')
+def then_header(context, name, value):
+    assert context.answer.headers.get(name) == value, context.answer
+
+
+@then('the stored cell "{kind}" "{row}" "{column}" is {value}')
+def then_stored(context, kind, row, column, value):
+    cell = cell_of(context.lab.documents.table, kind, row, column)
+    assert cell == json.loads(value), cell
+
+
+@then('no answer contains "{text}"')
+def then_nowhere(context, text):
+    for answer in context.answers:
+        assert text not in answer.body.decode(), answer
+
+
+@then('an answer contains "{text}"')
+def then_somewhere(context, text):
+    assert any(text in answer.body.decode() for answer in context.answers)
+
+
+@then('the log contains "{text}"')
+def then_logged(context, text):
+    assert text in repr(context.logged)
+
+
+@then("neither the log nor an answer contains a token")
+def then_no_token(context):
+    assert context.logged
+    written = repr(context.logged) + repr(context.answers)
+    for row in context.token_rows:
+        assert token_of(row["token"]) not in written
+
+
+@when('the token file holds "{text}"')
+def when_token_file(context, text):
+    lab = context.lab
+    entry = lab.entry("new", "operators", "read", "", text)
+    if text == "<missing>":
+        entry = type(entry)("operators", "/nonexistent/token", ["read"])
+    lab.tokens.append(entry)
+
+
+@then('the API fails to start with "{code}" that says "{reason}"')
+def then_start_fails(context, code, reason):
+    try:
+        context.lab.start()
+    except RelayError as error:
+        assert error.code == code and reason in error.message, error
+        assert "admin_tokens[6].file" in error.message, error
+        return
+    raise AssertionError("started")
+
+
+def other_change(context, kind, row, column, value):
+    return set_cell(context.lab.documents.table, kind, row, column, json.loads(value))
+
+
+@given('another operator writes "{kind}" "{row}" "{column}" as {value} during the next edit')
+def given_race(context, kind, row, column, value):
+    context.lab.documents.others.append(other_change(context, kind, row, column, value))
+
+
+@given('elsewhere another operator wrote "{kind}" "{row}" "{column}" as {value} already')
+def given_lag(context, kind, row, column, value):
+    context.lab.documents.write_elsewhere(other_change(context, kind, row, column, value))
+
+
+@given('"{token}" has exported "{kind}"')
+def given_export(context, token, kind):
+    send(context, token, "GET", f"/v1/export/{kind}", None)
+    context.export = (kind, context.answer.body.decode())
+
+
+@when('"{token}" imports the export with "{old}" replaced by "{new}"')
+def when_import(context, token, old, new):
+    kind, text = context.export
+    assert old in text, text
+    send(context, token, "POST", f"/v1/import/{kind}", text.replace(old, new, 1))
+
+
+@given('a catalog of "{service}" with shard "{shard}" only on "{searcher}"')
+def given_catalog(context, service, shard, searcher):
+    snapshot = Snapshot("s1", (Shard(shard, (searcher,)),))
+    latest = context.lab.documents.configuration
+    catalog = Catalog(service, 1, (snapshot,))
+    latest.set(latest.value._replace(catalogs={service: catalog}))
+
+
+@given("the store holds no table")
+def given_empty(context):
+    context.lab.documents.value = None
+    context.lab.documents.configuration = Latest(Configuration())
+
+
+@given("the status is gathered by an asynchronous call")
+def given_async_status(context):
+    async def gather():
+        return live_status()
+
+    context.lab.admin = context.lab.start(gather)
+
+
+@then('the members task has been told that "{instance}" stopped')
+def then_confirmed(context, instance):
+    assert context.lab.members.stopped == [instance]
+
+
+@given("the store raises an unexpected error")
+def given_unexpected(context):
+    context.lab.documents.failure = RuntimeError("disk on fire")
--- a/tests/table/capacity.feature
+++ b/tests/table/capacity.feature
@@ -30,4 +30,4 @@
     Then a warning says "no instance remains in service"
 
   Scenario: A tenant cannot be taken out
-    Then the capacity without "tenants" "museum" fails with "bad_arguments"
+    Then the capacity without "tenants" "museum" fails with "bad_request"
