Add claims of non-idempotent requests

Cause: a resent reservation or check-in must run at most once, whichever instance it reaches. Change: a claim is written by compare-and-swap before dispatch, outcomes after it, both batched for each bucket; repeats get the stored outcome, unknown or a true refusal. Conclusion: the swap alone decides; ownership of a bucket only saves conflicts.

--- /dev/null
+++ b/rattanrelay/decide/claims.py
@@ -0,0 +1,196 @@
+"""Claims of non-idempotent requests: which request may run, decided by compare-and-swap.
+
+A claim is written to the store before the request is dispatched. The functions here say what a
+batch of operations makes of a stored slice; the caller writes the result with the version it read.
+"""
+
+import uuid
+from typing import Literal, NamedTuple
+
+import msgspec
+import xxhash
+
+from ..errors import RelayError
+
+__all__ = [
+    "BUCKETS",
+    "CLAIM_WINDOW_S",
+    "MAX_SLICE_CLAIMS",
+    "MAX_STORED_PAYLOAD",
+    "Claim",
+    "Finish",
+    "Operation",
+    "Record",
+    "Release",
+    "Slice",
+    "Verdict",
+    "apply_operations",
+    "bucket_name",
+    "bucket_of",
+    "decode_slice",
+    "encode_slice",
+    "expired_slices",
+    "fingerprint",
+    "key_time",
+    "slice_key",
+]
+
+BUCKETS = 16
+CLAIM_WINDOW_S = 3600.0
+FUTURE_SKEW_S = 5.0
+SLICE_S = 60
+#: Slices are kept longer than keys are accepted, so that instances whose clocks differ by less than
+#: this never accept a key whose claim is gone.
+DELETE_MARGIN_S = 600.0
+#: Larger answers are not kept; a repeat then gets `done` without the payload.
+MAX_STORED_PAYLOAD = 1024
+#: A slice full of the largest records stays under the 1 MB that the store takes for a value.
+MAX_SLICE_CLAIMS = 600
+
+RecordState = Literal["claimed", "done"]
+
+
+class Record(NamedTuple):
+    """A stored claim; `code` and `payload` belong to the outcome `done`."""
+
+    fingerprint: str
+    claim_id: str
+    state: RecordState = "claimed"
+    code: str = ""
+    payload: bytes = b""
+
+
+#: The claims of one bucket and one span of key times, by key.
+Slice = dict[str, Record]
+
+
+class Claim(NamedTuple):
+    """Asks for the right to run a key."""
+
+    key: str
+    fingerprint: str
+    claim_id: str
+
+
+class Finish(NamedTuple):
+    """Stores the outcome of a key that ran."""
+
+    key: str
+    claim_id: str
+    code: str
+    payload: bytes
+
+
+class Release(NamedTuple):
+    """Gives up a claim whose request was certainly not run."""
+
+    key: str
+    claim_id: str
+
+
+Operation = Claim | Finish | Release
+
+
+class Verdict(NamedTuple):
+    """What an operation came to.
+
+    `granted`: the claim is ours. `stored`: the key ran before, see `record`. `unknown`: the key is
+    claimed by somebody else without an outcome. `key_reused`: the key belongs to another body.
+    `full`: the slice takes no more claims. `settled`: the operation is in the slice.
+    """
+
+    kind: Literal["granted", "stored", "unknown", "key_reused", "full", "settled"]
+    record: Record | None = None
+
+
+def key_time(key: str, now: float) -> float:
+    """Return the Unix time within a key of UUID version 7; raises `bad_key` or `key_expired`."""
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError as error:
+        raise RelayError("bad_key", "Idempotency-Key must be a UUID", step="check key") from error
+    if parsed.version != 7:
+        raise RelayError("bad_key", "Idempotency-Key must be a UUID version 7", step="check key")
+    created = (parsed.int >> 80) / 1000
+    if not now - CLAIM_WINDOW_S <= created <= now + FUTURE_SKEW_S:
+        text = f"the key was created {now - created:.0f} s ago; at most {CLAIM_WINDOW_S:.0f} s"
+        raise RelayError("key_expired", text, step="check key")
+    return created
+
+
+def bucket_of(key: str) -> int:
+    """Return the bucket of a key."""
+    return xxhash.xxh64_intdigest(key.lower().encode()) % BUCKETS
+
+
+def bucket_name(bucket: int) -> str:
+    """Return the name by which a bucket is assigned to its coordinator."""
+    return f"claims/{bucket}"
+
+
+def slice_key(key: str, created: float) -> str:
+    """Return the store key of the slice that holds a key."""
+    return f"{bucket_name(bucket_of(key))}/{int(created) // SLICE_S}"
+
+
+def fingerprint(tenant: str, service: str, route: str, body: bytes) -> str:
+    """Return the fingerprint of a request; the same key must always carry the same one."""
+    head = "\0".join((tenant, service, route, "")).encode()
+    return xxhash.xxh128_hexdigest(head + body)
+
+
+def expired_slices(keys: list[str], now: float) -> list[str]:
+    """Return those slice keys whose keys are all outside the claim window by a margin."""
+    oldest = int(now - CLAIM_WINDOW_S - DELETE_MARGIN_S) // SLICE_S
+    return [key for key in keys if int(key.rpartition("/")[2]) < oldest]
+
+
+def decode_slice(value: bytes) -> Slice:
+    """Decode a stored slice; raises `msgspec.ValidationError`."""
+    return msgspec.json.decode(value, type=dict[str, Record])
+
+
+def encode_slice(records: Slice) -> bytes:
+    """Encode a slice for the store."""
+    return msgspec.json.encode(records)
+
+
+def apply_operations(
+    records: Slice, operations: list[Operation]
+) -> tuple[Slice, list[Verdict], bool]:
+    """Apply operations in order; return the new slice, a verdict for each, and if it changed."""
+    updated = dict(records)
+    verdicts = [_apply(updated, operation) for operation in operations]
+    return updated, verdicts, updated != records
+
+
+def _apply(records: Slice, operation: Operation) -> Verdict:
+    if isinstance(operation, Claim):
+        return _claim(records, operation)
+    held = records.get(operation.key)
+    if held is None or held.claim_id != operation.claim_id:
+        return Verdict("settled", held)
+    if held.state == "done":
+        return Verdict("settled", held)
+    if isinstance(operation, Release):
+        del records[operation.key]
+    else:
+        payload = operation.payload if len(operation.payload) <= MAX_STORED_PAYLOAD else b""
+        records[operation.key] = held._replace(state="done", code=operation.code, payload=payload)
+    return Verdict("settled")
+
+
+def _claim(records: Slice, claim: Claim) -> Verdict:
+    held = records.get(claim.key)
+    if held is None and len(records) >= MAX_SLICE_CLAIMS:
+        return Verdict("full")
+    if held is None:
+        records[claim.key] = Record(claim.fingerprint, claim.claim_id)
+        return Verdict("granted")
+    if held.fingerprint != claim.fingerprint:
+        return Verdict("key_reused", held)
+    if held.state == "done":
+        return Verdict("stored", held)
+    if held.claim_id == claim.claim_id:
+        return Verdict("granted")
+    return Verdict("unknown", held)
--- /dev/null
+++ b/rattanrelay/node/claims.py
@@ -0,0 +1,226 @@
+"""Coordinator of non-idempotent requests: claim in the store, dispatch once, store the outcome."""
+
+import time
+import uuid
+from collections.abc import Callable
+
+import trio
+
+from ..decide.claims import (
+    BUCKETS,
+    Claim,
+    Finish,
+    Record,
+    Release,
+    Verdict,
+    bucket_name,
+    bucket_of,
+    expired_slices,
+    fingerprint,
+    key_time,
+    slice_key,
+)
+from ..decide.routing import action_targets
+from ..errors import RelayError
+from ..log import event
+from ..store import StoreClient
+from ..table import server_of
+from ..wire import Action, ActionResult, Handlers, RunAction
+from .claim_log import ClaimLog
+from .ports import Configuration, DispatchPort, Latest, MembersPort, PeersPort
+
+__all__ = ["Claims"]
+
+#: Share of the remaining time that a coordinator elsewhere gets before this instance takes over.
+FORWARD_SHARE = 0.6
+CLEANUP_INTERVAL_S = 600.0
+#: A claim must be settled this long before the deadline, so that a refusal still reaches the caller.
+ANSWER_RESERVE_S = 0.02
+
+
+class _Run:
+    """A request that is being processed; repeats of it wait for the same result."""
+
+    def __init__(self, print_: str) -> None:
+        self.fingerprint = print_
+        self.result: ActionResult | None = None
+        self.done = trio.Event()
+
+
+class Claims:
+    """Runs each non-idempotent request at most once over the fleet."""
+
+    def __init__(
+        self,
+        configuration: Latest[Configuration],
+        members: MembersPort,
+        peers: PeersPort,
+        store: StoreClient,
+        dispatch: DispatchPort,
+        *,
+        instance: str,
+        wall: Callable[[], float] = time.time,
+    ) -> None:
+        self.configuration = configuration
+        self.members = members
+        self.peers = peers
+        self.store = store
+        self.dispatch = dispatch
+        self.instance = instance
+        self.wall = wall
+        self.logs = [ClaimLog(store, bucket_name(bucket)) for bucket in range(BUCKETS)]
+        self.runs: dict[str, _Run] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def register(self, handlers: Handlers) -> None:
+        """Take requests that other instances forward."""
+
+        @handlers.on(Action)
+        async def run_here(action: Action) -> ActionResult:
+            return await self._coordinate(action)
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Write claims, run requests and delete expired slices until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for log in self.logs:
+                nursery.start_soon(log.serve)
+            nursery.start_soon(self._delete_expired)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Return when no request is under way and all outcomes are in the store."""
+        while self.runs:
+            await next(iter(self.runs.values())).done.wait()
+        for log in self.logs:
+            await log.flushed()
+
+    async def submit(self, action: Action) -> ActionResult:
+        """Run an action at its coordinator, or here when that does not answer."""
+        key_time(action.key, self.wall())
+        owner = self.members.owner(bucket_name(bucket_of(action.key)))
+        if owner is not None and owner.instance != self.instance:
+            try:
+                patience = self._remaining(action) * FORWARD_SHARE
+                return await self.peers.call(owner.instance, action, patience)
+            except RelayError as error:
+                # The claim in the store decides who runs, so a second coordinator is harmless.
+                event("claims.forward_failed", key=action.key, peer=owner.instance, code=error.code)
+        return await self._coordinate(action)
+
+    def _remaining(self, action: Action) -> float:
+        return action.deadline_ms / 1000 - self.wall()
+
+    async def _coordinate(self, action: Action) -> ActionResult:
+        print_ = fingerprint(action.tenant, action.svc, action.route, action.body)
+        run = self.runs.get(action.key)
+        if run is None:
+            run = self.runs[action.key] = _Run(print_)
+            self._nursery.start_soon(self._run, action, run)
+        elif run.fingerprint != print_:
+            return _refused("key_reused", "the key was used with another body")
+        with trio.move_on_after(max(0.0, self._remaining(action))):
+            await run.done.wait()
+        if run.result is None:
+            return ActionResult("unknown", "outcome_unknown", "the request is still under way")
+        return run.result
+
+    async def _run(self, action: Action, run: _Run) -> None:
+        try:
+            run.result = await self._claim_and_dispatch(action, run.fingerprint)
+        except RelayError as error:
+            run.result = ActionResult(error.ran, error.code, error.message)
+        finally:
+            del self.runs[action.key]
+            run.done.set()
+
+    async def _claim_and_dispatch(self, action: Action, print_: str) -> ActionResult:
+        created = key_time(action.key, self.wall())
+        store_key = slice_key(action.key, created)
+        log = self.logs[bucket_of(action.key)]
+        known = log.known(store_key, action.key)
+        if known is not None and known.state == "done":
+            return _repeat(known, print_)
+        claim = Claim(action.key, print_, uuid.uuid4().hex)
+        patience = max(0.0, self._remaining(action) - ANSWER_RESERVE_S)
+        with trio.move_on_after(patience) as scope:
+            verdict = await log.claim(store_key, claim)
+        if scope.cancelled_caught:
+            return _refused("store_unavailable", "the claim could not be stored in time")
+        if verdict.kind != "granted":
+            return _not_granted(verdict, print_)
+        result = await self._dispatch(action)
+        if result.outcome == "not_run":
+            log.record(store_key, Release(action.key, claim.claim_id))
+        elif result.outcome == "done":
+            log.record(store_key, Finish(action.key, claim.claim_id, result.code, result.payload))
+        return result
+
+    async def _dispatch(self, action: Action) -> ActionResult:
+        """Try the replicas in order until one ran the request or may have run it."""
+        result = _refused("no_replica", "no replica of the shard can take work")
+        for shard, searcher in action_targets(self.configuration.value, action.svc, action.route):
+            if self._remaining(action) <= 0:
+                return _refused("deadline", "the deadline passed before dispatch")
+            order = RunAction(
+                request_id=action.request_id,
+                svc=action.svc,
+                shard=shard,
+                searcher=searcher,
+                tenant=action.tenant,
+                body=action.body,
+                deadline_ms=action.deadline_ms,
+                epoch=self.members.epoch,
+            )
+            result = await self._run_at_owner(order)
+            if result.outcome != "not_run":
+                return result
+        return result
+
+    async def _run_at_owner(self, order: RunAction) -> ActionResult:
+        owner = self.members.owner(server_of(order.searcher))
+        if owner is None:
+            return _refused("no_owner", "no instance owns the backend server")
+        try:
+            if owner.instance == self.instance:
+                return await self.dispatch.act(order)
+            remaining = order.deadline_ms / 1000 - self.wall()
+            return await self.peers.call(owner.instance, order, max(0.0, remaining))
+        except RelayError as error:
+            return ActionResult(error.ran, error.code, error.message)
+
+    async def _delete_expired(self) -> None:
+        while True:
+            await trio.sleep(CLEANUP_INTERVAL_S)
+            for bucket in range(BUCKETS):
+                owner = self.members.owner(bucket_name(bucket))
+                if owner is not None and owner.instance == self.instance:
+                    await self._delete_slices(bucket)
+
+    async def _delete_slices(self, bucket: int) -> None:
+        try:
+            keys = await self.store.list(f"{bucket_name(bucket)}/")
+            for key in expired_slices(keys, self.wall()):
+                await self.store.delete(key)
+                self.logs[bucket].cache.pop(key, None)
+        except RelayError as error:
+            event("claims.cleanup_failed", bucket=bucket, code=error.code)
+
+
+def _refused(code: str, message: str) -> ActionResult:
+    return ActionResult("not_run", code, message)
+
+
+def _repeat(record: Record, print_: str) -> ActionResult:
+    if record.fingerprint != print_:
+        return _refused("key_reused", "the key was used with another body")
+    return ActionResult("done", record.code, "stored outcome of an earlier request", record.payload)
+
+
+def _not_granted(verdict: Verdict, print_: str) -> ActionResult:
+    if verdict.kind == "full":
+        return _refused("overloaded", "too many requests in this span of key times")
+    if verdict.kind == "unknown":
+        text = "an earlier request with this key may have run"
+        return ActionResult("unknown", "outcome_unknown", text)
+    return _repeat(verdict.record, print_)
--- /dev/null
+++ b/tests/node/claims.feature
@@ -0,0 +1,16 @@
+Feature: A non-idempotent request runs at most once
+  Guards against double runs when callers resend to several instances, when two instances believe
+  that they coordinate a key, and when store writes are lost or applied without an answer.
+
+  Scenario: Resent keys over a faulty store
+    When 60 random runs resend keys to several coordinators over a faulty store
+    Then no key ran more than once
+    And each answer is true against the record of the backend
+
+  Scenario: Store outage
+    When the store is down and a new key and a key that ran before are sent
+    Then the new key is refused with "store_unavailable" as not run and the old key has its outcome
+
+  Scenario: A key with another body
+    When a key is sent again with another body
+    Then the second body is refused with "key_reused" and did not run
