State unknown when another coordinator may still run a request

Cause: an instance that had forwarded a request, got no answer and could not store its own claim said not_run, although the first coordinator had run it. Also an outcome that still waited for the store was not given to a repeat. Change: after an unanswered forward a refusal becomes unknown; a forwarded request gets a shorter deadline so that the coordinator's own refusal arrives; queued outcomes are known to repeats. Conclusion: not_run is said only by the coordinator that decided it.

--- a/rattanrelay/decide/claims.py
+++ b/rattanrelay/decide/claims.py
@@ -31,6 +31,7 @@
     "encode_slice",
     "expired_slices",
     "fingerprint",
+    "finished",
     "key_time",
     "slice_key",
 ]
@@ -76,6 +77,7 @@
     """Stores the outcome of a key that ran."""
 
     key: str
+    fingerprint: str
     claim_id: str
     code: str
     payload: bytes
@@ -175,11 +177,16 @@
     if isinstance(operation, Release):
         del records[operation.key]
     else:
-        payload = operation.payload if len(operation.payload) <= MAX_STORED_PAYLOAD else b""
-        records[operation.key] = held._replace(state="done", code=operation.code, payload=payload)
+        records[operation.key] = finished(operation)
     return Verdict("settled")
 
 
+def finished(operation: Finish) -> Record:
+    """Return the record that an outcome becomes."""
+    payload = operation.payload if len(operation.payload) <= MAX_STORED_PAYLOAD else b""
+    return Record(operation.fingerprint, operation.claim_id, "done", operation.code, payload)
+
+
 def _claim(records: Slice, claim: Claim) -> Verdict:
     held = records.get(claim.key)
     if held is None and len(records) >= MAX_SLICE_CLAIMS:
--- a/rattanrelay/node/claim_log.py
+++ b/rattanrelay/node/claim_log.py
@@ -8,6 +8,7 @@
 
 from ..decide.claims import (
     Claim,
+    Finish,
     Operation,
     Release,
     Slice,
@@ -15,6 +16,7 @@
     apply_operations,
     decode_slice,
     encode_slice,
+    finished,
 )
 from ..errors import RelayError
 from ..log import event
@@ -70,7 +72,11 @@
         return len(self._queue)
 
     def known(self, store_key: str, key: str):
-        """Return the record of a key as last read from the store, None if there is none."""
+        """Return the newest record of a key that is known here, None if there is none."""
+        for pending in self._queue:
+            operation = pending.operation
+            if isinstance(operation, Finish) and operation.key == key:
+                return finished(operation)
         cached = self.cache.get(store_key)
         return cached.records.get(key) if cached else None
 
--- a/rattanrelay/node/claims.py
+++ b/rattanrelay/node/claims.py
@@ -31,10 +31,12 @@
 
 __all__ = ["Claims"]
 
-#: Share of the remaining time that a coordinator elsewhere gets before this instance takes over.
-FORWARD_SHARE = 0.6
+#: Share of the remaining time that a coordinator elsewhere may use, so that its refusal arrives.
+FORWARD_SHARE = 0.7
+#: Share of the remaining time after which this instance coordinates the request itself.
+TAKEOVER_SHARE = 0.8
 CLEANUP_INTERVAL_S = 600.0
-#: A claim must be settled this long before the deadline, so that a refusal still reaches the caller.
+#: A claim is settled this long before the deadline, so that a refusal still reaches the caller.
 ANSWER_RESERVE_S = 0.02
 
 
@@ -99,14 +101,18 @@
         """Run an action at its coordinator, or here when that does not answer."""
         key_time(action.key, self.wall())
         owner = self.members.owner(bucket_name(bucket_of(action.key)))
-        if owner is not None and owner.instance != self.instance:
-            try:
-                patience = self._remaining(action) * FORWARD_SHARE
-                return await self.peers.call(owner.instance, action, patience)
-            except RelayError as error:
-                # The claim in the store decides who runs, so a second coordinator is harmless.
-                event("claims.forward_failed", key=action.key, peer=owner.instance, code=error.code)
-        return await self._coordinate(action)
+        if owner is None or owner.instance == self.instance:
+            return await self._coordinate(action)
+        remaining = self._remaining(action)
+        deadline_ms = int((self.wall() + remaining * FORWARD_SHARE) * 1000)
+        forwarded = action._replace(deadline_ms=deadline_ms)
+        try:
+            return await self.peers.call(owner.instance, forwarded, remaining * TAKEOVER_SHARE)
+        except RelayError as error:
+            # The claim in the store decides who runs, so a second coordinator is harmless.
+            event("claims.forward_failed", key=action.key, peer=owner.instance, code=error.code)
+            result = await self._coordinate(action)
+            return result if error.ran == "not_run" else _not_provable(result)
 
     def _remaining(self, action: Action) -> float:
         return action.deadline_ms / 1000 - self.wall()
@@ -153,7 +159,9 @@
         if result.outcome == "not_run":
             log.record(store_key, Release(action.key, claim.claim_id))
         elif result.outcome == "done":
-            log.record(store_key, Finish(action.key, claim.claim_id, result.code, result.payload))
+            log.record(
+                store_key, Finish(action.key, print_, claim.claim_id, result.code, result.payload)
+            )
         return result
 
     async def _dispatch(self, action: Action) -> ActionResult:
@@ -211,6 +219,13 @@
     return ActionResult("not_run", code, message)
 
 
+def _not_provable(result: ActionResult) -> ActionResult:
+    """Turn `not_run` into `unknown`: another coordinator got the request and may still run it."""
+    if result.outcome != "not_run" or result.code == "key_reused":
+        return result
+    return ActionResult("unknown", "outcome_unknown", result.message)
+
+
 def _repeat(record: Record, print_: str) -> ActionResult:
     if record.fingerprint != print_:
         return _refused("key_reused", "the key was used with another body")
--- a/tests/steps/claims_steps.py
+++ b/tests/steps/claims_steps.py
@@ -145,7 +145,8 @@
         self.nodes = {}
         for index in range(instances):
             # Each instance believes in another coordinator, as after a change of view.
-            members = StaticMembers(f"i{(index + seed) % instances}")
+            others = instances > 1
+            members = StaticMembers(f"i{(index + seed) % instances}" if others else "self")
             self.nodes[f"i{index}"] = Claims(
                 Latest(configuration()),
                 members,
@@ -215,7 +216,8 @@
         for key, body, _ in world.answers:
             outcomes = {item[2].outcome for item in world.answers if item[0] == key}
             if outcomes == {"not_run"}:
-                assert world.backend.runs[body] == 0, key
+                mine = [item[2] for item in world.answers if item[0] == key]
+                assert world.backend.runs[body] == 0, mine
     assert seen["done"] and seen["not_run"] and seen["unknown"], seen
 
 
@@ -313,7 +315,7 @@
         for kind, key, claim_id, print_ in steps:
             operation = {
                 "c": claims.Claim(key, print_, claim_id),
-                "f": claims.Finish(key, claim_id, "", b""),
+                "f": claims.Finish(key, print_, claim_id, "", b""),
                 "r": claims.Release(key, claim_id),
             }[kind]
             records, (verdict,), _ = claims.apply_operations(records, [operation])
