--- /dev/null
+++ b/rattanrelay/decide/limits.py
@@ -0,0 +1,153 @@
+"""Slots and connections of each searcher, from the rows of servers, domains and services."""
+
+from collections.abc import Iterable, Mapping
+from math import floor
+from typing import NamedTuple
+
+import xxhash
+
+from ..table import ServerRow, Table
+
+__all__ = ["CONNECTION_SHARE", "Limit", "apportion", "effective_limits", "settling_limits"]
+
+#: Part of a row's connections that one owner uses: room for three unconfirmed former holders.
+CONNECTION_SHARE = 4
+
+
+class Limit(NamedTuple):
+    """What the owner of a searcher may use: sub-requests in progress and open connections."""
+
+    slots: int = 0
+    connections: int = 0
+
+
+class _Claim(NamedTuple):
+    """What a searcher asks of a domain's or service's row."""
+
+    searcher: str
+    weight: float
+    cap: int
+
+
+def effective_limits(table: Table) -> dict[str, Limit]:
+    """Return the limit of each searcher in the table.
+
+    The sum of the slots over a failure domain or a service never exceeds its row. A searcher
+    whose server, domain or service is out, or whose rows have weight 0, has no slots. Without
+    slots it has no connections.
+    """
+    servers = {
+        searcher: row for _, row in sorted(table.servers.items()) for searcher in row.searchers
+    }
+    slots = {searcher: _own_slots(table, row) for searcher, row in servers.items()}
+    for name, row in table.domains.items():
+        members = [key for key, server in servers.items() if server.failure_domain == name]
+        _share(slots, members, row.max_in_flight, lambda key: _weight(table, servers[key]))
+    for name, row in table.services.items():
+        members = [key for key, server in servers.items() if server.service == name]
+        _share(slots, members, row.max_in_flight, lambda key: _weight(table, servers[key]))
+    return {key: _limit(servers[key], count) for key, count in slots.items()}
+
+
+def settling_limits(
+    recent: Iterable[Mapping[str, Limit]], new: Mapping[str, Limit], table: Table
+) -> dict[str, Limit]:
+    """Return the limits to use until the limits in `recent` are no longer in use anywhere.
+
+    Another instance may still use a recent limit, and work sent under it may still run. A searcher
+    is raised at once only if its domain and service rows hold even then; it is lowered at once.
+    """
+    recent = list(recent)
+    highest = {
+        key: max([limit.slots, *(old[key].slots for old in recent if key in old)])
+        for key, limit in new.items()
+    }
+    safe = _safe_rows(table, highest)
+    result = {}
+    for key, limit in new.items():
+        row = table.servers[key.rpartition("/")[0]]
+        olds = [old.get(key, Limit()) for old in recent]
+        raised = ("domain", row.failure_domain) in safe and ("service", row.service) in safe
+        slots = limit.slots if raised else min([limit.slots, *(old.slots for old in olds)])
+        result[key] = _limit(row, slots)
+    return result
+
+
+def apportion(total: int, claims: Iterable[tuple[str, float, int]]) -> dict[str, int]:
+    """Split `total` by weight with the largest-remainder method; claims are (name, weight, cap).
+
+    No part exceeds its cap, and what a cap leaves over goes to the others. Equal remainders are
+    ordered by a hash of the name, so that the same few names are not always last.
+    """
+    open_claims = [_Claim(*claim) for claim in claims]
+    result = {claim.searcher: 0 for claim in open_claims}
+    open_claims = [claim for claim in open_claims if claim.weight > 0 and claim.cap > 0]
+    left = max(total, 0)
+    while open_claims:
+        weights = sum(claim.weight for claim in open_claims)
+        full = [claim for claim in open_claims if left * claim.weight >= claim.cap * weights]
+        if not full:
+            break
+        for claim in full:
+            result[claim.searcher] = claim.cap
+            left -= claim.cap
+        open_claims = [claim for claim in open_claims if claim not in full]
+    _share_remainders(result, open_claims, left)
+    return result
+
+
+def _share_remainders(result: dict[str, int], claims: list[_Claim], left: int) -> None:
+    weights = sum(claim.weight for claim in claims)
+    quotas = {claim.searcher: left * claim.weight / weights for claim in claims}
+    for name, quota in quotas.items():
+        result[name] = floor(quota)
+    spare = left - sum(result[name] for name in quotas)
+    order = sorted(quotas, key=lambda name: (result[name] - quotas[name], _tie(name)))
+    for name in order[:spare]:
+        result[name] += 1
+
+
+def _tie(name: str) -> int:
+    return xxhash.xxh64_intdigest(name)
+
+
+def _own_slots(table: Table, row: ServerRow) -> int:
+    """Return the slots that the server's own row allows, 0 if a row is out or missing."""
+    domain = table.domains.get(row.failure_domain)
+    service = table.services.get(row.service)
+    if domain is None or service is None or _weight(table, row) <= 0:
+        return 0
+    states = (row.state, domain.state, service.state)
+    return max(row.slots, 0) if states == ("in", "in", "in") else 0
+
+
+def _weight(table: Table, row: ServerRow) -> float:
+    domain = table.domains[row.failure_domain]
+    service = table.services[row.service]
+    return row.weight * domain.weight * service.weight
+
+
+def _share(slots: dict[str, int], members: list[str], total: int, weight_of) -> None:
+    members = [key for key in members if slots[key] > 0]
+    if sum(slots[key] for key in members) <= total:
+        return
+    claims = [(key, weight_of(key) * slots[key], slots[key]) for key in members]
+    slots.update(apportion(total, claims))
+
+
+def _limit(row: ServerRow, slots: int) -> Limit:
+    if slots <= 0:
+        return Limit()
+    return Limit(slots, max(1, row.connections // CONNECTION_SHARE))
+
+
+def _safe_rows(table: Table, highest: Mapping[str, int]) -> set[tuple[str, str]]:
+    """Return the domains and services whose rows hold with the given slots."""
+    sums: dict[tuple[str, str], int] = {}
+    for key, slots in highest.items():
+        row = table.servers[key.rpartition("/")[0]]
+        for group in (("domain", row.failure_domain), ("service", row.service)):
+            sums[group] = sums.get(group, 0) + slots
+    caps = {("domain", name): row.max_in_flight for name, row in table.domains.items()}
+    caps |= {("service", name): row.max_in_flight for name, row in table.services.items()}
+    return {group for group, total in sums.items() if total <= caps.get(group, 0)}
--- /dev/null
+++ b/rattanrelay/node/pool.py
@@ -0,0 +1,419 @@
+"""Connections, slots and queue of one searcher; each connection is a task that owns its socket."""
+
+import select
+from collections import deque
+from collections.abc import Awaitable, Callable
+from functools import partial
+from typing import Protocol
+
+import trio
+
+from ..decide.fairqueue import Entry, FairQueue
+from ..decide.slots import Slots
+from ..errors import RelayError
+from ..http import HttpConnection, Request, Response
+from .subrequest import Outcome, SubRequest, cancel_request, judge
+
+__all__ = [
+    "CLOCK_MARGIN_S",
+    "CONNECT_TIMEOUT_S",
+    "CONTROL_TIMEOUT_S",
+    "MAX_SUBREQUEST_S",
+    "Connect",
+    "Pool",
+    "Supervisor",
+]
+
+#: Opens a connection to a host and port; raises `connect_failed`.
+Connect = Callable[[str, int], Awaitable[HttpConnection]]
+
+#: A sub-request's deadline lies at most this far ahead of the check of the lease.
+MAX_SUBREQUEST_S = 2.0
+#: Time after its deadline at which the work of a sub-request has certainly ended.
+CLOCK_MARGIN_S = 0.25
+CONNECT_TIMEOUT_S = 1.0
+#: Pause after a connection that could not be opened.
+RECONNECT_S = 0.05
+CONTROL_TIMEOUT_S = 1.0
+
+
+class Supervisor(Protocol):
+    """What a pool asks and tells about its searcher."""
+
+    def refusal(self) -> str:
+        """Return why no new work may be sent now, empty if it may."""
+
+    def may_connect(self) -> bool:
+        """Say whether a connection may be opened now."""
+
+    def allowance(self) -> int:
+        """Return how many slots may be in use now."""
+
+    def answered(self, response: Response, outcome: Outcome) -> None:
+        """Note an answer that fits its request."""
+
+    def lost(self) -> None:
+        """Note a connection that broke while the server worked on a request."""
+
+    def unreachable(self) -> None:
+        """Note a connection that could not be opened."""
+
+    def request_id(self) -> str:
+        """Return a new request id."""
+
+    def weight(self, tenant: str) -> float:
+        """Return the weight of a tenant."""
+
+    def sent(self, job: SubRequest) -> None:
+        """Count a sub-request that is being written."""
+
+
+class _Control:
+    """A request without a slot: a cancellation or a status poll."""
+
+    def __init__(self, request: Request, expires: float, done: Callable) -> None:
+        self.request = request
+        self.expires = expires
+        self.done = done
+
+
+class _Worker:
+    """An open connection and the channel through which its task gets work."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self.connection = connection
+        self.leaving = False
+        self.sender, self.receiver = trio.open_memory_channel[SubRequest | _Control](1)
+
+    def is_stale(self) -> bool:
+        """Say whether the server has closed the idle connection or sent stray bytes on it."""
+        socket = getattr(self.connection.stream, "socket", None)
+        if socket is None:
+            return False
+        poll = select.poll()
+        poll.register(socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
+
+
+class Pool:
+    """Sends the sub-requests of one searcher within its limits.
+
+    `connections` is the limit on open connections, `connect_s` the pause between opening two.
+    `wall` returns Unix seconds, `connect` opens a connection. All tasks run in `nursery`.
+    """
+
+    def __init__(
+        self,
+        searcher: str,
+        address: str,
+        supervisor: Supervisor,
+        nursery: trio.Nursery,
+        wall: Callable[[], float],
+        connect: Connect = HttpConnection.open,
+    ) -> None:
+        self.searcher = searcher
+        self.host, _, port = address.rpartition(":")
+        self.port = int(port)
+        self.supervisor = supervisor
+        self.nursery = nursery
+        self.wall = wall
+        self.connect = connect
+        self.connections = 0
+        self.connect_s = 0.0
+        self.slots = Slots()
+        self.queue = FairQueue(0)
+        self.jobs: dict[int, SubRequest] = {}
+        self.controls: deque[_Control] = deque()
+        self.workers: set[_Worker] = set()
+        #: Number of idle connections that were told to close and have not yet.
+        self.leaving = 0
+        self.idle: list[_Worker] = []
+        self.connecting = False
+        self.closing = False
+        self.next_connect = 0.0
+        self.ended = trio.Event()
+
+    @property
+    def open_connections(self) -> int:
+        """Number of connections that are open or being opened."""
+        return len(self.workers) + self.connecting
+
+    @property
+    def load(self) -> int:
+        """Number of sub-requests in progress or queued."""
+        return self.slots.in_use + len(self.queue)
+
+    @property
+    def empty(self) -> bool:
+        """True when no work is in progress or queued and no connection is open."""
+        return not (self.load or self.workers or self.connecting)
+
+    def submit(self, job: SubRequest) -> None:
+        """Queue a sub-request; it is refused at once if it cannot be sent."""
+        reason = self.supervisor.refusal()
+        if reason:
+            self.refuse(job, reason)
+            return
+        job.queued_at = job.queued_at or trio.current_time()
+        weight = self.supervisor.weight(job.tenant)
+        pushed = self.queue.push(Entry(id(job), job.tenant, job.deadline), weight)
+        if pushed.evicted is not None:
+            self.refuse(self.jobs.pop(pushed.evicted.key), "queue_full")
+        if not pushed.accepted:
+            self.refuse(job, "queue_full")
+            return
+        self.jobs[id(job)] = job
+        self.pump()
+
+    def forget(self, job: SubRequest) -> bool:
+        """Take a sub-request out of the queue; False if it is not queued."""
+        if self.queue.cancel(id(job)) is None:
+            return False
+        del self.jobs[id(job)]
+        return True
+
+    def withdraw(self, job: SubRequest) -> None:
+        """Take back a sub-request; if it was sent, the server is asked to cancel it."""
+        if self.forget(job):
+            return
+        if self.slots.cancel(job.request_id):
+            done = partial(self._cancelled, job.request_id)
+            self.control(cancel_request(job.request_id), job.free_at, done)
+
+    def control(self, request: Request, expires: float, done: Callable) -> None:
+        """Send a request that needs no slot; `done` gets the response, or None without one.
+
+        It is dropped without a call of `done` if no connection is free before `expires`.
+        """
+        self.controls.append(_Control(request, expires, done))
+        self.pump()
+
+    def refuse(self, job: SubRequest, reason: str) -> None:
+        """Finish a sub-request of which nothing was written."""
+        job.finish(self._measured(job, Outcome(reason, "not_run")))
+
+    def refuse_queued(self, reason: str) -> None:
+        """Refuse all queued sub-requests."""
+        for entry in self.queue.drain():
+            self.refuse(self.jobs.pop(entry.key), reason)
+
+    def pump(self) -> None:
+        """Give work to idle connections as far as the limits allow; open one if it is needed."""
+        now = trio.current_time()
+        self._drop_late_controls(now)
+        while self.controls and self.idle:
+            self.idle.pop().sender.send_nowait(self.controls.popleft())
+        while len(self.queue) and self.slots.in_use < self.supervisor.allowance():
+            if not self.idle:
+                break
+            self._start_next(now)
+        self._connect_if_needed()
+        self._close_idle()
+
+    def close(self) -> None:
+        """Take no more connections; each open one is closed when its work has ended."""
+        self.closing = True
+        self._close_idle()
+
+    def reopen(self) -> None:
+        """Allow connections again after `close`."""
+        self.closing = False
+        if self.ended.is_set():
+            self.ended = trio.Event()
+
+    def _start_next(self, now: float) -> None:
+        popped = self.queue.pop(now)
+        for entry in popped.late:
+            self.refuse(self.jobs.pop(entry.key), "deadline")
+        if popped.entry is None:
+            return
+        job = self.jobs.pop(popped.entry.key)
+        job.request_id = self.supervisor.request_id()
+        self._set_deadline(job)
+        self.slots.take(job.request_id, job.free_at, self.supervisor.allowance())
+        self.idle.pop().sender.send_nowait(job)
+
+    def _set_deadline(self, job: SubRequest) -> None:
+        """Set the absolute deadline and the time at which the slot is free in any case.
+
+        The Unix time is read before trio's, and both before the check of the lease: a pause in
+        between can only make the deadline earlier and the slot be held longer.
+        """
+        unix_ms = int(self.wall() * 1000)
+        now = trio.current_time()
+        job.sent_deadline_ms = min(job.deadline_ms, unix_ms + int(MAX_SUBREQUEST_S * 1000))
+        left = max(job.sent_deadline_ms - unix_ms, 0) / 1000
+        job.started_at = now
+        job.free_at = now + left + CLOCK_MARGIN_S
+
+    def _drop_late_controls(self, now: float) -> None:
+        while self.controls and self.controls[0].expires <= now:
+            self.controls.popleft()
+
+    # Connections
+
+    def _connect_if_needed(self) -> None:
+        room = self.supervisor.allowance() - self.slots.in_use
+        wanted = min(len(self.queue), max(room, 0)) + len(self.controls)
+        if wanted <= len(self.idle) or self.connecting or self.closing:
+            return
+        if self.open_connections < self.connections:
+            self.connecting = True
+            self.nursery.start_soon(self._connect)
+
+    async def _connect(self) -> None:
+        connection = None
+        try:
+            await trio.sleep_until(self.next_connect)
+            if self.closing or not self.supervisor.may_connect():
+                self.refuse_queued(self.supervisor.refusal() or "no_owner")
+                return
+            self.next_connect = trio.current_time() + self.connect_s
+            with trio.move_on_after(CONNECT_TIMEOUT_S):
+                connection = await self.connect(self.host, self.port)
+        except RelayError:
+            pass
+        finally:
+            self.connecting = False
+        if connection is None:
+            self.controls.clear()
+            self.next_connect = trio.current_time() + max(self.connect_s, RECONNECT_S)
+            self.supervisor.unreachable()
+            return
+        worker = _Worker(connection)
+        self.workers.add(worker)
+        self.nursery.start_soon(self._work, worker)
+
+    async def _work(self, worker: _Worker) -> None:
+        """Serve one connection until it is closed."""
+        try:
+            self._ready(worker)
+            async for job in worker.receiver:
+                if isinstance(job, _Control):
+                    await self._run_control(worker, job)
+                else:
+                    await self._run(worker, job)
+                if not worker.connection.usable:
+                    break
+                self._ready(worker)
+        finally:
+            if worker in self.idle:
+                self.idle.remove(worker)
+            with trio.CancelScope(shield=True):
+                await worker.connection.aclose()
+            self.workers.discard(worker)
+            self.leaving -= worker.leaving
+            self.pump()
+
+    def _ready(self, worker: _Worker) -> None:
+        self.idle.append(worker)
+        self.pump()
+
+    def _close_idle(self) -> None:
+        """Close idle connections above the limit, all of them when the pool is closing."""
+        limit = 0 if self.closing else self.connections
+        while self.idle and len(self.workers) - self.leaving > limit:
+            worker = self.idle.pop()
+            worker.leaving = True
+            worker.sender.close()
+            self.leaving += 1
+        if self.closing and self.empty:
+            self.ended.set()
+
+    # Requests
+
+    async def _run_control(self, worker: _Worker, control: _Control) -> None:
+        if worker.is_stale():
+            worker.connection.usable = False
+            self.controls.appendleft(control)
+            return
+        response = None
+        with trio.move_on_after(CONTROL_TIMEOUT_S):
+            try:
+                response = await worker.connection.request(control.request)
+            except RelayError:
+                response = None
+        control.done(response)
+
+    async def _run(self, worker: _Worker, job: SubRequest) -> None:
+        request = job.request()
+        if worker.is_stale():
+            worker.connection.usable = False
+            self._requeue(job)
+            return
+        reason = "cancelled" if job.finished else self.supervisor.refusal()
+        if reason:
+            self.slots.free(job.request_id)
+            self.refuse(job, reason)
+            return
+        self.supervisor.sent(job)
+        response = None
+        with trio.move_on_at(job.free_at):
+            try:
+                response = await worker.connection.request(request)
+            except RelayError as error:
+                self._broken(job, error)
+                return
+        if response is None:
+            self.slots.free(job.request_id)
+            job.finish(self._measured(job, Outcome("deadline", "unknown")))
+            return
+        self._answered(worker, job, response)
+
+    def _requeue(self, job: SubRequest) -> None:
+        """Queue a sub-request again whose connection closed before anything was written."""
+        self.slots.free(job.request_id)
+        job.started_at = 0.0
+        if trio.current_time() >= job.deadline:
+            self.refuse(job, "deadline")
+        elif not job.finished:
+            self.submit(job)
+
+    def _answered(self, worker: _Worker, job: SubRequest, response: Response) -> None:
+        outcome = judge(job, response)
+        if outcome.reason == "bad_answer":
+            worker.connection.usable = False
+            self._free_later(job)
+        else:
+            self.slots.free(job.request_id)
+        if outcome.reason == "snapshot_mismatch":
+            worker.connection.usable = False
+        outcome = self._measured(job, outcome)
+        self.supervisor.answered(response, outcome)
+        job.finish(outcome)
+
+    def _broken(self, job: SubRequest, error: RelayError) -> None:
+        if error.ran == "not_run":
+            self.slots.free(job.request_id)
+        else:
+            self._free_later(job)
+            self.supervisor.lost()
+        job.finish(self._measured(job, Outcome(error.code, error.ran)))
+
+    def _cancelled(self, request_id: str, response: Response | None) -> None:
+        if response is None or response.status != 200:
+            return
+        try:
+            stopped = response.json().get("cancelled", 0)
+        except (ValueError, AttributeError):
+            return
+        if stopped and self.slots.free(request_id):
+            self.pump()
+
+    def _free_later(self, job: SubRequest) -> None:
+        self.nursery.start_soon(self._free_at, job)
+
+    async def _free_at(self, job: SubRequest) -> None:
+        await trio.sleep_until(job.free_at)
+        self.slots.free(job.request_id)
+        self.pump()
+
+    def _measured(self, job: SubRequest, outcome: Outcome) -> Outcome:
+        now = trio.current_time()
+        started = job.started_at or now
+        return outcome._replace(
+            service=now - started if job.started_at else 0.0,
+            queued=started - job.queued_at if job.queued_at else 0.0,
+            in_flight=self.load,
+            limit=self.supervisor.allowance(),
+        )
--- /dev/null
+++ b/rattanrelay/node/server.py
@@ -0,0 +1,307 @@
+"""A searcher of a backend server as its owner sees it: life, ramp, status polls and pool."""
+
+import random
+from collections.abc import Callable
+from typing import NamedTuple
+
+import msgspec
+import trio
+
+from ..charts.interpreter import Chart
+from ..decide.limits import Limit
+from ..decide.ramp import Ramp
+from ..http import HttpConnection, Response
+from ..metrics import Metrics
+from ..table import ServerRow, ServiceRow
+from .pool import CONTROL_TIMEOUT_S, Connect, Pool
+from .ports import MembersPort
+from .subrequest import Outcome, SubRequest, status_request
+
+__all__ = ["Rows", "Searcher", "SearcherStatus", "Surroundings"]
+
+STATUS_INTERVAL_S = 1.0
+PROBE_INTERVAL_S = 0.25
+#: Status polls without an answer after which a searcher counts as lost.
+SILENT_POLLS = 2
+#: A leaving searcher counts as back this long after it last said that it leaves; reports lag.
+LEAVING_HOLD_S = 5.0
+
+LEAVING_STATES = frozenset(("leaving", "draining"))
+#: Why a searcher in this state takes no new work.
+REFUSED_STATES = {"leaving": "draining", "lost": "connect_failed", "out": "out"}
+
+
+class Surroundings(NamedTuple):
+    """What all searchers of a dispatcher share; `wall` returns Unix seconds."""
+
+    members: MembersPort
+    metrics: Metrics
+    nursery: trio.Nursery
+    wall: Callable[[], float]
+    rng: random.Random
+    request_id: Callable[[], str]
+    weight: Callable[[str], float]
+    connect: Connect = HttpConnection.open
+
+
+class Rows(NamedTuple):
+    """The rows that hold for a searcher, its limit, and whether one of the rows is out."""
+
+    server: ServerRow
+    service: ServiceRow
+    limit: Limit
+    out: bool
+
+
+class SearcherStatus(NamedTuple):
+    """What an operator sees of a searcher; `boot_id` is empty before the first answer."""
+
+    searcher: str
+    server: str
+    state: str
+    owned: bool
+    slots_in_use: int
+    limit: int
+    allowance: int
+    queued: int
+    connections: int
+    boot_id: str
+
+
+class _Status(msgspec.Struct):
+    """Body of `GET /status`; other fields are ignored."""
+
+    state: str = ""
+
+
+_STATUS = msgspec.json.Decoder(_Status)
+
+
+class Searcher:
+    """Decides what may be sent to one searcher now; its pool sends it."""
+
+    def __init__(self, name: str, address: str, rows: Rows, around: Surroundings) -> None:
+        self.name = name
+        self.server = rows.server.name
+        self.address = address
+        self.around = around
+        self.rows = rows
+        self.chart = Chart("backend_server", name)
+        self.ramp = Ramp(rows.server.cold_slots)
+        self.boot_id = ""
+        self.announced = ""
+        self.last_leaving = -LEAVING_HOLD_S
+        self.silent_polls = 0
+        self.poll_busy_until = 0.0
+        self.wake = trio.Event()
+        self.owned = True
+        self.released = False
+        self.pool = Pool(name, address, self, around.nursery, around.wall, around.connect)
+        self.polling = trio.CancelScope()
+        self.update(rows)
+
+    # Changes from outside
+
+    def update(self, rows: Rows) -> None:
+        """Apply the rows of a new table."""
+        self.rows = rows
+        self.pool.connections = rows.limit.connections
+        self.pool.connect_s = rows.server.connect_ms / 1000
+        self.pool.queue.capacity = rows.service.queue
+        if rows.out:
+            self._send("taken_out", "row is out")
+        elif self.chart.state == "out":
+            self._send("returned", "row is in")
+        self.settle()
+
+    def give_up(self) -> None:
+        """Take no new work because another instance owns the server; close as work ends."""
+        self.owned = False
+        self.released = False
+        self.settle()
+        self.pool.close()
+
+    def take_up(self) -> None:
+        """Take work again for a server that this instance owns again."""
+        if not self.owned:
+            self.owned = True
+            self.pool.reopen()
+            self._send("cold", "owned again")
+
+    async def release(self) -> None:
+        """Take no new work; return when the work and the connections have ended."""
+        self.released = True
+        self.settle()
+        self.pool.close()
+        await self.pool.ended.wait()
+
+    def settle(self) -> None:
+        """Refuse queued work that may not be sent any more, or send what now may be sent."""
+        reason = self.refusal()
+        if reason:
+            self.pool.refuse_queued(reason)
+        self.pool.pump()
+
+    def status(self) -> SearcherStatus:
+        """Return a snapshot for the status page."""
+        return SearcherStatus(
+            self.name,
+            self.server,
+            self.chart.state,
+            self.owned,
+            self.pool.slots.in_use,
+            self.rows.limit.slots,
+            self.allowance(),
+            len(self.pool.queue),
+            self.pool.open_connections,
+            self.boot_id,
+        )
+
+    # What the pool asks
+
+    def refusal(self) -> str:
+        """Return why no new work may be sent now, empty if it may."""
+        reason = REFUSED_STATES.get(self.chart.state)
+        if reason is not None:
+            return reason
+        if self.rows.limit.slots <= 0:
+            return "no_replica"
+        return self._no_authority()
+
+    def may_connect(self) -> bool:
+        """Say whether a connection may be opened now."""
+        return not self._no_authority()
+
+    def allowance(self) -> int:
+        """Return how many slots may be in use now."""
+        if self.chart.state in REFUSED_STATES:
+            return 0
+        return self.ramp.allowance(self.rows.limit.slots)
+
+    def request_id(self) -> str:
+        """Return a new request id."""
+        return self.around.request_id()
+
+    def weight(self, tenant: str) -> float:
+        """Return the weight of a tenant."""
+        return self.around.weight(tenant)
+
+    def sent(self, job: SubRequest) -> None:
+        """Count a sub-request that is being written."""
+        self.around.metrics.subrequests.inc(job.labels)
+
+    # What the pool tells
+
+    def answered(self, response: Response, outcome: Outcome) -> None:
+        """Note the answer to a sub-request."""
+        if outcome.reason == "bad_answer":
+            return
+        self._note_headers(response)
+        if outcome.reason in ("", "deadline"):
+            self._count_latency(outcome.service)
+        elif outcome.reason == "shedding":
+            self._note_shed()
+        elif outcome.reason == "draining":
+            self._note_leaving("refused work")
+        if self.chart.state == "unknown":
+            self._send("reached", "first answer")
+
+    def lost(self) -> None:
+        """Note a connection that broke while the server worked on a request."""
+        self._send("lost", "connection broke during a request")
+
+    def unreachable(self) -> None:
+        """Note a connection that could not be opened."""
+        self.poll_busy_until = 0.0
+        self._send("lost", "connection could not be opened")
+
+    # Status polls
+
+    async def poll(self) -> None:
+        """Ask for the status until cancelled: slowly, and faster while the searcher is lost."""
+        await trio.sleep(self.around.rng.uniform(0, PROBE_INTERVAL_S))
+        with self.polling:
+            while True:
+                self._ask_status()
+                lost = self.chart.state == "lost"
+                with trio.move_on_after(PROBE_INTERVAL_S if lost else STATUS_INTERVAL_S):
+                    await self.wake.wait()
+                self.wake = trio.Event()
+
+    def _ask_status(self) -> None:
+        now = trio.current_time()
+        idle = now >= self.poll_busy_until and not self.pool.closing
+        if idle and self.rows.limit.connections and self.may_connect():
+            self.poll_busy_until = now + 2 * CONTROL_TIMEOUT_S
+            self.pool.control(status_request(), now + CONTROL_TIMEOUT_S, self._saw_status)
+
+    def _saw_status(self, response: Response | None) -> None:
+        self.poll_busy_until = 0.0
+        if response is None or response.status != 200:
+            self._count_silent()
+            return
+        self.silent_polls = 0
+        self._note_headers(response)
+        try:
+            state = _STATUS.decode(response.body).state
+        except msgspec.DecodeError:
+            return
+        if state in LEAVING_STATES:
+            self._note_leaving("status")
+        elif trio.current_time() - self.last_leaving >= LEAVING_HOLD_S:
+            self._send("reached", "status")
+
+    def _count_silent(self) -> None:
+        self.silent_polls += 1
+        if self.silent_polls >= SILENT_POLLS:
+            self._send("lost", "no answer to status polls")
+
+    # Evidence
+
+    def _no_authority(self) -> str:
+        if self.released or not self.owned:
+            return "no_owner"
+        members = self.around.members
+        if members.may_dispatch(self.server):
+            return ""
+        return "no_owner" if members.lease_left() > 0 else "no_quorum"
+
+    def _note_headers(self, response: Response) -> None:
+        """Look for a new boot and for an announced change of state."""
+        boot_id = response.headers.get("x-boot-id", "")
+        if boot_id and boot_id != self.boot_id:
+            known, self.boot_id = self.boot_id, boot_id
+            if known:
+                self.last_leaving = -LEAVING_HOLD_S
+                self._send("cold", "new boot id")
+        announced = response.headers.get("x-state", "")
+        if announced in LEAVING_STATES:
+            self._note_leaving("announced")
+        if announced != self.announced:
+            self.announced = announced
+            if announced == "cold" and self.chart.state in ("warm", "ramping"):
+                self._send("cold", "announced")
+
+    def _note_leaving(self, cause: str) -> None:
+        self.last_leaving = trio.current_time()
+        self._send("draining", cause)
+
+    def _note_shed(self) -> None:
+        if self.ramp.shed(self.rows.limit.slots, self.rows.server.cold_slots):
+            self._send("shed", "refused work")
+
+    def _count_latency(self, service_s: float) -> None:
+        warm_s = self.rows.service.warm_latency_ms / 1000
+        change = self.ramp.answer(service_s, warm_s, self.rows.limit.slots)
+        if change == "slow":
+            self._send("cold", "slow answers")
+        elif change != "none":
+            self._send(change, "answers in time")
+
+    def _send(self, event: str, cause: str) -> None:
+        changed = self.chart.send(event, cause)
+        if event == "cold" or (changed and self.chart.state == "cold"):
+            self.ramp.restart(self.rows.server.cold_slots)
+        if changed:
+            self.wake.set()
+            self.settle()
--- /dev/null
+++ b/rattanrelay/node/subrequest.py
@@ -0,0 +1,134 @@
+"""One sub-request to a searcher: its request, the checks of its answer and its outcome."""
+
+from collections.abc import Callable
+from typing import Literal, NamedTuple
+
+import msgspec
+
+from ..errors import Ran
+from ..http import Request, Response
+
+__all__ = ["REFUSALS", "Outcome", "SubRequest", "cancel_request", "judge", "status_request"]
+
+#: Refusals by which a server states that nothing ran, by HTTP status.
+REFUSALS = {409: ("snapshot_gone",), 503: ("shedding", "draining"), 504: ("deadline",)}
+
+Kind = Literal["search", "action"]
+
+_encode = msgspec.json.encode
+
+
+class Outcome(NamedTuple):
+    """Result of a sub-request; `reason` is empty on success. Times in seconds."""
+
+    reason: str
+    ran: Ran
+    payload: bytes = b""
+    held: tuple[str, ...] = ()
+    service: float = 0.0
+    queued: float = 0.0
+    in_flight: int = 0
+    limit: int = 0
+
+
+class SubRequest:
+    """A sub-request on its way through the queue; `deadline` is trio time, `deadline_ms` Unix.
+
+    `labels` are those of its metrics; `finish` is called once with the outcome. `request_id`,
+    `sent_deadline_ms` and `free_at` are set when the sub-request gets a slot.
+    """
+
+    def __init__(
+        self,
+        kind: Kind,
+        shard: str,
+        snapshot: str,
+        body: bytes,
+        tenant: str,
+        deadline: float,
+        deadline_ms: int,
+        labels: dict[str, str],
+        finish: Callable[["SubRequest", Outcome], None],
+    ) -> None:
+        self.kind = kind
+        self.shard = shard
+        self.snapshot = snapshot
+        self.body = body
+        self.tenant = tenant
+        self.deadline = deadline
+        self.deadline_ms = deadline_ms
+        self.labels = labels
+        self.on_finish = finish
+        self.queued_at = 0.0
+        self.started_at = 0.0
+        self.request_id = ""
+        self.sent_deadline_ms = 0
+        self.free_at = 0.0
+        self.finished = False
+
+    def finish(self, outcome: Outcome) -> None:
+        """Report the outcome; later outcomes are dropped."""
+        if not self.finished:
+            self.finished = True
+            self.on_finish(self, outcome)
+
+    def request(self) -> Request:
+        """Return the HTTP request."""
+        if self.kind == "search":
+            head = _encode({"shard": self.shard, "snapshot": self.snapshot})
+            body = head[:-1] + b',"query":' + self.body + b"}"
+        else:
+            body = _encode({"shard": self.shard})[:-1] + b',"action":' + self.body + b"}"
+        headers = {
+            "content-type": "application/json",
+            "x-request-id": self.request_id,
+            "x-deadline": str(self.sent_deadline_ms),
+        }
+        return Request("POST", f"/{self.kind}", headers, body)
+
+
+class _Answer(msgspec.Struct):
+    """Fields of an answer or refusal that are checked; the rest is passed on."""
+
+    request_id: str = ""
+    shard: str = ""
+    snapshot: str = ""
+    complete: bool = False
+    code: str = ""
+    snapshots: tuple[str, ...] = ()
+
+
+_DECODER = msgspec.json.Decoder(_Answer)
+
+
+def judge(job: SubRequest, response: Response) -> Outcome:
+    """Check that an answer belongs to its sub-request and return the outcome.
+
+    An answer or refusal that does not repeat the request id and the shard is `bad_answer`, since
+    it may belong to another request; then nothing is known of the execution.
+    """
+    try:
+        answer = _DECODER.decode(response.body)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return Outcome("bad_answer", "unknown")
+    echo = answer.request_id or response.headers.get("x-request-id", "")
+    if echo != job.request_id:
+        return Outcome("bad_answer", "unknown")
+    if answer.code in REFUSALS.get(response.status, ()):
+        return Outcome(answer.code, "not_run", held=answer.snapshots)
+    if response.status != 200 or answer.shard != job.shard or not answer.complete:
+        return Outcome("bad_answer", "unknown")
+    if job.kind == "search" and answer.snapshot != job.snapshot:
+        return Outcome("snapshot_mismatch", "done")
+    return Outcome("", "done", response.body, answer.snapshots)
+
+
+def cancel_request(request_id: str) -> Request:
+    """Return the request that cancels a sub-request at its server."""
+    headers = {"content-type": "application/json", "x-request-id": request_id}
+    return Request("POST", "/cancel", headers, _encode({"request_id": request_id}))
+
+
+def status_request() -> Request:
+    """Return the request for the state of a server."""
+    return Request("GET", "/status")
