--- /dev/null
+++ b/rattanrelay/emulator/answers.py
@@ -0,0 +1,118 @@
+"""Faulty answers of a searcher; a decorator registers each by name."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+from ..http import Response, json_response
+from .gate import GatedStream
+
+__all__ = ["ANSWER_FAULTS", "Answer", "answer_fault"]
+
+
+class Answer(NamedTuple):
+    """The right body of an answer, its headers and the connection it will be sent on."""
+
+    body: dict
+    headers: dict[str, str]
+    stream: GatedStream
+
+    def with_body(self, **changes) -> Response:
+        """Return the answer with some fields of its body changed."""
+        return json_response(200, {**self.body, **changes}, self.headers)
+
+
+Fault = Callable[[Answer], Response]
+
+ANSWER_FAULTS: dict[str, Fault] = {}
+
+OTHER_REQUEST_ID = "another-request"
+OTHER_SHARD = "another-shard"
+OTHER_SNAPSHOT = "another-snapshot"
+
+#: Bytes of a truncated answer: the head and the first bytes of its body.
+TRUNCATED_EXTRA_BYTES = 20
+
+
+def answer_fault(name: str) -> Callable[[Fault], Fault]:
+    """Register a fault under a name."""
+
+    def add(function: Fault) -> Fault:
+        ANSWER_FAULTS[name] = function
+        return function
+
+    return add
+
+
+@answer_fault("empty")
+def empty(answer: Answer) -> Response:
+    """An answer without a body."""
+    return Response(200, answer.headers, b"")
+
+
+@answer_fault("truncated")
+def truncated(answer: Answer) -> Response:
+    """An answer that ends, with its connection, in the middle of the body."""
+    response = answer.with_body()
+    head = sum(len(name) + len(value) + 4 for name, value in response.headers.items())
+    answer.stream.send_limit = head + TRUNCATED_EXTRA_BYTES
+    return response
+
+
+@answer_fault("malformed_json")
+def malformed_json(answer: Answer) -> Response:
+    """A body that is not JSON, in a correct HTTP message."""
+    body = answer.with_body().body[:-2]
+    return Response(200, answer.headers, body)
+
+
+@answer_fault("malformed_http")
+def malformed_http(answer: Answer) -> Response:
+    """Bytes that are not an HTTP message."""
+    answer.stream.replacement = b"HTP/0 \x00\xff not an answer\r\n\r\n"
+    return answer.with_body()
+
+
+@answer_fault("other_request")
+def other_request(answer: Answer) -> Response:
+    """An answer that carries the id of another request."""
+    return answer.with_body(request_id=OTHER_REQUEST_ID)
+
+
+@answer_fault("other_shard")
+def other_shard(answer: Answer) -> Response:
+    """An answer that carries another shard."""
+    return answer.with_body(shard=OTHER_SHARD)
+
+
+@answer_fault("other_snapshot")
+def other_snapshot(answer: Answer) -> Response:
+    """An answer that carries another snapshot than the request."""
+    return answer.with_body(snapshot=OTHER_SNAPSHOT)
+
+
+@answer_fault("incomplete")
+def incomplete(answer: Answer) -> Response:
+    """An answer that says it is not complete and lacks its last hits."""
+    hits = answer.body.get("hits", [])
+    return answer.with_body(hits=hits[: len(hits) // 2], complete=False)
+
+
+@answer_fault("missing_fields")
+def missing_fields(answer: Answer) -> Response:
+    """An answer that lacks its hits and outcome."""
+    kept = {name: answer.body[name] for name in ("request_id", "shard") if name in answer.body}
+    return json_response(200, kept, answer.headers)
+
+
+@answer_fault("error")
+def error(answer: Answer) -> Response:
+    """A status 500 that does not say whether the work ran."""
+    return json_response(500, {"code": "internal"}, answer.headers)
+
+
+@answer_fault("reset")
+def reset(answer: Answer) -> Response:
+    """The connection is reset after the work, before any byte of the answer."""
+    answer.stream.reset_on_close()
+    answer.stream.send_limit = 0
+    return answer.with_body()
--- /dev/null
+++ b/rattanrelay/emulator/backend_control.py
@@ -0,0 +1,154 @@
+"""Control routes of the backend servers: faults, lifecycle, holdings and journals."""
+
+import msgspec
+
+from ..http import Request
+from .answers import ANSWER_FAULTS
+from .backend import Selection
+from .control import control, decode
+from .faults import SearcherFaults
+from .searcher import Searcher
+
+__all__ = ["describe_searcher"]
+
+
+class Target(msgspec.Struct, forbid_unknown_fields=True):
+    """Body that names searchers only."""
+
+    select: Selection = msgspec.field(default_factory=Selection)
+
+
+class FaultOrder(Target):
+    """Faults to change (`set`); the others stay, unless `reset` puts all back to healthy."""
+
+    set: dict = {}
+    reset: bool = False
+
+
+class CrashOrder(Target):
+    """Crash; `down_ms` defaults to the server's configuration."""
+
+    down_ms: float | None = None
+
+
+class HoldOrder(msgspec.Struct, forbid_unknown_fields=True):
+    """Shards by searcher and snapshot; replaces what the searcher holds of that snapshot."""
+
+    holdings: dict[str, dict[str, list[str]]]
+
+
+class DropOrder(Target):
+    """Snapshots to drop."""
+
+    snapshots: list[str] = []
+
+
+def describe_searcher(searcher: Searcher) -> dict:
+    """Return the state of a searcher and the summary of its journal as JSON values."""
+    return {
+        "address": searcher.address,
+        "server": searcher.server.name,
+        "service": searcher.server.service,
+        "failure_domain": searcher.server.failure_domain,
+        "state": searcher.state,
+        "boot_id": searcher.boot_id,
+        "boots": searcher.boots,
+        "crashes": searcher.crashes,
+        "leaving_since": searcher.leaving_since,
+        "holdings": {name: sorted(shards) for name, shards in searcher.holdings.items()},
+        "faults": msgspec.to_builtins(searcher.faults),
+        **searcher.journal.summary(),
+    }
+
+
+@control("GET", "/control/searchers")
+async def list_searchers(emulator, request: Request) -> dict:
+    """Return all searchers by name."""
+    searchers = emulator.backends.searchers
+    return {name: describe_searcher(searcher) for name, searcher in searchers.items()}
+
+
+@control("POST", "/control/searchers/journal")
+async def journals(emulator, request: Request) -> dict:
+    """Return the whole journals of the selected searchers by name."""
+    selected = emulator.backends.select(decode(request, Target).select)
+    return {searcher.name: searcher.journal.report() for searcher in selected}
+
+
+@control("POST", "/control/searchers/clear")
+async def clear(emulator, request: Request) -> list[str]:
+    """Clear journals."""
+    return _each(emulator, decode(request, Target), lambda searcher: searcher.journal.clear())
+
+
+@control("POST", "/control/searchers/faults")
+async def faults(emulator, request: Request) -> list[str]:
+    """Change faults."""
+    order = decode(request, FaultOrder)
+    if order.set.get("answer", "") not in ("", *ANSWER_FAULTS):
+        raise ValueError(f"answer must be one of {', '.join(ANSWER_FAULTS)}")
+
+    def change(searcher: Searcher) -> None:
+        base = {} if order.reset else msgspec.to_builtins(searcher.faults)
+        searcher.faults = msgspec.convert({**base, **order.set}, SearcherFaults)
+
+    return _each(emulator, order, change)
+
+
+@control("POST", "/control/searchers/crash")
+async def crash(emulator, request: Request) -> list[str]:
+    """Crash searchers."""
+    order = decode(request, CrashOrder)
+    return _each(emulator, order, lambda searcher: searcher.crash(order.down_ms))
+
+
+@control("POST", "/control/searchers/leave")
+async def leave(emulator, request: Request) -> list[str]:
+    """Let searchers start to leave."""
+    return _each(emulator, decode(request, Target), Searcher.leave)
+
+
+@control("POST", "/control/searchers/return")
+async def come_back(emulator, request: Request) -> list[str]:
+    """Let searchers return from leaving; they are cold."""
+    return _each(emulator, decode(request, Target), Searcher.come_back)
+
+
+@control("POST", "/control/searchers/cool")
+async def cool(emulator, request: Request) -> list[str]:
+    """Make searchers cold without an announcement."""
+    return _each(emulator, decode(request, Target), Searcher.cool)
+
+
+@control("POST", "/control/searchers/hold")
+async def hold(emulator, request: Request) -> list[str]:
+    """Change which shards of which snapshot the named searchers hold."""
+    order = decode(request, HoldOrder)
+    for name in order.holdings:
+        if name not in emulator.backends.searchers:
+            raise KeyError(name)
+    for name, held in order.holdings.items():
+        holdings = emulator.backends.searchers[name].holdings
+        holdings.update({snapshot: set(shards) for snapshot, shards in held.items()})
+    return sorted(order.holdings)
+
+
+@control("POST", "/control/searchers/drop")
+async def drop(emulator, request: Request) -> list[str]:
+    """Drop snapshots."""
+    order = decode(request, DropOrder)
+
+    def forget(searcher: Searcher) -> None:
+        for snapshot in order.snapshots:
+            searcher.holdings.pop(snapshot, None)
+
+    return _each(emulator, order, forget)
+
+
+def _each(emulator, order: Target, change) -> list[str]:
+    selected = emulator.backends.select(order.select)
+    if not selected:
+        raise ValueError("the selection matches no searcher")
+    for searcher in selected:
+        change(searcher)
+    return [searcher.name for searcher in selected]
--- /dev/null
+++ b/rattanrelay/emulator/endpoint.py
@@ -0,0 +1,99 @@
+"""An HTTP listener that can be shut with resets and opened again on its port."""
+
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import trio
+
+from ..http import HttpLimits, Request, Response, serve_http
+from .addresses import PortReservation
+from .gate import GatedListener, GatedStream
+
+__all__ = ["ConnectionObserver", "Endpoint"]
+
+#: Idle connections are the client's to close.
+IDLE_TIMEOUT_S = 3600.0
+MAX_BODY_BYTES = 8 * 1024 * 1024
+
+
+class ConnectionObserver(Protocol):
+    """Decides on new connections and learns when they end."""
+
+    def admit(self) -> bool:
+        """Say whether one more connection may be accepted, and count it."""
+
+    def ended(self) -> None:
+        """Count the end of an accepted connection."""
+
+
+class AdmitAll:
+    """Accepts every connection."""
+
+    def admit(self) -> bool:
+        """Accept."""
+        return True
+
+    def ended(self) -> None:
+        """Ignore the end."""
+
+
+class Endpoint:
+    """A reserved port and the HTTP server behind it; `connect_ms` delays a connection's start."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handler: Callable[[Request], Awaitable[Response]],
+        *,
+        connect_ms: float = 0.0,
+        observer: ConnectionObserver | None = None,
+    ) -> None:
+        self.port = PortReservation(host, port)
+        self.handler = handler
+        self.connect_ms = connect_ms
+        self.observer = observer or AdmitAll()
+        self.streams: dict[str, GatedStream] = {}
+        self.serving = trio.CancelScope()
+
+    @property
+    def address(self) -> str:
+        """Address as `host:port`."""
+        return self.port.address
+
+    async def serve_until_shut(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Listen and serve until `shut` is called."""
+        listener = self.port.listen()
+        self.serving = trio.CancelScope()
+        with self.serving:
+            task_status.started()
+            gate = GatedListener(listener, self._admit)
+            limits = HttpLimits(max_body=MAX_BODY_BYTES, idle_timeout=IDLE_TIMEOUT_S)
+            await serve_http(self.handler, [gate], limits=limits)
+
+    def shut(self) -> None:
+        """Reset all connections and refuse new ones; handlers in progress are cancelled."""
+        for stream in self.streams.values():
+            stream.reset_on_close()
+        self.serving.cancel()
+
+    def release(self) -> None:
+        """Give the port back."""
+        self.port.close()
+
+    def stream_of(self, request: Request) -> GatedStream:
+        """Return the connection that a request arrived on."""
+        return self.streams[request.peer]
+
+    def _admit(self, stream: trio.SocketStream) -> GatedStream | None:
+        ready_at = trio.current_time() + self.connect_ms / 1000
+        gated = GatedStream(stream, ready_at, self._ended)
+        if not self.observer.admit():
+            return None
+        self.streams[gated.peer] = gated
+        return gated
+
+    def _ended(self, stream: GatedStream) -> None:
+        self.observer.ended()
+        if self.streams.get(stream.peer) is stream:
+            del self.streams[stream.peer]
--- /dev/null
+++ b/rattanrelay/emulator/gate.py
@@ -0,0 +1,108 @@
+"""Listener of a searcher: connection limit, cost of a new connection, faults in what is sent."""
+
+import socket
+import struct
+from collections.abc import Callable
+
+import trio
+
+__all__ = ["GatedListener", "GatedStream"]
+
+#: SO_LINGER that makes a close send a reset, as the end of a crashed process does.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class GatedStream(trio.abc.Stream):
+    """An accepted connection; the first bytes are read only once its cost has been paid."""
+
+    def __init__(
+        self, stream: trio.SocketStream, ready_at: float, ended: Callable[["GatedStream"], None]
+    ) -> None:
+        self.stream = stream
+        self.socket = stream.socket
+        self.peer = "{}:{}".format(*stream.socket.getpeername()[:2])
+        self.ready_at = ready_at
+        self.ended = ended
+        self.closed = False
+        #: Bytes of the next answer that are sent before the connection is closed.
+        self.send_limit: int | None = None
+        #: Bytes that are sent instead of the next answer.
+        self.replacement: bytes | None = None
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Wait until the connection is set up, then read."""
+        await trio.sleep_until(self.ready_at)
+        return await self.stream.receive_some(max_bytes)
+
+    async def send_all(self, data: bytes) -> None:
+        """Send an answer, or what the faults leave of it."""
+        if self.replacement is not None:
+            data, self.replacement = self.replacement, None
+        if self.send_limit is None:
+            await self.stream.send_all(data)
+            return
+        await self.stream.send_all(data[: self.send_limit])
+        await self.aclose()
+        raise trio.BrokenResourceError("the answer was cut")
+
+    async def wait_send_all_might_not_block(self) -> None:
+        """Wait until a send would make progress."""
+        await self.stream.wait_send_all_might_not_block()
+
+    async def wait_client_gone(self) -> None:
+        """Return when the client has closed its side; only while nothing else receives."""
+        await trio.lowlevel.wait_readable(self.socket)
+        if await self._peek():
+            await trio.sleep_forever()
+
+    async def _peek(self) -> bytes:
+        try:
+            return await self.socket.recv(1, socket.MSG_PEEK)
+        except OSError:
+            return b""
+
+    def leave(self) -> None:
+        """Count the connection as ended, once."""
+        if not self.closed:
+            self.closed = True
+            self.ended(self)
+
+    def reset_on_close(self) -> None:
+        """Make the close send a reset instead of an orderly end."""
+        try:
+            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        except OSError:
+            return
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        self.leave()
+        await self.stream.aclose()
+
+
+class GatedListener(trio.abc.Listener):
+    """Accepts connections; `admit` returns the gated stream, or None to close it at once."""
+
+    def __init__(
+        self,
+        listener: trio.SocketListener,
+        admit: Callable[[trio.SocketStream], GatedStream | None],
+    ) -> None:
+        self.listener = listener
+        self.admit = admit
+
+    async def accept(self) -> GatedStream:
+        """Return the next connection within the limit."""
+        while True:
+            stream = await self.listener.accept()
+            try:
+                gated = self.admit(stream)
+            except OSError:
+                gated = None
+            if gated is not None:
+                return gated
+            await trio.aclose_forcefully(stream)
+
+    async def aclose(self) -> None:
+        """Close the listener."""
+        await self.listener.aclose()
--- /dev/null
+++ b/rattanrelay/emulator/journal.py
@@ -0,0 +1,157 @@
+"""What a searcher records: each request, peaks of concurrent use, and violations of limits."""
+
+from collections import Counter
+from typing import NamedTuple
+
+import msgspec
+
+__all__ = ["MAX_RUNS", "Journal", "Run", "Violation", "double_runs"]
+
+#: Requests kept for each searcher; later ones are only counted in `dropped`.
+MAX_RUNS = 200_000
+
+
+class Run(msgspec.Struct):
+    """A request for work; times in Unix seconds, None until they are known.
+
+    `outcome` is `running`, `done`, `cancelled`, `crashed` or the code of the refusal. `ran` says
+    whether the work may have had an effect: it is False for refusals and for work that was dropped
+    at its deadline or cancelled, since an action takes effect at its end.
+    """
+
+    number: int
+    request_id: str
+    kind: str
+    shard: str
+    snapshot: str
+    #: Digest of a query; canonical JSON of an action.
+    body: str
+    boot_id: str
+    peer: str
+    deadline: float | None
+    arrived: float
+    start: float | None = None
+    end: float | None = None
+    outcome: str = "running"
+    ran: bool = False
+    #: The client closed its connection before the answer.
+    client_gone: bool = False
+
+
+class Violation(NamedTuple):
+    """A limit that was exceeded: `slots`, `cold`, `cold_unannounced` or `connections`."""
+
+    time: float
+    kind: str
+    request_id: str
+    #: Use that the request or connection would have reached, and the limit.
+    reached: int
+    limit: int
+
+
+class Journal:
+    """Records of one searcher over all of its boots."""
+
+    def __init__(self) -> None:
+        self.runs: list[Run] = []
+        self.dropped = 0
+        self.requests = 0
+        self.violations: list[Violation] = []
+        self.outcomes: Counter[str] = Counter()
+        self.working = 0
+        self.peak_work = 0
+        self.connections = 0
+        self.peak_connections = 0
+        self.connections_opened = 0
+        #: Unix seconds of the last request for work, and of the last one that was started.
+        self.last_arrival: float | None = None
+        self.last_start: float | None = None
+
+    def arrive(self, run: Run) -> None:
+        """Record a request for work."""
+        self.requests += 1
+        self.last_arrival = run.arrived
+        if len(self.runs) < MAX_RUNS:
+            self.runs.append(run)
+        else:
+            self.dropped += 1
+
+    def start(self, run: Run, now: float) -> None:
+        """Record that work begins and takes a slot."""
+        run.start = now
+        self.last_start = now
+        self.working += 1
+        self.peak_work = max(self.peak_work, self.working)
+
+    def finish(self, run: Run, now: float, outcome: str, *, ran: bool) -> None:
+        """Record the outcome; frees the slot if the work had begun."""
+        run.end = now
+        run.outcome = outcome
+        run.ran = ran
+        self.outcomes[outcome] += 1
+        if run.start is not None:
+            self.working -= 1
+
+    def connect(self) -> None:
+        """Record an accepted connection."""
+        self.connections += 1
+        self.connections_opened += 1
+        self.peak_connections = max(self.peak_connections, self.connections)
+
+    def disconnect(self) -> None:
+        """Record the end of a connection."""
+        self.connections -= 1
+
+    def violate(self, violation: Violation) -> None:
+        """Record an exceeded limit."""
+        self.violations.append(violation)
+
+    def clear(self) -> None:
+        """Forget what has ended; work and connections in progress stay counted."""
+        self.runs = [run for run in self.runs if run.end is None]
+        self.dropped = 0
+        self.requests = 0
+        self.violations = []
+        self.outcomes = Counter()
+        self.peak_work = self.working
+        self.peak_connections = self.connections
+        self.connections_opened = 0
+        self.last_arrival = None
+        self.last_start = None
+
+    def summary(self) -> dict:
+        """Return counts and peaks as JSON values."""
+        return {
+            "requests": self.requests,
+            "dropped": self.dropped,
+            "outcomes": dict(self.outcomes),
+            "violations": len(self.violations),
+            "working": self.working,
+            "peak_work": self.peak_work,
+            "connections": self.connections,
+            "peak_connections": self.peak_connections,
+            "connections_opened": self.connections_opened,
+            "last_arrival": self.last_arrival,
+            "last_start": self.last_start,
+        }
+
+    def report(self) -> dict:
+        """Return the whole journal as JSON values."""
+        return {
+            **self.summary(),
+            "runs": [msgspec.to_builtins(run) for run in self.runs],
+            "violations": [violation._asdict() for violation in self.violations],
+        }
+
+
+def double_runs(runs: list[Run]) -> dict[str, list[Run]]:
+    """Return the actions that may have had an effect more than once, by request id and body.
+
+    Runs of all searchers must be passed together: a repeat may reach another searcher.
+    """
+    groups: dict[str, list[Run]] = {}
+    for run in runs:
+        if run.kind == "action" and run.start is not None and (run.ran or run.end is None):
+            groups.setdefault(f"request {run.request_id}", []).append(run)
+            groups.setdefault(f"body {run.body}", []).append(run)
+    return {name: group for name, group in groups.items() if len(group) > 1}
--- /dev/null
+++ b/rattanrelay/emulator/searcher.py
@@ -0,0 +1,170 @@
+"""A searcher: its boots, its listener and the routes of the Backend API."""
+
+import os
+import random
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ..http import Request, Response, json_response
+from ..log import event
+from .config import ServerConfig
+from .endpoint import Endpoint
+from .faults import SearcherFaults
+from .journal import Journal, Violation
+from .reports import Reports
+from .warmth import Warmth
+from .work import Work
+
+__all__ = ["Searcher"]
+
+Route = Callable[["Searcher", Request], Awaitable[Response]]
+
+ROUTES: dict[tuple[str, str], Route] = {}
+
+
+def route(method: str, path: str) -> Callable[[Route], Route]:
+    """Register a route of the Backend API."""
+
+    def add(function: Route) -> Route:
+        ROUTES[method, path] = function
+        return function
+
+    return add
+
+
+class Searcher:
+    """A searcher with its own port; `now` returns Unix seconds.
+
+    `holdings` maps each snapshot that it holds to its shards.
+    """
+
+    def __init__(
+        self, name: str, server: ServerConfig, index: int, now: Callable[[], float]
+    ) -> None:
+        self.name = name
+        self.server = server
+        self.now = now
+        self.endpoint = Endpoint(
+            server.host,
+            server.ports[index],
+            self._handle,
+            connect_ms=server.connect_ms,
+            observer=self,
+        )
+        self.chance = random.Random(f"{server.seed}/{name}")
+        self.journal = Journal()
+        self.faults = SearcherFaults()
+        held = server.holdings.get(str(index), {})
+        self.holdings = {snapshot: set(shards) for snapshot, shards in held.items()}
+        self.leaving = False
+        self.leaving_since: float | None = None
+        self.boots = 0
+        self.boot_id = ""
+        self.down_until: float | None = None
+        self.crashes: list[float] = []
+        self.warmth = Warmth(server, cold=server.starts_cold)
+        self.work = Work(self)
+        self.reports = Reports(self)
+
+    @property
+    def address(self) -> str:
+        """Address as `host:port`."""
+        return self.endpoint.address
+
+    @property
+    def state(self) -> str:
+        """Actual state: `down`, `leaving`, `cold` or `warm`."""
+        if self.down_until is not None:
+            return "down"
+        if self.leaving:
+            return "leaving"
+        return "cold" if self.warmth.is_cold() else "warm"
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled; after a crash the searcher is down, then boots cold."""
+        try:
+            await self._boot(task_status)
+            while True:
+                await trio.sleep_until(self.down_until)
+                self.down_until = None
+                self.warmth = Warmth(self.server, cold=True)
+                await self._boot(trio.TASK_STATUS_IGNORED)
+        finally:
+            self.endpoint.release()
+
+    def crash(self, down_ms: float | None = None) -> None:
+        """End at once: all connections are reset, and the port refuses for `down_ms`."""
+        if self.down_until is not None:
+            return
+        down = self.server.crash_down_ms if down_ms is None else down_ms
+        self.down_until = trio.current_time() + down / 1000
+        self.crashes.append(self.now())
+        event("searcher_crashed", searcher=self.name, boot=self.boot_id, down_ms=down)
+        self.endpoint.shut()
+
+    def leave(self) -> None:
+        """Start to leave: new work is refused, work in progress ends normally."""
+        if not self.leaving:
+            self.leaving = True
+            self.leaving_since = self.now()
+
+    def come_back(self) -> None:
+        """End the leaving; the searcher is cold."""
+        self.leaving = False
+        self.leaving_since = None
+        self.warmth = Warmth(self.server, cold=True)
+
+    def cool(self) -> None:
+        """Become cold without a new boot and without saying so."""
+        self.warmth = Warmth(self.server, cold=True, announced=False)
+
+    def admit(self) -> bool:
+        """Count a new connection; one above the limit is a violation and is not accepted."""
+        reached = self.journal.connections + 1
+        limit = self.server.connections
+        if reached > limit:
+            self.journal.violate(Violation(self.now(), "connections", "", reached, limit))
+            return False
+        self.journal.connect()
+        return True
+
+    def ended(self) -> None:
+        """Count the end of a connection."""
+        self.journal.disconnect()
+
+    async def _boot(self, task_status) -> None:
+        self.boots += 1
+        self.boot_id = f"{self.name}.{self.boots}.{os.urandom(4).hex()}"
+        await self.endpoint.serve_until_shut(task_status)
+        self.work.abandon()
+
+    async def _handle(self, request: Request) -> Response:
+        found = ROUTES.get((request.method, request.path))
+        if found is None:
+            return json_response(404, {"code": "not_found"}, self.reports.headers())
+        return await found(self, request)
+
+
+@route("POST", "/search")
+async def search(searcher: Searcher, request: Request) -> Response:
+    """Answer a query for one shard of one snapshot."""
+    return await searcher.work.serve("search", request)
+
+
+@route("POST", "/action")
+async def action(searcher: Searcher, request: Request) -> Response:
+    """Run a non-idempotent request."""
+    return await searcher.work.serve("action", request)
+
+
+@route("POST", "/cancel")
+async def cancel(searcher: Searcher, request: Request) -> Response:
+    """Stop the work of a request id; answers how many runs were stopped."""
+    return searcher.work.cancel(request)
+
+
+@route("GET", "/status")
+async def status(searcher: Searcher, request: Request) -> Response:
+    """Report state, load and the snapshots held."""
+    return json_response(200, searcher.reports.status(), searcher.reports.headers())
--- /dev/null
+++ b/rattanrelay/emulator/work.py
@@ -0,0 +1,249 @@
+"""Work of a searcher: admission against its limits, the run itself, cancellation, journal."""
+
+from typing import TYPE_CHECKING
+
+import msgspec
+import trio
+
+from ..http import Request, Response, json_response
+from .answers import ANSWER_FAULTS, Answer
+from .corpus import canonical, query_digest, search_shard
+from .gate import GatedStream
+from .journal import Run, Violation
+from .service_time import draw
+
+if TYPE_CHECKING:
+    from .searcher import Searcher
+
+__all__ = ["CANCELLED_STATUS", "Work"]
+
+#: Status of the answer to a request that was cancelled.
+CANCELLED_STATUS = 499
+
+REFUSAL_STATUS = {
+    "snapshot_gone": 409,
+    "shedding": 503,
+    "draining": 503,
+    "deadline": 504,
+    "cancelled": CANCELLED_STATUS,
+    #: The crash resets the connection before this is sent.
+    "crashed": 503,
+}
+
+
+class Order(msgspec.Struct):
+    """Body of `POST /search` and `POST /action`."""
+
+    shard: str
+    snapshot: str = ""
+    query: msgspec.Raw = msgspec.Raw(b"null")
+    action: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class CancelOrder(msgspec.Struct):
+    """Body of `POST /cancel`; an empty shard means all shards of the request."""
+
+    request_id: str
+    shard: str = ""
+
+
+class Work:
+    """Requests in progress at one searcher, by journal number."""
+
+    def __init__(self, searcher: "Searcher") -> None:
+        self.searcher = searcher
+        self.journal = searcher.journal
+        self.next_number = 1
+        self.running: dict[int, tuple[Run, trio.CancelScope]] = {}
+
+    async def serve(self, kind: str, request: Request) -> Response:
+        """Admit, run and answer one request."""
+        try:
+            order = msgspec.json.decode(request.body, type=Order)
+            payload = msgspec.json.decode(order.query if kind == "search" else order.action)
+            deadline = _deadline(request)
+        except (msgspec.MsgspecError, ValueError) as error:
+            return self._response(400, {"code": "bad_request", "message": str(error)})
+        run = self._arrive(kind, request, order, payload, deadline)
+        refusal = self._refusal(run)
+        if refusal is not None:
+            return self._refuse(run, refusal)
+        stream = self.searcher.endpoint.stream_of(request)
+        outcome = await self._run(run, request.body, stream)
+        if outcome != "done":
+            if self.searcher.faults.hang:
+                await stream.wait_client_gone()
+            return self._refusal_response(run, outcome)
+        return self._answer(run, payload, stream)
+
+    def cancel(self, request: Request) -> Response:
+        """Stop the runs of a request id; their slots are free when this returns."""
+        try:
+            order = msgspec.json.decode(request.body, type=CancelOrder)
+        except msgspec.MsgspecError as error:
+            return self._response(400, {"code": "bad_request", "message": str(error)})
+        stopped = 0
+        if not self.searcher.faults.ignore_cancel:
+            stopped = self._stop(order)
+        return self._response(200, {"request_id": order.request_id, "cancelled": stopped})
+
+    def abandon(self) -> None:
+        """Record the runs that a crash ended; an action may have had its effect."""
+        for run, _ in list(self.running.values()):
+            self._finish(run, "crashed", ran=True)
+
+    def _arrive(self, kind: str, request: Request, order: Order, payload, deadline) -> Run:
+        body = query_digest(payload) if kind == "search" else canonical(payload).decode()
+        run = Run(
+            number=self.next_number,
+            request_id=request.headers.get("x-request-id", ""),
+            kind=kind,
+            shard=order.shard,
+            snapshot=order.snapshot,
+            body=body,
+            boot_id=self.searcher.boot_id,
+            peer=request.peer,
+            deadline=deadline,
+            arrived=self.searcher.now(),
+        )
+        self.next_number += 1
+        self.journal.arrive(run)
+        return run
+
+    def _refusal(self, run: Run) -> str | None:
+        """Return the code of the refusal, None if the request may run.
+
+        Limits are checked first: a request above them is a violation whatever else applies.
+        """
+        searcher = self.searcher
+        reached = self.journal.working + 1
+        if reached > searcher.server.slots:
+            self._violate(run, "slots", reached, searcher.server.slots)
+            return "shedding"
+        if reached > searcher.warmth.allowed():
+            return self._overload_cold(run, reached)
+        if searcher.leaving and not searcher.faults.leaving_accepts:
+            return "draining"
+        if run.deadline is not None and run.arrived >= run.deadline:
+            return "deadline"
+        if run.kind == "search" and run.shard not in searcher.holdings.get(run.snapshot, ()):
+            return "snapshot_gone"
+        if searcher.faults.shed or searcher.chance.random() < searcher.faults.shed_share:
+            return "shedding"
+        return None
+
+    def _overload_cold(self, run: Run, reached: int) -> str:
+        warmth = self.searcher.warmth
+        kind = "cold" if warmth.announced else "cold_unannounced"
+        self._violate(run, kind, reached, warmth.allowed())
+        if self.searcher.server.cold_overload == "crash":
+            self.searcher.crash()
+            return "crashed"
+        return "shedding"
+
+    def _violate(self, run: Run, kind: str, reached: int, limit: int) -> None:
+        self.journal.violate(Violation(run.arrived, kind, run.request_id, reached, limit))
+
+    async def _run(self, run: Run, body: bytes, stream: GatedStream) -> str:
+        """Hold a slot for the service time; returns the outcome."""
+        self.journal.start(run, self.searcher.now())
+        async with trio.open_nursery() as nursery:
+            scope = nursery.cancel_scope
+            self.running[run.number] = (run, scope)
+            nursery.start_soon(self._watch_client, run, stream)
+            if run.deadline is not None:
+                scope.deadline = trio.current_time() + run.deadline - self.searcher.now()
+            await self._work(run, body)
+            self._finish(run, "done", ran=True)
+            scope.cancel()
+        if run.number in self.running:
+            self._finish(run, "deadline", ran=False)
+        return run.outcome
+
+    async def _work(self, run: Run, body: bytes) -> None:
+        searcher = self.searcher
+        faults = searcher.faults
+        if faults.crash_marker and faults.crash_marker.encode() in body:
+            await trio.sleep(faults.crash_after_ms / 1000)
+            searcher.crash()
+            await trio.sleep_forever()
+        if faults.hang:
+            await trio.sleep_forever()
+        server = searcher.server
+        service_ms = draw(
+            server.service_shape, searcher.chance, server.service_ms, server.service_spread
+        )
+        factor = faults.straggle * searcher.warmth.factor()
+        await trio.sleep(service_ms * factor / 1000)
+
+    async def _watch_client(self, run: Run, stream: GatedStream) -> None:
+        await stream.wait_client_gone()
+        run.client_gone = True
+        stream.leave()
+
+    def _finish(self, run: Run, outcome: str, *, ran: bool) -> None:
+        del self.running[run.number]
+        self.journal.finish(run, self.searcher.now(), outcome, ran=ran)
+        if outcome == "done":
+            self.searcher.warmth.complete()
+
+    def _stop(self, order: CancelOrder) -> int:
+        matching = [
+            (run, scope)
+            for run, scope in self.running.values()
+            if run.request_id == order.request_id and order.shard in ("", run.shard)
+        ]
+        for run, scope in matching:
+            self._finish(run, "cancelled", ran=False)
+            scope.cancel()
+        return len(matching)
+
+    def _refuse(self, run: Run, code: str) -> Response:
+        self.journal.finish(run, self.searcher.now(), code, ran=False)
+        return self._refusal_response(run, code)
+
+    def _refusal_response(self, run: Run, code: str) -> Response:
+        body = {
+            "code": code,
+            "request_id": run.request_id,
+            "shard": run.shard,
+            "snapshot": run.snapshot,
+        }
+        if code == "snapshot_gone":
+            body["snapshots"] = self._snapshots_of(run.shard)
+        return self._response(REFUSAL_STATUS[code], body)
+
+    def _snapshots_of(self, shard: str) -> list[str]:
+        holdings = self.searcher.holdings
+        return sorted(snapshot for snapshot, shards in holdings.items() if shard in shards)
+
+    def _answer(self, run: Run, payload, stream: GatedStream) -> Response:
+        body = {"request_id": run.request_id, "shard": run.shard, "complete": True}
+        if run.kind == "search":
+            body["snapshot"] = run.snapshot
+            body.update(search_shard(run.shard, run.snapshot, payload))
+        else:
+            body["outcome"] = "done"
+            body["result"] = {"receipt": f"{self.searcher.name}#{run.number}"}
+        fault = self._take_answer_fault(run.kind)
+        if fault:
+            return ANSWER_FAULTS[fault](Answer(body, self.searcher.reports.headers(), stream))
+        return self._response(200, body)
+
+    def _take_answer_fault(self, kind: str) -> str:
+        faults = self.searcher.faults
+        name = faults.answer if kind in faults.answer_kinds else ""
+        if name and faults.answer_count > 0:
+            faults.answer_count -= 1
+            if faults.answer_count == 0:
+                faults.answer = ""
+        return name
+
+    def _response(self, status: int, body: dict) -> Response:
+        return json_response(status, body, self.searcher.reports.headers())
+
+
+def _deadline(request: Request) -> float | None:
+    """Return the `X-Deadline` of a request in Unix seconds."""
+    text = request.headers.get("x-deadline")
+    return None if text is None else int(text) / 1000
