--- /dev/null
+++ b/rattanrelay/decide/selection.py
@@ -0,0 +1,93 @@
+"""Choice of a replica by this instance's own observation."""
+
+from collections.abc import Sequence
+from random import Random
+
+__all__ = ["Replica", "choose_replica"]
+
+#: Moving average: weight of the newest latency.
+LATENCY_GAIN = 0.2
+#: Latency assumed before the first observation, in seconds. Low, so that new replicas get tried.
+INITIAL_LATENCY_S = 0.001
+#: After this time an observation counts half, so that a replica that was slow is tried again.
+OBSERVATION_HALF_LIFE_S = 2.0
+#: A failure multiplies the cost by up to this factor; repeated failures add up.
+FAILURE_COST = 8.0
+MAX_PENALTY = 64.0
+PENALTY_HALF_LIFE_S = 1.0
+#: Load reports may lower the weight to this part of the row's weight.
+MIN_REPORT_WEIGHT = 0.1
+CHOICES = 2
+
+
+class Replica:
+    """Observations of one searcher; times in seconds."""
+
+    __slots__ = (
+        "latency",
+        "load",
+        "name",
+        "observed_at",
+        "outstanding",
+        "penalty",
+        "penalty_at",
+        "report_weight",
+        "row_weight",
+        "server",
+    )
+
+    def __init__(self, name: str, server: str, row_weight: float = 1.0) -> None:
+        self.name = name
+        self.server = server
+        self.row_weight = row_weight
+        self.report_weight = 1.0
+        self.latency = INITIAL_LATENCY_S
+        self.load = 0
+        self.observed_at = 0.0
+        self.outstanding = 0
+        self.penalty = 0.0
+        self.penalty_at = 0.0
+
+    def observe(self, latency: float, load: int, now: float) -> None:
+        """Take over a result: its latency, and the work in flight and queued at the owner."""
+        self.latency += LATENCY_GAIN * (latency - self.latency)
+        self.load = load
+        self.observed_at = now
+
+    def fail(self, now: float) -> None:
+        """Note a failure; its penalty decays."""
+        self.penalty = min(MAX_PENALTY, self.penalty_left(now) + FAILURE_COST)
+        self.penalty_at = now
+
+    def report(self, weight: float) -> None:
+        """Take over a load report: 1.0 is no load; it never raises the weight over the row's."""
+        self.report_weight = min(1.0, max(MIN_REPORT_WEIGHT, weight))
+
+    def penalty_left(self, now: float) -> float:
+        """Return what is left of the failure penalty."""
+        if not self.penalty:
+            return 0.0
+        return self.penalty * 0.5 ** ((now - self.penalty_at) / PENALTY_HALF_LIFE_S)
+
+    def cost(self, now: float) -> float:
+        """Return the expected cost of one more sub-request; lower is better."""
+        fresh = 0.5 ** ((now - self.observed_at) / OBSERVATION_HALF_LIFE_S)
+        load = max(self.load * fresh, self.outstanding)
+        latency = INITIAL_LATENCY_S + (self.latency - INITIAL_LATENCY_S) * fresh
+        cost = latency * (1.0 + load) / (self.row_weight * self.report_weight)
+        return cost * (1.0 + self.penalty_left(now)) if self.penalty else cost
+
+
+def choose_replica(candidates: Sequence[Replica], now: float, rng: Random) -> Replica | None:
+    """Return the cheaper of two random candidates, None when there is none."""
+    if len(candidates) > CHOICES:
+        candidates = rng.sample(candidates, CHOICES)
+    elif not candidates:
+        return None
+    elif len(candidates) == 1:
+        return candidates[0]
+    first, second = candidates
+    first_cost, second_cost = first.cost(now), second.cost(now)
+    if first_cost == second_cost:
+        return first if rng.random() < 0.5 else second
+    return first if first_cost < second_cost else second
--- /dev/null
+++ b/rattanrelay/decide/snapshot.py
@@ -0,0 +1,64 @@
+"""Choice of the snapshot to which a query is pinned."""
+
+from collections.abc import Iterable
+
+from ..table import Catalog, Shard, Snapshot
+
+__all__ = ["SnapshotKnowledge"]
+
+#: A searcher that lacked a snapshot may have loaded it meanwhile; it is asked again after this.
+LACKING_S = 5.0
+
+
+class SnapshotKnowledge:
+    """What is known about searchers of one service that lack a snapshot."""
+
+    def __init__(self) -> None:
+        self.lacking: dict[tuple[str, str], float] = {}
+        #: Rises with each change of `lacking`, for callers that cache a choice.
+        self.version = 0
+
+    def lacks(self, searcher: str, snapshot: str, held: Iterable[str], now: float) -> None:
+        """Note that a searcher refused a snapshot and holds the others named."""
+        self.lacking[searcher, snapshot] = now + LACKING_S
+        for name in held:
+            if name != snapshot:
+                self.lacking.pop((searcher, name), None)
+        self.version += 1
+
+    def holds(self, searcher: str, snapshot: str) -> None:
+        """Note that a searcher answered with a snapshot."""
+        if self.lacking and self.lacking.pop((searcher, snapshot), None) is not None:
+            self.version += 1
+
+    def expire(self, now: float) -> None:
+        """Forget what was noted too long ago."""
+        old = [pair for pair, until in self.lacking.items() if until <= now]
+        for pair in old:
+            del self.lacking[pair]
+        if old:
+            self.version += 1
+
+    def replicas(self, shard: Shard, snapshot: str) -> tuple[str, ...]:
+        """Return the searchers of a shard that are not known to lack the snapshot."""
+        if not self.lacking:
+            return shard.searchers
+        return tuple(name for name in shard.searchers if (name, snapshot) not in self.lacking)
+
+    def held_share(self, snapshot: Snapshot) -> float:
+        """Return the share of shards that have a replica not known to lack the snapshot."""
+        if not snapshot.shards:
+            return 0.0
+        held = sum(1 for shard in snapshot.shards if self.replicas(shard, snapshot.name))
+        return held / len(snapshot.shards)
+
+    def choose(self, catalog: Catalog) -> Snapshot | None:
+        """Return the newest snapshot that each shard can serve, else the one most shards hold."""
+        best, best_share = None, -1.0
+        for snapshot in catalog.snapshots:
+            share = self.held_share(snapshot)
+            if share == 1.0:
+                return snapshot
+            if share > best_share:
+                best, best_share = snapshot, share
+        return best
--- a/rattanrelay/errors.py
+++ b/rattanrelay/errors.py
@@ -86,6 +86,11 @@
 register_code("deadline", 504, "The deadline passed before the answer was complete")
 register_code("outcome_unknown", 504, "It is not known whether the request ran")
 register_code("internal", 500, "An internal error")
+# Refusals of backend servers and results that are not merged; a shard may be missing for them.
+register_code("snapshot_gone", 503, "The searcher does not hold the snapshot")
+register_code("snapshot_mismatch", 502, "The searcher answered from another snapshot")
+register_code("shedding", 503, "The backend server sheds load")
+register_code("draining", 503, "The backend server is about to stop")
 # Configuration.
 register_code("bad_settings", 400, "A setting is missing or has a value that is not allowed")
 register_code("bad_table", 400, "The table has a cell that is not allowed")
