--- /dev/null
+++ b/rattanrelay/decide/admission.py
@@ -0,0 +1,209 @@
+"""Admission of queries at the entry: an adaptive limit and weighted fair shares of it."""
+
+import math
+from collections import deque
+from typing import Literal
+
+__all__ = ["Admission", "ConcurrencyLimit", "Overload", "Ticket", "tenant_cap"]
+
+INITIAL_LIMIT = 32.0
+MIN_LIMIT = 1.0
+MAX_LIMIT = 1000.0
+#: The limit changes at most once in this time, in seconds.
+WINDOW_S = 0.1
+#: Queries added to the limit in a window without congestion.
+INCREASE = 1.0
+#: Above this share of refused or late sub-requests the limit does not rise.
+CONGESTED_SHARE = 0.05
+#: Longest wait for admission, in seconds.
+MAX_WAIT_S = 0.05
+#: A wait takes at most this part of the time left until the deadline.
+MAX_WAIT_SHARE = 0.25
+
+#: Time constant of the overload signals, in seconds.
+OVERLOAD_MEMORY_S = 1.0
+#: The service is overloaded while more than this share of its sub-requests is refused.
+OVERLOAD_SHARE = 0.02
+#: Fewer refusals than this, weighted by age, are no overload.
+OVERLOAD_MIN_REFUSALS = 2.0
+
+
+class ConcurrencyLimit:
+    """Queries of one service in flight at this instance.
+
+    The limit rises by `INCREASE` in each window in which it was used, and falls by half of the
+    share of sub-requests that were shed, refused by a full queue or late. In proportion to the
+    share, since in a wide query almost always one of many shards is refused.
+    """
+
+    def __init__(self) -> None:
+        self.value = INITIAL_LIMIT
+        self.window_start = 0.0
+        self.peak = 0
+        self.sub_requests = 0
+        self.signals = 0
+
+    def started(self, in_flight: int) -> None:
+        """Note how many queries are in flight."""
+        self.peak = max(self.peak, in_flight)
+
+    def finished(self, sub_requests: int, signals: int, now: float) -> None:
+        """Take over the congestion signals of a query; adapts the limit once in a window."""
+        self.sub_requests += sub_requests
+        self.signals += signals
+        if now - self.window_start >= WINDOW_S and self.sub_requests:
+            self._adapt(now)
+
+    def _adapt(self, now: float) -> None:
+        share = min(1.0, self.signals / self.sub_requests)
+        used = self.peak >= self.value / 2
+        self.value *= 1.0 - share / 2
+        if used and share <= CONGESTED_SHARE:
+            self.value += INCREASE
+        self.value = min(MAX_LIMIT, max(MIN_LIMIT, self.value))
+        self.window_start = now
+        self.peak = self.sub_requests = self.signals = 0
+
+
+class Overload:
+    """Whether a service is overloaded: decayed share of refused sub-requests, or queueing."""
+
+    def __init__(self) -> None:
+        self.total = 0.0
+        self.refused = 0.0
+        self.queued = 0.0
+        self.updated_at = 0.0
+
+    def note(self, total: int, refused: int, queued: float, now: float) -> None:
+        """Add the sub-requests of a query; `queued` sums their seconds in owners' queues."""
+        self._decay(now)
+        self.total += total
+        self.refused += refused
+        self.queued += queued
+
+    def holds(self, warm_latency: float, now: float) -> bool:
+        """Say whether the service is overloaded now; `warm_latency` in seconds."""
+        self._decay(now)
+        if self.total < 1.0:
+            return False
+        refusing = self.refused >= OVERLOAD_MIN_REFUSALS
+        if refusing and self.refused > OVERLOAD_SHARE * self.total:
+            return True
+        return self.queued > warm_latency * self.total
+
+    def _decay(self, now: float) -> None:
+        factor = math.exp(-(now - self.updated_at) / OVERLOAD_MEMORY_S)
+        self.total *= factor
+        self.refused *= factor
+        self.queued *= factor
+        self.updated_at = now
+
+
+class Ticket:
+    """A query that asks for admission; `wait_until` bounds its wait."""
+
+    __slots__ = ("state", "tenant", "wait_until", "wake")
+
+    def __init__(self, tenant: str, wait_until: float) -> None:
+        self.tenant = tenant
+        self.wait_until = wait_until
+        self.state: Literal["admitted", "waiting", "refused", "ended"] = "refused"
+        #: Set by the caller if it waits; called on admission.
+        self.wake = None
+
+
+class _Tenant:
+    """Queries of one tenant."""
+
+    __slots__ = ("cap", "in_flight", "waiting", "weight")
+
+    def __init__(self) -> None:
+        self.weight = 1.0
+        self.cap = 1
+        self.in_flight = 0
+        self.waiting: deque[Ticket] = deque()
+
+
+class Admission:
+    """Admits queries of one service up to a limit and shares it between tenants.
+
+    While the limit is used up, the next free place goes to the waiting tenant with the fewest
+    queries in flight for its weight (weighted max-min). Places that no other tenant wants may be
+    used by any tenant up to its cap.
+    """
+
+    def __init__(self) -> None:
+        self.limit = ConcurrencyLimit()
+        self.in_flight = 0
+        self.tenants: dict[str, _Tenant] = {}
+
+    def arrive(self, name: str, weight: float, cap: int, now: float, deadline: float) -> Ticket:
+        """Return a ticket that is admitted, waits or is refused."""
+        tenant = self.tenants.get(name)
+        if tenant is None:
+            tenant = self.tenants[name] = _Tenant()
+        tenant.weight = weight
+        tenant.cap = cap
+        wait = min(MAX_WAIT_S, (deadline - now) * MAX_WAIT_SHARE)
+        ticket = Ticket(name, now + wait)
+        if tenant.in_flight >= tenant.cap:
+            return ticket
+        ticket.state = "waiting"
+        tenant.waiting.append(ticket)
+        self._fill(now)
+        if ticket.state == "waiting" and len(tenant.waiting) > self._queue_bound(tenant):
+            self.give_up(ticket)
+        return ticket
+
+    def leave(self, ticket: Ticket, now: float) -> None:
+        """End an admitted query and admit waiting ones."""
+        tenant = self.tenants[ticket.tenant]
+        ticket.state = "ended"
+        tenant.in_flight -= 1
+        self.in_flight -= 1
+        self._fill(now)
+
+    def give_up(self, ticket: Ticket) -> None:
+        """End the wait of a ticket that was not admitted."""
+        if ticket.state == "waiting":
+            ticket.state = "refused"
+            self.tenants[ticket.tenant].waiting.remove(ticket)
+
+    def _fill(self, now: float) -> None:
+        while self.in_flight < int(self.limit.value):
+            tenant = self._next_tenant(now)
+            if tenant is None:
+                return
+            ticket = tenant.waiting.popleft()
+            self._admit(tenant, ticket)
+            if ticket.wake is not None:
+                ticket.wake()
+
+    def _next_tenant(self, now: float) -> _Tenant | None:
+        best, best_use = None, math.inf
+        for tenant in self.tenants.values():
+            while tenant.waiting and tenant.waiting[0].wait_until < now:
+                tenant.waiting.popleft().state = "refused"
+            if not tenant.waiting or tenant.in_flight >= tenant.cap:
+                continue
+            use = tenant.in_flight / tenant.weight
+            if use < best_use:
+                best, best_use = tenant, use
+        return best
+
+    def _admit(self, tenant: _Tenant, ticket: Ticket) -> None:
+        ticket.state = "admitted"
+        tenant.in_flight += 1
+        self.in_flight += 1
+        self.limit.started(self.in_flight)
+
+    def _queue_bound(self, tenant: _Tenant) -> int:
+        """Return how many queries of a tenant may wait: about its fair share of the limit."""
+        active = (t.weight for t in self.tenants.values() if t.in_flight or t.waiting)
+        total = max(tenant.weight, sum(active))
+        return max(1, int(self.limit.value * tenant.weight / total))
+
+
+def tenant_cap(max_in_flight: int, instances: int) -> int:
+    """Return the part of a tenant's fleet-wide limit that one of `instances` may use."""
+    return max(1, max_in_flight // max(1, instances))
--- a/rattanrelay/decide/selection.py
+++ b/rattanrelay/decide/selection.py
@@ -54,6 +54,11 @@
         self.load = load
         self.observed_at = now
 
+    def overtaken(self, elapsed: float, now: float) -> None:
+        """Note a sub-request that had no result after `elapsed`; that is a lower bound."""
+        if elapsed > self.latency:
+            self.observe(elapsed, self.load, now)
+
     def fail(self, now: float) -> None:
         """Note a failure; its penalty decays."""
         self.penalty = min(MAX_PENALTY, self.penalty_left(now) + FAILURE_COST)
--- a/rattanrelay/errors.py
+++ b/rattanrelay/errors.py
@@ -91,6 +91,7 @@
 register_code("snapshot_mismatch", 502, "The searcher answered from another snapshot")
 register_code("shedding", 503, "The backend server sheds load")
 register_code("draining", 503, "The backend server is about to stop")
+register_code("request_suspect", 503, "A server was lost with the request; it is tried elsewhere")
 # Configuration.
 register_code("bad_settings", 400, "A setting is missing or has a value that is not allowed")
 register_code("bad_table", 400, "The table has a cell that is not allowed")
--- a/rattanrelay/metrics.py
+++ b/rattanrelay/metrics.py
@@ -2,12 +2,14 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-__all__ = ["LATENCY_BUCKETS_S", "Metrics"]
+__all__ = ["COVERAGE_BUCKETS", "LATENCY_BUCKETS_S", "Metrics"]
 
 LATENCY_BUCKETS_S = [
     0.001, 0.002, 0.005, 0.01, 0.02, 0.03, 0.05, 0.075, 0.1, 0.13, 0.2, 0.3, 0.5, 1.0, 2.0, 5.0
 ]  # fmt: skip
 
+COVERAGE_BUCKETS = [0.0, 0.5, 0.66, 0.9, 0.95, 0.99, 0.999, 1.0]
+
 
 class Metrics:
     """Collectors of one daemon; each has a registry of its own."""
@@ -21,11 +23,22 @@
             "Latency of answers by service, tenant and class",
             buckets=LATENCY_BUCKETS_S,
         )
+        self.coverage = self._add(
+            Histogram,
+            "query_coverage",
+            "Share of shards that an answer covers, by service",
+            buckets=COVERAGE_BUCKETS,
+        )
+        self.admission_limit = self._add(
+            Gauge, "admission_limit", "Queries that may be in flight at this instance, by service"
+        )
         self.answers = self._add(Counter, "answers_total", "Answers by service and outcome")
         self.refusals = self._add(Counter, "refusals_total", "Refusals by service and code")
         self.shards = self._add(Counter, "shards_total", "Shards by service and result or reason")
         self.subrequests = self._add(
-            Counter, "subrequests_total", "Sub-requests by service and kind (first, hedge, retry)"
+            Counter,
+            "subrequests_total",
+            "Sub-requests by service and kind (query, hedge, retry, canary, suspect)",
         )
         self.slots = self._add(Gauge, "slots_in_use", "Slots in use by searcher")
         self.slot_limit = self._add(Gauge, "slots_limit", "Slots allowed now by searcher")
--- a/rattanrelay/node/callers.py
+++ b/rattanrelay/node/callers.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface: checks each input and words each answer."""
 
 import re
+import traceback
 import uuid
 from typing import Any
 
@@ -76,10 +77,10 @@
             answer = _refusal(request_id, error)
         except Exception as error:
             code = "internal"
-            text = f"{type(error).__name__}: {error}"
-            event("request_failed", request_id=request_id, error=text)
+            event("request_failed", request_id=request_id, error=_describe(error))
             failure = RelayError("internal", "an internal error", ran="unknown")
             answer = _refusal(request_id, failure)
+        self._count(service, answer.status, code)
         event(
             "request",
             request_id=request_id,
@@ -89,8 +90,18 @@
             ms=round((trio.current_time() - started) * 1000, 2),
         )
         answer.headers["x-request-id"] = request_id
+        if self.draining or self.entry.out_of_service():
+            answer.headers["connection"] = "close"
         return answer
 
+    def _count(self, service: str, status: int, code: str) -> None:
+        """Count the answer; services that are not in the table share one label."""
+        known = service if service in self.entry.services else "none"
+        if code:
+            self.metrics.refusals.inc({"service": known, "code": code})
+        outcome = "done" if status < 400 else "refused"
+        self.metrics.answers.inc({"service": known, "outcome": outcome})
+
     def _probe(self, request: Request) -> Response | None:
         path = request.path
         if path not in ("/healthz", "/readyz", "/metrics"):
@@ -100,6 +111,9 @@
         if path == "/healthz":
             return json_response(200, {"status": "ok"})
         if path == "/metrics":
+            for name, state in self.entry.services.items():
+                limit = state.admission.limit.value
+                self.metrics.admission_limit.set({"service": name}, limit)
             body, headers = self.metrics.text(request.headers.get("accept", "text/plain"))
             return Response(200, headers, body)
         reason = self.not_ready_reason()
@@ -206,6 +220,15 @@
         raise RelayError("bad_body", str(error), step="read body") from error
 
 
+def _describe(error: BaseException) -> str:
+    """Return type, text and place of an unexpected error, for the log only."""
+    while isinstance(error, BaseExceptionGroup):
+        error = error.exceptions[0]
+    frames = traceback.extract_tb(error.__traceback__)
+    place = f" at {frames[-1].filename}:{frames[-1].lineno}" if frames else ""
+    return f"{type(error).__name__}: {error}{place}"
+
+
 def _refusal(request_id: str, error: RelayError) -> Response:
     body = {
         "request_id": request_id,
--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -2,36 +2,31 @@
 
 import itertools
 import time
+from collections import Counter
 from random import Random
 
 import trio
 
-from ..decide.gather import Gather
-from ..decide.selection import Replica
-from ..decide.snapshot import SnapshotKnowledge
-from ..errors import RelayError
+from ..decide.admission import Ticket, tenant_cap
+from ..decide.proven import request_fingerprint
+from ..errors import CODES, RelayError
 from ..metrics import Metrics
-from ..table import ServiceRow, Table
+from ..table import ServiceRow, Table, TenantRow
 from ..wire import Action, ActionResult
 from .plan import Plan, build_plan
 from .ports import ClaimsPort, Configuration, DispatchPort, Latest, MembersPort, PeersPort
 from .query import Answer, Query
-from .scatter import Scatter
+from .scatter import Scatter, ScatterPorts
+from .service_state import ServiceState
 
 __all__ = ["Entry"]
 
 #: Longest time a sub-request may run, in seconds; takeovers wait for it (design 2.1).
 MAX_SUBREQUEST_S = 2.0
-
-
-class ServiceState:
-    """What this instance has observed of one service."""
-
-    def __init__(self) -> None:
-        self.replicas: dict[str, Replica] = {}
-        self.knowledge = SnapshotKnowledge()
-        self.plan_key: tuple = ()
-        self.plan: Plan | None = None
+#: A query restarts only if this many hedge delays are left until its deadline.
+RESTART_DELAYS = 2.0
+#: Assumed hedge delay before enough latencies are known, in seconds.
+UNKNOWN_DELAY_S = 0.02
 
 
 class Entry:
@@ -52,77 +47,171 @@
     ) -> None:
         self.configuration = configuration
         self.members = members
-        self.peers = peers
-        self.dispatch = dispatch
         self.claims = claims
         self.metrics = metrics
         self.instance = instance
         self.wall = wall
         self.rng = rng or Random()
+        self.ports = ScatterPorts(instance, peers, dispatch, self.rng)
         self.services: dict[str, ServiceState] = {}
         self._numbers = itertools.count(1)
         self._tag = f"{self.rng.getrandbits(32):08x}"
 
     def not_ready_reason(self) -> str:
-        """Say why this instance cannot serve queries yet; empty when it can."""
-        if self.configuration.value.table is None:
+        """Say why this instance should get no new connections; empty when it should."""
+        table = self.configuration.value.table
+        if table is None:
             return "no table yet"
         if not self.members.epoch:
             return "not a member of a view yet"
-        return ""
+        return "out of service" if self.out_of_service() else ""
+
+    def out_of_service(self) -> bool:
+        """Say whether operators took this instance or its failure domain out of service."""
+        table = self.configuration.value.table
+        row = table.instances.get(self.instance) if table else None
+        if row is None:
+            return False
+        domain = table.domains.get(row.failure_domain)
+        return row.state == "out" or (domain is not None and domain.state == "out")
 
     def service_row(self, name: str) -> ServiceRow:
-        """Return the row of a service; raises `not_ready` or `unknown_service`."""
+        """Return the row of a service; raises `not_ready`, `unknown_service` or `no_replica`."""
         row = self._table().services.get(name)
         if row is None:
             text = f"service {name!r} is not in the table"
             raise RelayError("unknown_service", text, step="check service")
+        if row.state == "out":
+            raise RelayError("no_replica", f"service {name!r} is out", step="check service")
         return row
 
-    def check_tenant(self, name: str) -> None:
-        """Raise `unknown_tenant` unless the tenant is in the table."""
-        if name not in self._table().tenants:
+    def tenant_row(self, name: str) -> TenantRow:
+        """Return the row of a tenant; raises `unknown_tenant`."""
+        row = self._table().tenants.get(name)
+        if row is None:
             text = f"tenant {name!r} is not in the table"
             raise RelayError("unknown_tenant", text, step="check tenant")
+        return row
 
     async def query(self, query: Query) -> Answer:
-        """Run a query; raises `RelayError` when no shard answered."""
+        """Run a query; raises `RelayError` when it is refused or no shard answered."""
         row = self.service_row(query.service)
-        self.check_tenant(query.tenant)
+        tenant = self.tenant_row(query.tenant)
+        state = self._state(query.service)
+        started = trio.current_time()
+        ticket = self._arrive(state, tenant, query.deadline, started)
+        try:
+            await self._wait(ticket)
+            answer = await self._run(query, row, state, started)
+        finally:
+            self._leave(state, ticket)
+        self._count_answer(query, answer, trio.current_time() - started)
+        return answer
+
+    async def act(self, action: Action) -> ActionResult:
+        """Run a non-idempotent request at most once through the coordinator of its key."""
+        self.service_row(action.svc)
+        tenant = self.tenant_row(action.tenant)
+        state = self._state(action.svc)
         now = trio.current_time()
-        if query.deadline <= now:
-            raise RelayError("deadline_passed", "the deadline has passed", step="start query")
+        deadline = now + action.deadline_ms / 1000 - self.wall()
+        ticket = self._arrive(state, tenant, deadline, now)
+        try:
+            await self._wait(ticket)
+            return await self.claims.submit(action)
+        finally:
+            self._leave(state, ticket)
+
+    # Admission.
+
+    def _arrive(
+        self, state: ServiceState, tenant: TenantRow, deadline: float, now: float
+    ) -> Ticket:
+        if deadline <= now:
+            raise RelayError("deadline_passed", "the deadline has passed", step="admission")
+        cap = tenant_cap(tenant.max_in_flight, len(self.members.members))
+        return state.admission.arrive(tenant.name, max(1, tenant.weight), cap, now, deadline)
+
+    async def _wait(self, ticket: Ticket) -> None:
+        """Return once the ticket is admitted; raises `overloaded` after a short wait."""
+        if ticket.state == "waiting":
+            admitted = trio.Event()
+            ticket.wake = admitted.set
+            with trio.move_on_at(ticket.wait_until):
+                await admitted.wait()
+        if ticket.state != "admitted":
+            text = f"the share of tenant {ticket.tenant!r} is used up"
+            raise RelayError("overloaded", text, step="admission")
+
+    def _leave(self, state: ServiceState, ticket: Ticket) -> None:
+        if ticket.state == "admitted":
+            state.admission.leave(ticket, trio.current_time())
+        else:
+            state.admission.give_up(ticket)
+
+    # One query.
+
+    async def _run(
+        self, query: Query, row: ServiceRow, state: ServiceState, started: float
+    ) -> Answer:
         deadline = query.deadline
         if row.policy == "tail":
-            deadline = min(deadline, now + row.soft_deadline_ms / 1000)
-        state = self.services.setdefault(query.service, ServiceState())
+            deadline = min(deadline, started + row.soft_deadline_ms / 1000)
+        fingerprint = request_fingerprint(query.service, query.body)
+        proven = not row.canary or state.proven.holds(fingerprint, started)
+        first = await self._scatter(query, row, state, deadline, "" if proven else fingerprint)
+        best = first
+        if first.restart:
+            proven = proven or first.gather.answered > 0
+            canary = "" if proven else fingerprint
+            second = await self._scatter(query, row, state, deadline, canary, last=True)
+            best = max(second, first, key=lambda scatter: scatter.gather.answered)
+        if row.canary and best.gather.answered:
+            state.proven.note(fingerprint, started)
+        return self._answer(query, best)
+
+    async def _scatter(
+        self,
+        query: Query,
+        row: ServiceRow,
+        state: ServiceState,
+        deadline: float,
+        canary: str,
+        *,
+        last: bool = False,
+    ) -> Scatter:
+        now = trio.current_time()
         plan = self._plan(query.service, state, now)
         left = min(deadline - now, MAX_SUBREQUEST_S)
+
+        def may_restart(at: float) -> bool:
+            return not last and self._may_restart(query.service, state, plan, deadline - at)
+
         scatter = Scatter(
             query,
-            f"{query.request_id}/{self._tag}{next(self._numbers)}",
+            f"{query.request_id}/{self._tag}.{next(self._numbers)}",
             plan,
             self.members.epoch,
-            instance=self.instance,
-            peers=self.peers,
-            dispatch=self.dispatch,
+            row=row,
+            state=state,
+            ports=self.ports,
             deadline_ms=int((self.wall() + left) * 1000),
-            rng=self.rng,
+            may_restart=may_restart,
         )
-        gather = await scatter.run(deadline)
-        return self._answer(query, gather)
+        try:
+            await scatter.run(deadline, canary)
+        finally:
+            self._observe(query, row, state, scatter)
+        return scatter
 
-    async def act(self, action: Action) -> ActionResult:
-        """Run a non-idempotent request at most once through the coordinator of its key."""
-        self.service_row(action.svc)
-        self.check_tenant(action.tenant)
-        return await self.claims.submit(action)
-
-    def _table(self) -> Table:
-        table = self.configuration.value.table
-        if table is None:
-            raise RelayError("not_ready", "no table yet", step="read table")
-        return table
+    def _may_restart(self, service: str, state: ServiceState, plan: Plan, time_left: float) -> bool:
+        """Say whether another snapshot is held by more shards and there is time to ask them."""
+        delay = state.latencies.delay() or UNKNOWN_DELAY_S
+        if time_left < RESTART_DELAYS * delay:
+            return False
+        catalog = self.configuration.value.catalogs.get(service)
+        snapshot = state.knowledge.choose(catalog) if catalog else None
+        return snapshot is not None and snapshot.name != plan.snapshot
 
     def _plan(self, service: str, state: ServiceState, now: float) -> Plan:
         state.knowledge.expire(now)
@@ -134,16 +223,55 @@
         if snapshot is None:
             text = f"service {service!r} has no catalog yet"
             raise RelayError("not_ready", text, step="choose snapshot")
-        state.plan_key = key
-        state.plan = build_plan(
-            self._table(), self.members, snapshot, state.knowledge, state.replicas
-        )
-        return state.plan
+        plan = build_plan(self._table(), self.members, snapshot, state.knowledge, state.replicas)
+        state.plan_key, state.plan = key, plan
+        return plan
 
-    def _answer(self, query: Query, gather: Gather) -> Answer:
+    def _answer(self, query: Query, scatter: Scatter) -> Answer:
+        gather = scatter.gather
         coverage = gather.coverage()
         if not coverage.answered and coverage.shards:
-            reason = coverage.missing[0].reason
-            text = f"none of {coverage.shards} shards answered"
-            raise RelayError(reason, text, step="gather", ran="unknown")
+            reasons = Counter(missing.reason for missing in coverage.missing)
+            reason = reasons.most_common(1)[0][0]
+            code = reason if reason in CODES else "no_replica"
+            text = f"none of {coverage.shards} shards answered: {dict(reasons)}"
+            ran = "unknown" if scatter.may_have_run else "not_run"
+            raise RelayError(code, text, step="gather", ran=ran)
         return Answer(query.request_id, gather.snapshot, coverage, gather.hits(), gather.count)
+
+    # Observations.
+
+    def _observe(
+        self, query: Query, row: ServiceRow, state: ServiceState, scatter: Scatter
+    ) -> None:
+        """Pass the signals of a query on to admission, overload detection and metrics."""
+        now = trio.current_time()
+        total = scatter.sent.total()
+        state.overload.note(total, scatter.congested, scatter.queue_us / 1e6, now)
+        signals = scatter.congested + scatter.late
+        state.admission.limit.finished(total, signals, now)
+        for kind, count in scatter.sent.items():
+            if count:
+                self.metrics.subrequests.add({"service": query.service, "kind": kind}, count)
+
+    def _count_answer(self, query: Query, answer: Answer, elapsed: float) -> None:
+        service = {"service": query.service}
+        coverage = answer.coverage
+        labels = {**service, "tenant": query.tenant, "class": query.request_class}
+        self.metrics.latency.observe(labels, elapsed)
+        self.metrics.coverage.observe(service, coverage.answered / max(1, coverage.shards))
+        self.metrics.shards.add({**service, "result": "answered"}, coverage.answered)
+        for reason, count in Counter(missing.reason for missing in coverage.missing).items():
+            self.metrics.shards.add({**service, "result": reason}, count)
+
+    def _state(self, service: str) -> ServiceState:
+        state = self.services.get(service)
+        if state is None:
+            state = self.services[service] = ServiceState()
+        return state
+
+    def _table(self) -> Table:
+        table = self.configuration.value.table
+        if table is None:
+            raise RelayError("not_ready", "no table yet", step="read table")
+        return table
--- a/rattanrelay/node/ports.py
+++ b/rattanrelay/node/ports.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..table import Catalog, Table
-from ..wire import ActionResult, RunAction, ShardResults, SubQuery
+from ..wire import ActionResult, Cancel, RunAction, ShardResults, SubQuery
 
 __all__ = [
     "ClaimsPort",
@@ -105,6 +105,9 @@
     async def run(self, query: SubQuery, emit: Callable[[ShardResults], Awaitable[None]]) -> None:
         """Run the targets of a sub-query and emit each shard result as soon as it is there."""
 
+    async def cancel(self, message: Cancel) -> None:
+        """Give up one target of a running sub-query; it emits no result for it."""
+
     async def act(self, order: RunAction) -> ActionResult:
         """Run a claimed non-idempotent request once; the result says `not_run` only if true."""
 
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -1,20 +1,94 @@
-"""One query: sub-queries to the owners of its shards, and their results."""
+"""One query: sub-queries to the owners of its shards, hedges, retries, and their results.
 
-from collections.abc import Iterable
-from contextlib import aclosing
+The first wave sends one message to each owner. Further waves (hedges, retries) have messages of
+their own. A message is cancelled once none of its targets is wanted any more. The work for each
+shard is kept to a few object accesses; there is no task, timer or log line for a shard.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Iterable
 from random import Random
 
 import trio
 
+from ..decide.budget import FULL_PRICE, retry_price
 from ..decide.gather import Gather
+from ..decide.proven import canary_order
 from ..decide.selection import Replica, choose_replica
 from ..errors import RelayError
-from ..wire import ShardResult, ShardResults, SubQuery, Target
-from .plan import Plan
+from ..table import ServiceRow
+from ..wire import Cancel, ShardResult, ShardResults, SubQuery, Target
+from .plan import Plan, PlannedShard
 from .ports import DispatchPort, PeersPort
 from .query import Query
+from .service_state import ServiceState
+
+__all__ = ["CONGESTION", "Scatter", "ScatterPorts"]
+
+#: Reasons that signal congestion of a service.
+CONGESTION = frozenset({"queue_full", "shedding"})
+#: Reasons that say nothing about the searcher itself.
+NO_PENALTY = frozenset({"request_blocked", "request_suspect", "snapshot_gone"})
+#: Reasons by which a canary may have crashed its server.
+CANARY_LOST = frozenset({"connection_lost", "request_suspect"})
+
+#: First wait before all replicas of a shard are tried again; it doubles with each round.
+BACKOFF_S = 0.02
+MAX_BACKOFF_S = 0.5
+#: Servers lost with canaries of one query before the query is blocked.
+MAX_CANARIES_LOST = 2
+#: Canaries of one query that may be sent before the query is given up.
+MAX_CANARY_TARGETS = 6
+#: A canary that has run for this many hedge delays is joined by a second one.
+CANARY_PATIENCE = 3.0
+
+
+class ScatterPorts:
+    """What a scatter needs of its instance."""
+
+    def __init__(
+        self, instance: str, peers: PeersPort, dispatch: DispatchPort, rng: Random
+    ) -> None:
+        self.instance = instance
+        self.peers = peers
+        self.dispatch = dispatch
+        self.rng = rng
+
+
+class _Message:
+    """A message to an owner; `left` counts the targets that are still wanted."""
+
+    __slots__ = ("left", "owner", "scope")
+
+    def __init__(self, owner: str) -> None:
+        self.owner = owner
+        self.left = 0
+        self.scope = trio.CancelScope()
+
+
+class _Attempt:
+    """An open sub-request to one replica."""
+
+    __slots__ = ("message", "replica", "sent_at")
+
+    def __init__(self, replica: Replica, message: _Message, sent_at: float) -> None:
+        self.replica = replica
+        self.message = message
+        self.sent_at = sent_at
+
+
+class _Shard:
+    """A shard of the query and its open sub-requests."""
+
+    __slots__ = ("attempts", "first_sent", "hedged", "planned", "rounds", "tried")
 
-__all__ = ["Scatter"]
+    def __init__(self, planned: PlannedShard) -> None:
+        self.planned = planned
+        self.attempts: list[_Attempt] = []
+        self.tried: list[Replica] = []
+        self.first_sent = 0.0
+        self.hedged = False
+        self.rounds = 0
 
 
 class Scatter:
@@ -27,60 +101,117 @@
         plan: Plan,
         epoch: int,
         *,
-        instance: str,
-        peers: PeersPort,
-        dispatch: DispatchPort,
+        row: ServiceRow,
+        state: ServiceState,
+        ports: ScatterPorts,
         deadline_ms: int,
-        rng: Random,
+        may_restart: Callable[[float], bool] = lambda now: False,
     ) -> None:
         self.query = query
         self.query_id = query_id
         self.plan = plan
         self.epoch = epoch
-        self.instance = instance
-        self.peers = peers
-        self.dispatch = dispatch
+        self.row = row
+        self.state = state
+        self.ports = ports
         self.deadline_ms = deadline_ms
-        self.rng = rng
-        self.gather = Gather(
-            query_id, plan.snapshot, [shard.name for shard in plan.shards], query.limit
-        )
-        self.asked: dict[str, Replica] = {}
-        self.sent_at: dict[str, float] = {}
+        self.may_restart = may_restart
+        self.shards = {planned.name: _Shard(planned) for planned in plan.shards}
+        self.gather = Gather(query_id, plan.snapshot, self.shards, query.limit)
         self.open = 0
-        self.done = trio.Event()
+        self.retries: list[tuple[float, _Shard]] = []
+        self.sent: Counter[str] = Counter()
+        self.congested = 0
+        self.late = 0
+        self.queue_us = 0
+        self.may_have_run = False
+        self.restart = False
+        self.error: RelayError | None = None
+        self.canary_failures: list[str] | None = None
+        self.wake = trio.Event()
+        self.nursery: trio.Nursery | None = None
+
+    async def run(self, deadline: float, canary: str = "") -> Gather:
+        """Return the gathered results once they are complete or at `deadline` (trio time).
 
-    async def run(self, deadline: float) -> Gather:
-        """Return the gathered results once they are complete or at `deadline` (trio time)."""
+        `canary` is the fingerprint of a query that must be proven on one shard first. Raises
+        `request_blocked`, or the reason for which no canary could run.
+        """
         with trio.move_on_at(deadline):
-            async with trio.open_nursery() as nursery:
-                self._launch(nursery)
-                if self.open:
-                    await self.done.wait()
-                nursery.cancel_scope.cancel()
-        self._settle()
+            async with trio.open_nursery() as self.nursery:
+                if not canary or await self._prove(canary):
+                    self._launch_first()
+                    await self._drive()
+                self.nursery.cancel_scope.cancel()
+        self._close()
+        if self.error is not None:
+            raise self.error
         return self.gather
 
-    def _launch(self, nursery: trio.Nursery) -> None:
+    # First wave, and the loop that waits for results, hedges and retries.
+
+    def _launch_first(self) -> None:
         now = trio.current_time()
-        groups: dict[str, list[Target]] = {}
-        owners = self.plan.owners
-        for shard in self.plan.shards:
-            replica = choose_replica(shard.candidates, now, self.rng)
-            if replica is None:
-                self.gather.fail(shard.name, shard.reason)
+        rng = self.ports.rng
+        wave = []
+        for shard in self.shards.values():
+            planned = shard.planned
+            if planned.name not in self.gather.pending or shard.attempts:
                 continue
-            replica.outstanding += 1
-            self.asked[shard.name] = replica
-            self.sent_at[shard.name] = now
+            replica = choose_replica(planned.candidates, now, rng)
+            if replica is None:
+                self.gather.fail(planned.name, planned.reason)
+            else:
+                wave.append((shard, replica))
+        self.state.budget.earn(len(wave))
+        self._launch(wave, "query", now)
+
+    async def _drive(self) -> None:
+        """Wait until all shards are settled; send hedges and retries when they are due."""
+        while not self._settled():
+            now = trio.current_time()
+            self._send_retries(now)
+            hedge_at = self._send_hedges(now)
+            wake_at = min([hedge_at, *(due for due, _ in self.retries)])
+            if self._settled():
+                return
+            self.wake = trio.Event()
+            with trio.move_on_at(wake_at):
+                await self.wake.wait()
+
+    def _settled(self) -> bool:
+        if self.gather.complete or self.restart or self.error is not None:
+            return True
+        return not self.open and not self.retries
+
+    # Messages to owners.
+
+    def _launch(
+        self, wave: Iterable[tuple[_Shard, Replica]], kind: str, now: float, canary: bool = False
+    ) -> None:
+        groups: dict[str, tuple[_Message, list[Target]]] = {}
+        owners = self.plan.owners
+        count = 0
+        for shard, replica in wave:
             owner = owners[replica.server].instance
-            groups.setdefault(owner, []).append(Target(shard.name, replica.name))
-        for owner, targets in groups.items():
-            self.open += 1
-            nursery.start_soon(self._ask, owner, tuple(targets))
+            group = groups.get(owner)
+            if group is None:
+                group = groups[owner] = (_Message(owner), [])
+            group[1].append(Target(shard.planned.name, replica.name))
+            shard.attempts.append(_Attempt(replica, group[0], now))
+            shard.tried.append(replica)
+            shard.first_sent = shard.first_sent or now
+            replica.outstanding += 1
+            count += 1
+        self.open += count
+        self.sent[kind] += count
+        for message, targets in groups.values():
+            message.left = len(targets)
+            sub = self._sub_query(tuple(targets), kind, canary)
+            self.nursery.start_soon(self._ask, message, sub)
 
-    async def _ask(self, owner: str, targets: tuple[Target, ...]) -> None:
-        sub = SubQuery(
+    def _sub_query(self, targets: tuple[Target, ...], kind: str, canary: bool) -> SubQuery:
+        return SubQuery(
             self.query_id,
             self.query.service,
             self.plan.snapshot,
@@ -89,51 +220,298 @@
             self.deadline_ms,
             self.epoch,
             targets,
+            kind,
+            canary,
         )
-        try:
-            if owner == self.instance:
-                await self.dispatch.run(sub, self._receive)
-            else:
-                await self._stream(owner, sub)
-        except RelayError as error:
-            self._fail(targets, error.code)
-        self._fail(targets, "bad_answer")
-        self.open -= 1
-        if not self.open:
-            self.done.set()
+
+    async def _ask(self, message: _Message, sub: SubQuery) -> None:
+        reason, ran = "bad_answer", "unknown"
+        with message.scope:
+            try:
+                if message.owner == self.ports.instance:
+                    await self.ports.dispatch.run(sub, self._receive)
+                else:
+                    await self._stream(message.owner, sub)
+            except RelayError as error:
+                reason, ran = error.code, error.ran
+        if message.left > 0:
+            self._fail_rest(message, sub.targets, reason, ran)
 
     async def _stream(self, owner: str, sub: SubQuery) -> None:
-        async with self.peers.stream(owner, sub) as items, aclosing(items):
+        async with self.ports.peers.stream(owner, sub) as items:
             async for batch in items:
                 await self._receive(batch)
 
+    def _fail_rest(self, message, targets: tuple[Target, ...], reason: str, ran: str) -> None:
+        """Fail the targets of a message that ended without results for them."""
+        now = trio.current_time()
+        for target in targets:
+            shard = self.shards[target.shard]
+            for attempt in shard.attempts:
+                if attempt.message is message:
+                    self._failed(shard, attempt, reason, now, ran)
+                    break
+        self._wake_if_due()
+
+    # Results.
+
     async def _receive(self, batch: ShardResults) -> None:
         now = trio.current_time()
         for result in batch.results:
             self._take(result, now)
-        if self.gather.complete:
-            self.done.set()
+        self._wake_if_due()
+
+    def _wake_if_due(self) -> None:
+        if self.retries or self.canary_failures is not None or self._settled():
+            self.wake.set()
 
     def _take(self, result: ShardResult, now: float) -> None:
-        replica = self.asked.get(result.shard)
-        if replica is None or replica.name != result.searcher:
+        """Count or refuse one result; a result that nobody waits for is dropped."""
+        shard = self.shards.get(result.shard)
+        if shard is None or result.query_id != self.query_id:
+            return
+        for attempt in shard.attempts:
+            if attempt.replica.name == result.searcher:
+                break
+        else:
             return
+        self.queue_us += result.queue_us
         if result.status != "ok":
-            replica.fail(now)
-            self.gather.fail(result.shard, result.reason)
+            self._refused(shard, attempt, result, now)
             return
         verdict = self.gather.add(result.query_id, result.shard, result.snapshot, result.payload)
-        if verdict == "counted":
-            replica.observe(now - self.sent_at[result.shard], result.in_flight, now)
-        elif verdict in ("snapshot_mismatch", "bad_answer"):
-            replica.fail(now)
-            self.gather.fail(result.shard, verdict)
+        if verdict != "counted":
+            self._failed(shard, attempt, verdict, now)
+            return
+        attempt.replica.observe(now - attempt.sent_at, result.in_flight, now)
+        self.state.knowledge.holds(result.searcher, result.snapshot)
+        self.state.latencies.add(now - shard.first_sent)
+        self._end(shard, attempt)
+        if shard.attempts:
+            self._cancel_losers(shard, now)
 
-    def _fail(self, targets: Iterable[Target], reason: str) -> None:
-        for target in targets:
-            if target.shard in self.gather.pending and target.shard not in self.gather.reasons:
-                self.gather.fail(target.shard, reason)
+    def _refused(self, shard: _Shard, attempt: _Attempt, result: ShardResult, now: float) -> None:
+        if result.reason == "snapshot_gone":
+            knowledge = self.state.knowledge
+            knowledge.lacks(result.searcher, self.plan.snapshot, result.held, now)
+        elif result.reason in CONGESTION:
+            self.congested += 1
+        attempt.replica.load = max(attempt.replica.load, result.in_flight)
+        self._failed(shard, attempt, result.reason, now)
+
+    def _end(self, shard: _Shard, attempt: _Attempt) -> None:
+        """Close an open sub-request."""
+        shard.attempts.remove(attempt)
+        attempt.replica.outstanding -= 1
+        attempt.message.left -= 1
+        self.open -= 1
+
+    def _cancel_losers(self, shard: _Shard, now: float) -> None:
+        """Cancel the other sub-requests of a shard, or their message if it has no other target."""
+        name = shard.planned.name
+        for attempt in list(shard.attempts):
+            attempt.replica.overtaken(now - attempt.sent_at, now)
+            self._end(shard, attempt)
+            message = attempt.message
+            if message.left:
+                cancel = Cancel(self.query_id, name, attempt.replica.name)
+                self.nursery.start_soon(self._send_cancel, message.owner, cancel)
+            else:
+                message.scope.cancel()
 
-    def _settle(self) -> None:
-        for replica in self.asked.values():
-            replica.outstanding -= 1
+    async def _send_cancel(self, owner: str, cancel: Cancel) -> None:
+        if owner == self.ports.instance:
+            await self.ports.dispatch.cancel(cancel)
+        else:
+            await self.ports.peers.cast(owner, cancel)
+
+    # Failures and retries.
+
+    def _failed(
+        self, shard: _Shard, attempt: _Attempt, reason: str, now: float, ran: str = "unknown"
+    ) -> None:
+        self._end(shard, attempt)
+        name = shard.planned.name
+        self.gather.fail(name, reason)
+        if reason not in NO_PENALTY:
+            attempt.replica.fail(now)
+        price = retry_price(reason, ran)
+        if price >= FULL_PRICE:
+            self.may_have_run = True
+        if self.canary_failures is not None:
+            self.canary_failures.append(reason)
+        elif reason == "request_blocked":
+            self._block("not_run" if not self.may_have_run else "unknown")
+        elif not shard.attempts and name in self.gather.pending:
+            self._plan_retry(shard, price, now)
+
+    def _plan_retry(self, shard: _Shard, price: float, now: float) -> None:
+        if self._gone(shard) and self.may_restart(now):
+            self.restart = True
+            return
+        if self._untried(shard):
+            if self._pay(price, now):
+                self.retries.append((now, shard))
+                return
+            if self.row.policy != "coverage":
+                return
+        elif self.row.policy != "coverage" or not self._usable(shard):
+            return
+        self._retry_later(shard, now)
+
+    def _retry_later(self, shard: _Shard, now: float) -> None:
+        """Try all replicas again after a growing wait; policy `coverage` only."""
+        wait = min(MAX_BACKOFF_S, BACKOFF_S * 2**shard.rounds)
+        shard.rounds += 1
+        shard.tried.clear()
+        self.retries.append((now + wait * (0.5 + self.ports.rng.random()), shard))
+
+    def _send_retries(self, now: float) -> None:
+        if not self.retries:
+            return
+        due = [shard for at, shard in self.retries if at <= now]
+        self.retries = [entry for entry in self.retries if entry[0] > now]
+        wave = []
+        for shard in due:
+            replica = choose_replica(self._untried(shard), now, self.ports.rng)
+            if replica is None:
+                continue
+            if shard.rounds and not shard.tried and not self._pay(self._last_price(shard), now):
+                self._retry_later(shard, now)
+                continue
+            wave.append((shard, replica))
+        self._launch(wave, "retry", now)
+
+    def _last_price(self, shard: _Shard) -> float:
+        return retry_price(self.gather.reasons.get(shard.planned.name, ""))
+
+    def _pay(self, price: float, now: float) -> bool:
+        return self.state.take_budget(price, self.row, now)
+
+    def _usable(self, shard: _Shard) -> list[Replica]:
+        """Return the replicas of a shard that are not known to lack the snapshot."""
+        lacking = self.state.knowledge.lacking
+        candidates = shard.planned.candidates
+        if not lacking:
+            return list(candidates)
+        return [one for one in candidates if (one.name, self.plan.snapshot) not in lacking]
+
+    def _untried(self, shard: _Shard) -> list[Replica]:
+        return [replica for replica in self._usable(shard) if replica not in shard.tried]
+
+    def _gone(self, shard: _Shard) -> bool:
+        return bool(shard.planned.candidates) and not self._usable(shard)
+
+    # Hedges.
+
+    def _send_hedges(self, now: float) -> float:
+        """Hedge the sub-requests that are due; return when the next one is due."""
+        delay = self.state.latencies.delay()
+        if delay is None or not self.row.hedge or not self.open:
+            return float("inf")
+        next_due = float("inf")
+        wave = []
+        for name in self.gather.pending:
+            shard = self.shards[name]
+            if shard.hedged or len(shard.attempts) != 1:
+                continue
+            due = shard.attempts[0].sent_at + delay
+            if due > now:
+                next_due = min(next_due, due)
+                continue
+            shard.hedged = True
+            replica = choose_replica(self._untried(shard), now, self.ports.rng)
+            if replica is not None and self._pay(FULL_PRICE, now):
+                wave.append((shard, replica))
+        self._launch(wave, "hedge", now)
+        return next_due
+
+    # Canary.
+
+    async def _prove(self, fingerprint: str) -> bool:
+        """Run the query on one shard first; True once it succeeded there.
+
+        After a lost server there is one more trial, of kind `suspect`, on another replica.
+        """
+        failures = self.canary_failures = []
+        self.state.budget.earn(1)
+        kind = "canary"
+        for shard, replica in self._canary_targets(fingerprint):
+            seen = len(failures)
+            now = trio.current_time()
+            if (seen or self.open) and not self._pay(self._canary_price(), now):
+                break
+            self._launch([(shard, replica)], kind, now, canary=True)
+            await self._canary_result(seen)
+            if self.gather.answered:
+                self.canary_failures = None
+                return True
+            lost = sum(reason in CANARY_LOST for reason in failures)
+            if "request_blocked" in failures or lost >= MAX_CANARIES_LOST:
+                self._block("unknown" if self.may_have_run else "not_run")
+                return False
+            kind = "suspect" if lost else "canary"
+        await self._last_canary()
+        return self.gather.answered > 0
+
+    def _canary_price(self) -> float:
+        return FULL_PRICE if self.open else retry_price(self.canary_failures[-1])
+
+    async def _last_canary(self) -> None:
+        """Wait for a canary that is still open; without a success the query ends."""
+        while self.open and not self.gather.answered:
+            await self._canary_result(len(self.canary_failures))
+        if not self.gather.answered:
+            reason = self.canary_failures[-1] if self.canary_failures else "no_replica"
+            for name in self.gather.pending:
+                self.gather.reasons.setdefault(name, reason)
+        self.canary_failures = None
+
+    def _canary_targets(self, fingerprint: str) -> list[tuple[_Shard, Replica]]:
+        """Return shards and replicas in an order that all instances share."""
+        targets = []
+        for name in canary_order(fingerprint, list(self.shards)):
+            shard = self.shards[name]
+            replicas = {replica.name: replica for replica in shard.planned.candidates}
+            targets += [(shard, replicas[one]) for one in canary_order(fingerprint, list(replicas))]
+            if len(targets) >= MAX_CANARY_TARGETS:
+                break
+        return targets[:MAX_CANARY_TARGETS]
+
+    async def _canary_result(self, seen: int) -> None:
+        """Wait until a canary succeeded or failed, or a straggling one needs a second one."""
+        delay = self.state.latencies.delay()
+        hedge = delay is not None and self.row.hedge and self.open == 1 and not seen
+        patience = delay * CANARY_PATIENCE if hedge else float("inf")
+        with trio.move_on_after(patience):
+            while not self.gather.answered and len(self.canary_failures) == seen:
+                self.wake = trio.Event()
+                await self.wake.wait()
+
+    def _block(self, ran: str) -> None:
+        self.error = RelayError(
+            "request_blocked",
+            "the request crashed backend servers and is blocked",
+            step="canary",
+            ran=ran,
+        )
+
+    # End.
+
+    def _close(self) -> None:
+        """Settle the sub-requests that are still open; at the deadline they are late."""
+        if not self.open:
+            return
+        now = trio.current_time()
+        self.may_have_run = True
+        given_up = self.restart or self.error is not None
+        for shard in self.shards.values():
+            for attempt in shard.attempts:
+                attempt.replica.outstanding -= 1
+                if not given_up:
+                    attempt.replica.overtaken(now - attempt.sent_at, now)
+            if shard.attempts:
+                self.gather.fail(shard.planned.name, "deadline")
+                if not given_up:
+                    self.late += 1
+                    self.state.latencies.add_unfinished(now - shard.first_sent)
