Add the open-loop load generator

Cause: latency must be counted from the intended send time, over seeded arrivals. Conclusion: not yet run against a daemon.

--- /dev/null
+++ b/rattanrelay/load/recorder.py
@@ -0,0 +1,87 @@
+"""Counts and latency histograms of a load run."""
+
+from collections import Counter
+
+from hdrh.histogram import HdrHistogram
+
+from .arrivals import Arrival
+
+__all__ = ["PERCENTILES", "Recorder", "Sample"]
+
+LOWEST_US = 1
+HIGHEST_US = 120_000_000
+DIGITS = 3
+PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+
+
+class Sample:
+    """Results of one group of requests; latencies in microseconds."""
+
+    def __init__(self) -> None:
+        self.latency = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
+        self.outcomes: Counter[str] = Counter()
+        self.codes: Counter[str] = Counter()
+        self.reasons: Counter[str] = Counter()
+        self.shards = 0
+        self.answered = 0
+        self.complete = 0
+
+    def add(self, latency_s: float, status: int, answer: dict) -> None:
+        """Record one answer; refusals count but have no latency of service."""
+        self.outcomes[answer.get("outcome", "unknown")] += 1
+        if status != 200:
+            self.codes[answer.get("code", f"status_{status}")] += 1
+            return
+        self.latency.record_value(min(HIGHEST_US, max(LOWEST_US, int(latency_s * 1e6))))
+        coverage = answer.get("coverage")
+        if coverage is None:
+            return
+        self.shards += coverage["shards"]
+        self.answered += coverage["answered"]
+        self.complete += coverage["shards"] == coverage["answered"]
+        self.reasons.update(item["reason"] for item in coverage["missing"])
+
+    def summary(self) -> dict:
+        """Return counts, percentiles in ms and coverage as JSON values."""
+        done = self.latency.get_total_count()
+        return {
+            "requests": sum(self.outcomes.values()),
+            "done": done,
+            "outcomes": dict(self.outcomes),
+            "codes": dict(self.codes),
+            "latency_ms": {
+                f"p{value:g}": round(self.latency.get_value_at_percentile(value) / 1000, 2)
+                for value in PERCENTILES
+            },
+            "max_ms": round(self.latency.get_max_value() / 1000, 2),
+            "coverage": round(self.answered / self.shards, 6) if self.shards else None,
+            "complete": round(self.complete / done, 6) if done else None,
+            "missing": dict(self.reasons),
+        }
+
+
+class Recorder:
+    """Samples in all, by phase and by tenant."""
+
+    def __init__(self) -> None:
+        self.total = Sample()
+        self.phases: dict[str, Sample] = {}
+        self.tenants: dict[str, Sample] = {}
+
+    def add(self, arrival: Arrival, latency_s: float, status: int, answer: dict) -> None:
+        """Record the answer to one arrival."""
+        groups = (
+            self.total,
+            self.phases.setdefault(str(arrival.phase), Sample()),
+            self.tenants.setdefault(arrival.tenant, Sample()),
+        )
+        for sample in groups:
+            sample.add(latency_s, status, answer)
+
+    def summary(self) -> dict:
+        """Return all groups as JSON values."""
+        return {
+            "total": self.total.summary(),
+            "phases": {name: sample.summary() for name, sample in self.phases.items()},
+            "tenants": {name: sample.summary() for name, sample in self.tenants.items()},
+        }
