--- /dev/null
+++ b/rattanrelay/decide/membership.py
@@ -0,0 +1,393 @@
+"""Membership of one process in its cell: views, failure detection and the right to dispatch."""
+
+import math
+from collections.abc import Iterable
+from typing import NamedTuple
+
+from .evidence import Evidence, replaced
+from .lease import QuorumLease, View, majority
+from .ownership import Identity, Member, owner, score
+from .succession import first_view, with_member, without
+from .takeover import Takeover
+
+__all__ = [
+    "HEARTBEAT_S",
+    "SUSPECT_AFTER_S",
+    "Beat",
+    "Effect",
+    "Fetch",
+    "Membership",
+    "Propose",
+    "ReadStore",
+]
+
+HEARTBEAT_S = 0.5
+#: A member that has not acknowledged the adopted epoch for this time is suspect.
+SUSPECT_AFTER_S = 1.5
+#: A member that is silent for this time may become suspect soon; the proposal waits for it.
+SILENT_AFTER_S = 0.75
+#: Each further rank among the live members waits this much longer before it proposes.
+STAGGER_S = 0.5
+#: A process without a quorum lets the other side of a partition propose first.
+MINORITY_DELAY_S = 1.5
+#: A process that was not called for this time has been paused and starts to listen anew.
+PAUSE_GAP_S = 1.0
+#: A proposal without a result is repeated after this time.
+PROPOSE_RETRY_S = 1.0
+#: Time between reads of the store while this process is outside the view or without a quorum.
+READ_RETRY_S = 1.0
+#: A process that reaches no majority of the view adds itself after this time nevertheless.
+BLIND_JOIN_S = 3.0
+#: Limits of the delay before a process that was removed returns.
+REJOIN_DELAY_S = 1.0
+MAX_REJOIN_DELAY_S = 30.0
+REMOVALS_WINDOW_S = 60.0
+#: A process that should leave but cannot write the view stops to dispatch after this time.
+LEAVE_GRACE_S = 1.0
+#: A fresh heartbeat goes to a member that has just reached the epoch, at most this often.
+QUICK_BEAT_S = 0.05
+MAX_CACHED_OWNERS = 100_000
+
+
+class Beat(NamedTuple):
+    """Send a heartbeat with this epoch and sequence number to a member."""
+
+    to: Member
+    epoch: int
+    sequence: int
+
+
+class Propose(NamedTuple):
+    """Write a view if the stored one still has epoch `base` (0: none is stored)."""
+
+    base: int
+    view: View
+
+
+class ReadStore(NamedTuple):
+    """Read the view from the store and hand the result to `stored`."""
+
+
+class Fetch(NamedTuple):
+    """Ask an instance for its view, which has a higher epoch."""
+
+    instance: str
+
+
+Effect = Beat | Propose | ReadStore | Fetch
+
+
+class Membership:
+    """State of one process; the methods take the time and return the effects to carry out.
+
+    Times are seconds on the monotonic clock of the process.
+    """
+
+    def __init__(self, me: Member, cell: str, now: float) -> None:
+        self.me = me
+        self.cell = cell
+        self.view: View | None = None
+        self.lease = QuorumLease(me.identity)
+        self.evidence = Evidence()
+        self.takeover = Takeover(me.identity)
+        #: False while this process should not be a member, as when it shuts down.
+        self.wanted = True
+        self.unwanted_since = math.inf
+        #: Members that have received an acknowledgement without work from this process.
+        self.told: set[Identity] = set()
+        self.superseded = False
+        self.owners: dict[str, Member | None] = {}
+        #: Last acknowledgement of the adopted epoch, and of any epoch, by member.
+        self.heard: dict[Identity, float] = {}
+        self.contact: dict[Identity, float] = {}
+        self.removals: list[float] = []
+        self.last_tick = now
+        self.next_beat = now
+        self.next_propose = now
+        self.next_read = now
+        self.join_since = now
+        self.quick: dict[Identity, float] = {}
+        self.store_empty = False
+        self.quiet_since: float | None = None
+
+    # What other parts ask.
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the adopted view, 0 before the first."""
+        return self.view.epoch if self.view else 0
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Members of the adopted view."""
+        return self.view.members if self.view else ()
+
+    @property
+    def is_member(self) -> bool:
+        """Say whether this process is in the adopted view."""
+        return self.view is not None and self.view.member(self.me.identity) is not None
+
+    def owner(self, name: str) -> Member | None:
+        """Return the owner of a name under the adopted view."""
+        if name not in self.owners:
+            if len(self.owners) >= MAX_CACHED_OWNERS:
+                self.owners.clear()
+            self.owners[name] = owner(self.members, name)
+        return self.owners[name]
+
+    def may_dispatch(self, server: str, now: float) -> bool:
+        """Say whether this process may send work to a backend server now."""
+        if not self.lease.holds(now) or now >= self.unwanted_since + LEAVE_GRACE_S:
+            return False
+        if self.owner(server) != self.me:
+            return False
+        return self.takeover.taken(server, self.evidence, now)
+
+    def giving_up(self, busy: Iterable[str]) -> tuple[str, ...]:
+        """Return those of the busy backend servers that this process does not own."""
+        return tuple(server for server in busy if self.owner(server) != self.me)
+
+    def suspects(self, now: float) -> list[Member]:
+        """Return the members that have not acknowledged the epoch for too long."""
+        return [member for member in self._others() if self._silence(member, now) > SUSPECT_AFTER_S]
+
+    def live(self, now: float) -> list[Member]:
+        """Return the members that are not suspect, this process included."""
+        suspects = self.suspects(now)
+        return [member for member in self.members if member not in suspects]
+
+    def has_quorum(self, now: float) -> bool:
+        """Say whether a majority of the view is not suspect."""
+        return len(self.live(now)) >= majority(len(self.members))
+
+    def chosen(self, name: str, count: int, now: float) -> bool:
+        """Say whether this process is among the `count` live members ranked first for a name."""
+        mine = score(self.me.instance, name)
+        others = [member for member in self.live(now) if member != self.me]
+        higher = sum(score(member.instance, name) > mine for member in others)
+        return self.is_member and higher < count
+
+    # What happens.
+
+    def tick(self, now: float) -> list[Effect]:
+        """Do what is due."""
+        if now - self.last_tick > PAUSE_GAP_S:
+            self._listen_anew(now)
+        self.last_tick = now
+        effects = self._beats_due(now)
+        if not self.is_member:
+            if self.wanted:
+                effects += self._join(now)
+        elif not self.wanted:
+            effects += self._propose(now, without(self.view, [self.me], self.evidence, now))
+        else:
+            effects += self._detect(now)
+        return effects
+
+    def on_heartbeat(
+        self, sender: Identity, epoch: int, giving_up: Iterable[str], now: float
+    ) -> list[Effect]:
+        """Take a heartbeat; it is acknowledged with `ack_epoch` and `giving_up`."""
+        if not self.is_member and epoch == self.epoch and not tuple(giving_up):
+            self.told.add(sender)
+        return self._hear(sender, epoch, now)
+
+    def ack_epoch(self, sender: Identity, epoch: int) -> int:
+        """Return the epoch to put in the acknowledgement of a heartbeat for `epoch`.
+
+        It equals `epoch` only if this process has adopted it and has the sender in that view. -1
+        acknowledges nothing but that this process is reachable.
+        """
+        if self.view is None or (epoch == self.epoch and self.view.member(sender) is None):
+            return -1
+        return self.epoch
+
+    def on_ack(
+        self, sender: Identity, epoch: int, sequence: int, giving_up: Iterable[str], now: float
+    ) -> list[Effect]:
+        """Take an acknowledgement of a heartbeat of this process."""
+        self.contact[sender] = now
+        giving_up = frozenset(giving_up)
+        if not giving_up:
+            self.evidence.heard_idle(sender, epoch)
+        effects = self._hear(sender, epoch, now, acked=True)
+        if self.view is not None and epoch == self.epoch:
+            self.heard[sender] = now
+            self.lease.acknowledge(sender, epoch, sequence)
+            self.takeover.acknowledge(sender, sequence, giving_up)
+        return effects
+
+    def learn(self, view: View, now: float) -> list[Effect]:
+        """Adopt a view from the store or a peer if its epoch is higher than the adopted one."""
+        if view.epoch <= self.epoch and self.view is not None:
+            return []
+        was_member = self.is_member
+        kept = self.takeover.adopt(view, self.evidence, now)
+        self.view = view
+        self.owners = {}
+        identities = [member.identity for member in view.members]
+        self.lease.adopt(view.epoch, identities, now, keep=kept)
+        self.evidence.adopted[self.me.identity] = view.epoch
+        self.evidence.review(view, now)
+        floor = now - SUSPECT_AFTER_S + SILENT_AFTER_S
+        self.heard = {key: max(self.heard.get(key, now), floor) for key in identities}
+        self.contact = {key: time for key, time in self.contact.items() if key in identities}
+        self.quick = {}
+        self.told = set() if self.is_member else self.told
+        self.quiet_since = None
+        self.next_propose = now
+        if was_member and not self.is_member:
+            self._removed(now)
+        self.next_beat = now
+        return self._beats_due(now)
+
+    def stored(self, view: View | None, now: float) -> list[Effect]:
+        """Take the result of reading the store."""
+        self.store_empty = view is None
+        return self.learn(view, now) if view is not None else []
+
+    def want(self, wanted: bool, now: float) -> None:
+        """Set whether this process should be a member."""
+        if wanted and not self.wanted:
+            self.join_since = now
+        if wanted != self.wanted:
+            self.unwanted_since = math.inf if wanted else now
+        self.wanted = wanted
+
+    def has_left(self) -> bool:
+        """Say whether this process is out of the view and the members know that it is idle."""
+        if self.is_member:
+            return False
+        departed = self.view.departed if self.view else ()
+        if all(entry.member != self.me for entry in departed):
+            return True
+        return all(member.identity in self.told for member in self.members)
+
+    # Details.
+
+    def _others(self) -> list[Member]:
+        return [member for member in self.members if member != self.me]
+
+    def _silence(self, member: Member, now: float) -> float:
+        return now - self.heard.get(member.identity, -math.inf)
+
+    def _listen_anew(self, now: float) -> None:
+        self.heard = dict.fromkeys(self.heard, now)
+        self.contact = {}
+        self.join_since = now
+
+    def _hear(
+        self, sender: Identity, epoch: int, now: float, *, acked: bool = False
+    ) -> list[Effect]:
+        self.evidence.heard(sender, epoch, self.view, now)
+        if epoch > self.epoch:
+            return [Fetch(sender.instance)]
+        if epoch < self.epoch or acked or not self.takeover.awaits(sender):
+            return []
+        return self._quick_beat(sender, now)
+
+    def _quick_beat(self, sender: Identity, now: float) -> list[Effect]:
+        """Ask a member that has just reached the epoch for its acknowledgement at once."""
+        member = next((peer for peer in self._peers() if peer.identity == sender), None)
+        if member is None or now < self.quick.get(sender, -math.inf) + QUICK_BEAT_S:
+            return []
+        self.quick[sender] = now
+        return [Beat(member, self.epoch, self.lease.beat(now))]
+
+    def _beats_due(self, now: float) -> list[Effect]:
+        if now < self.next_beat or self.view is None:
+            return []
+        self.next_beat = now + HEARTBEAT_S
+        sequence = self.lease.beat(now)
+        return [Beat(member, self.epoch, sequence) for member in self._peers()]
+
+    def _peers(self) -> list[Member]:
+        """Return the other members and the departed ones that may still run."""
+        departed = [
+            entry.member
+            for entry in self.view.departed
+            if not entry.gone and entry.member.identity not in self.evidence.ended
+        ]
+        return [member for member in (*self.members, *departed) if member != self.me]
+
+    def _propose(self, now: float, view: View) -> list[Effect]:
+        if now < self.next_propose:
+            return []
+        self.next_propose = now + PROPOSE_RETRY_S
+        return [Propose(view.epoch - 1, view)]
+
+    def _read(self, now: float) -> list[Effect]:
+        if now < self.next_read:
+            return []
+        self.next_read = now + READ_RETRY_S
+        return [ReadStore()]
+
+    def _removed(self, now: float) -> None:
+        recent = [time for time in self.removals if time > now - REMOVALS_WINDOW_S]
+        self.removals = [*recent, now]
+        self.join_since = now
+
+    def _rejoin_delay(self) -> float:
+        repeats = len(self.removals) - 1
+        return min(MAX_REJOIN_DELAY_S, REJOIN_DELAY_S * 2**repeats) if repeats > 0 else 0.0
+
+    def _join(self, now: float) -> list[Effect]:
+        effects = self._read(now)
+        if self.view is None:
+            if not self.store_empty:
+                return effects
+            return effects + self._propose(now, first_view(self.cell, self.me))
+        same = [member for member in self.members if member.instance == self.me.instance]
+        self.superseded = bool(same and self.removals and not replaced(same[0], self.me))
+        if self.superseded or now < self.join_since + self._rejoin_delay():
+            return effects
+        if not self._reaches_majority(now) and now < self.join_since + self._blind_delay():
+            return effects
+        return effects + self._propose(now, with_member(self.view, self.me, self.evidence, now))
+
+    def _blind_delay(self) -> float:
+        return BLIND_JOIN_S + 2 * self._rejoin_delay()
+
+    def _reaches_majority(self, now: float) -> bool:
+        others = [
+            member
+            for member in self.members
+            if member.instance != self.me.instance and not replaced(member, self.me)
+        ]
+        reached = sum(
+            now - self.contact.get(member.identity, -math.inf) < SUSPECT_AFTER_S
+            for member in others
+        )
+        return not others or reached >= majority(len(others))
+
+    def _detect(self, now: float) -> list[Effect]:
+        suspects = self.suspects(now)
+        effects = [] if self.has_quorum(now) else self._read(now)
+        rank = self.live(now).index(self.me)
+        if suspects:
+            first = min(self.heard.get(member.identity, now) for member in suspects)
+            due = first + SUSPECT_AFTER_S + rank * STAGGER_S
+            due += 0.0 if self.has_quorum(now) else MINORITY_DELAY_S
+            wavering = any(
+                SILENT_AFTER_S < self._silence(member, now) <= SUSPECT_AFTER_S
+                for member in self._others()
+            )
+            if now < due or wavering:
+                return effects
+            return effects + self._propose(now, without(self.view, suspects, self.evidence, now))
+        return effects + self._clean(now, rank)
+
+    def _clean(self, now: float, rank: int) -> list[Effect]:
+        """Remove departed members that have stopped, so that later members need not prove it."""
+        quiet = [
+            entry for entry in self.view.departed if self.evidence.quiet(entry, self.view, now)
+        ]
+        if not quiet or now < self._clean_due(now, rank):
+            return []
+        return self._propose(now, without(self.view, (), self.evidence, now))
+
+    def _clean_due(self, now: float, rank: int) -> float:
+        """Return when this process should clean the view, given its rank among the live ones."""
+        if self.quiet_since is None:
+            self.quiet_since = now
+        return self.quiet_since + rank * STAGGER_S
--- /dev/null
+++ b/rattanrelay/decide/succession.py
@@ -0,0 +1,96 @@
+"""Builds the next view of a cell from the adopted one."""
+
+from collections.abc import Iterable
+
+from .evidence import Evidence, replaced
+from .lease import Departed, PastView, View
+from .ownership import Identity, Member
+
+__all__ = ["first_view", "with_member", "with_stopped", "without"]
+
+
+def first_view(cell: str, me: Member) -> View:
+    """Return the view of a cell that has none yet."""
+    return View(cell, 1, (me,))
+
+
+def with_member(view: View, me: Member, evidence: Evidence, now: float) -> View:
+    """Return the next view with a starting or returning process.
+
+    Processes at its address and earlier processes of its instance are replaced by it.
+    """
+    old = [
+        member
+        for member in view.members
+        if member.identity != me.identity
+        and (replaced(member, me) or member.instance == me.instance)
+    ]
+    kept = [
+        member for member in view.members if member not in old and member.identity != me.identity
+    ]
+    gone = [member for member in old if replaced(member, me)]
+    removed = [member for member in old if member not in gone]
+    return _next(view, (*kept, me), removed, gone, me, evidence, now)
+
+
+def without(view: View, removed: Iterable[Member], evidence: Evidence, now: float) -> View:
+    """Return the next view without members that are suspect or leave."""
+    removed = list(removed)
+    members = [member for member in view.members if member not in removed]
+    return _next(view, members, removed, (), None, evidence, now)
+
+
+def with_stopped(view: View, instance: str, evidence: Evidence, now: float) -> View:
+    """Return the next view after an operator confirmed that an instance has stopped."""
+    gone = [member for member in view.members if member.instance == instance]
+    members = [member for member in view.members if member not in gone]
+    departed = tuple(
+        entry._replace(gone=True) if entry.member.instance == instance else entry
+        for entry in view.departed
+    )
+    return _next(view._replace(departed=departed), members, (), gone, None, evidence, now)
+
+
+def _next(
+    view: View,
+    members: Iterable[Member],
+    removed: Iterable[Member],
+    gone: Iterable[Member],
+    author: Member | None,
+    evidence: Evidence,
+    now: float,
+) -> View:
+    epoch = view.epoch + 1
+    members = tuple(sorted(members))
+    present = {member.identity for member in members}
+    departed = [
+        _marked(entry, evidence, author)
+        for entry in view.departed
+        if entry.member.identity not in present and not evidence.quiet(entry, view, now)
+    ]
+    departed += [Departed(member, epoch) for member in removed]
+    departed += [Departed(member, epoch, gone=True) for member in gone]
+    ended = {entry.member.identity for entry in departed if entry.gone}
+    current = PastView(view.epoch, _identities(view), _identities(view))
+    history = [
+        past._replace(waiting=_without(evidence.waiting(past), ended))
+        for past in (*view.history, current)
+        if not evidence.over(past, now)
+    ]
+    return View(view.cell, epoch, members, tuple(departed), tuple(history))
+
+
+def _marked(entry: Departed, evidence: Evidence, author: Member | None) -> Departed:
+    """Mark a departed member as gone when its process is known to have ended."""
+    gone = entry.gone or entry.member.identity in evidence.ended
+    if author is not None and replaced(entry.member, author):
+        gone = True
+    return entry._replace(gone=gone)
+
+
+def _identities(view: View) -> tuple[Identity, ...]:
+    return tuple(member.identity for member in view.members)
+
+
+def _without(identities: tuple[Identity, ...], ended: set[Identity]) -> tuple[Identity, ...]:
+    return tuple(identity for identity in identities if identity not in ended)
--- /dev/null
+++ b/rattanrelay/decide/takeover.py
@@ -0,0 +1,133 @@
+"""Which backend servers a process may treat as its own: held before, or taken over."""
+
+from typing import NamedTuple
+
+from .evidence import Evidence
+from .lease import View
+from .ownership import Identity, score
+
+__all__ = ["Takeover"]
+
+MAX_HOLDINGS = 4
+
+
+class Holding(NamedTuple):
+    """Servers held since a completed takeover.
+
+    These are the servers for which the instance has the highest score among `rivals`, the other
+    members of all views since then, except those that were still being given up to it.
+    """
+
+    rivals: frozenset[str]
+    excluded: frozenset[str]
+
+
+class Takeover:
+    """Takeover state of one process under the view that it has adopted."""
+
+    def __init__(self, me: Identity) -> None:
+        self.me = me
+        self.view: View | None = None
+        self.holdings: list[Holding] = []
+        #: What each other member that acknowledged the epoch said that it still gives up.
+        self.given_up: dict[Identity, tuple[int, frozenset[str]]] = {}
+        self.waiting: set[Identity] = set()
+        self.departed: set[Identity] = set()
+        self.departed_quiet = False
+
+    def adopt(self, view: View, evidence: Evidence, now: float) -> bool:
+        """Adopt a view; return whether what was held before is still held."""
+        previous = self.view
+        kept = self._completed(evidence, now) + self.holdings if previous else []
+        between = self._rivals_between(previous, view)
+        self.holdings = []
+        if between is not None:
+            self.holdings = _reduced(
+                [Holding(held.rivals | between, held.excluded) for held in kept]
+            )
+        self.view = view
+        self.given_up = {}
+        others = {member.identity for member in view.members} - {self.me}
+        self.waiting = others if view.member(self.me) else others | {self.me}
+        self.departed = {entry.member.identity for entry in view.departed}
+        self.departed_quiet = not view.departed
+        return between is not None
+
+    def acknowledge(self, identity: Identity, sequence: int, holding: frozenset[str]) -> None:
+        """Take an acknowledgement of the adopted epoch; what is given up only shrinks."""
+        if not any(identity in known for known in (self.waiting, self.departed, self.given_up)):
+            return
+        self.waiting.discard(identity)
+        known = self.given_up.get(identity)
+        if known is None:
+            self.given_up[identity] = (sequence, holding)
+        elif sequence > known[0]:
+            self.given_up[identity] = (sequence, known[1] & holding)
+
+    def awaits(self, identity: Identity) -> bool:
+        """Say whether an acknowledgement of this process is still missing."""
+        return identity in self.waiting or (
+            identity in self.departed and identity not in self.given_up
+        )
+
+    def taken(self, server: str, evidence: Evidence, now: float) -> bool:
+        """Say whether a server that the view assigns to this process is free of former owners."""
+        given_up = not any(server in held for _, held in self.given_up.values())
+        if given_up and self.complete(evidence, now):
+            return True
+        return any(self._holds(holding, server) for holding in self.holdings)
+
+    def complete(self, evidence: Evidence, now: float) -> bool:
+        """Say whether all members have acknowledged and all departed members have stopped.
+
+        A departed member that acknowledges the epoch has stopped, except for what it gives up.
+        """
+        if self.view is None or self.waiting:
+            return False
+        if not self.departed_quiet:
+            self.departed_quiet = all(
+                entry.member.identity in self.given_up or evidence.quiet(entry, self.view, now)
+                for entry in self.view.departed
+            )
+        return self.departed_quiet
+
+    def _completed(self, evidence: Evidence, now: float) -> list[Holding]:
+        if not self.complete(evidence, now):
+            return []
+        rivals = frozenset(member.instance for member in self.view.members)
+        excluded = frozenset().union(*(held for _, held in self.given_up.values()))
+        return [Holding(rivals - {self.me.instance}, excluded)]
+
+    def _rivals_between(self, previous: View | None, view: View) -> frozenset[str] | None:
+        """Return the other members of all views after `previous` up to `view`.
+
+        None when this process was not a member of all of them, or when one is not known.
+        """
+        if previous is None or previous.member(self.me) is None or view.member(self.me) is None:
+            return None
+        rivals = {member.instance for member in view.members}
+        past = {past.epoch: past.members for past in view.history}
+        for epoch in range(previous.epoch + 1, view.epoch):
+            members = past.get(epoch)
+            if members is None or self.me not in members:
+                return None
+            rivals |= {identity.instance for identity in members}
+        return frozenset(rivals - {self.me.instance})
+
+    def _holds(self, holding: Holding, server: str) -> bool:
+        if server in holding.excluded:
+            return False
+        mine = score(self.me.instance, server)
+        return all(mine > score(rival, server) for rival in holding.rivals)
+
+
+def _reduced(holdings: list[Holding]) -> list[Holding]:
+    """Drop the holdings that another one includes; keep the newest ones."""
+    kept: list[Holding] = []
+    for holding in holdings:
+        included = any(
+            other.rivals <= holding.rivals and other.excluded <= holding.excluded for other in kept
+        )
+        if not included:
+            kept.append(holding)
+    return kept[:MAX_HOLDINGS]
--- /dev/null
+++ b/rattanrelay/node/documents.py
@@ -0,0 +1,376 @@
+"""The documents task: table and catalogs, their propagation, and edits in the store."""
+
+from collections.abc import Callable, Iterable
+from typing import NamedTuple
+
+import msgspec
+import trio
+
+from ..decide.revision import Held, Readiness, Replicas, settle_write
+from ..errors import RelayError
+from ..log import event
+from ..store import Entry, StoreClient
+from ..store.client import ABSENT
+from ..table import Catalog, Table, decode_catalog, decode_table
+from ..wire import Accepted, Document, DocumentRevision, Handlers, Pull
+from .members import Members
+from .peers import Peers
+from .ports import Configuration, Latest
+
+__all__ = ["CATALOG_PREFIX", "TABLE_NAME", "Documents", "catalog_name", "revision_of"]
+
+TABLE_NAME = "table"
+CATALOG_PREFIX = "catalog/"
+
+WATCHERS = 2
+WATCH_PAUSE_S = 1.0
+#: Names of new catalogs are listed this often by the watchers.
+LIST_EVERY_S = 30.0
+PULL_TIMEOUT_S = 1.0
+PULL_RETRY_S = 0.5
+MAX_PULLS = 8
+PUSH_TIMEOUT_S = 1.0
+EDIT_ATTEMPTS = 8
+EDIT_RETRY_S = 0.05
+#: An unanswered write is read back for this long before its outcome is given up as unknown.
+SETTLE_TIMEOUT_S = 5.0
+SETTLE_RETRY_S = 0.25
+START_RETRY_S = 1.0
+
+Change = Callable[[bytes | None], bytes]
+
+
+class _Stored(NamedTuple):
+    """What the store returned: its version and the document, None when there is none."""
+
+    version: int
+    held: Held | None
+
+
+def catalog_name(service: str) -> str:
+    """Return the name and store key of a service's catalog."""
+    return CATALOG_PREFIX + service
+
+
+def revision_of(name: str, value: bytes) -> int:
+    """Return the revision inside a document.
+
+    Raises `bad_answer` for a malformed value or a name that is not a document.
+    """
+    return _decoded(name, value).revision
+
+
+def _decoded(name: str, value: bytes) -> Table | Catalog:
+    try:
+        if name == TABLE_NAME:
+            return decode_table(value)
+        if name.startswith(CATALOG_PREFIX):
+            return decode_catalog(value)
+    except msgspec.DecodeError as error:
+        raise RelayError("bad_answer", f"{name}: {error}", step="decode document") from error
+    raise RelayError("bad_answer", f"{name} is not a document", step="decode document")
+
+
+class Documents:
+    """Documents of this instance; `configuration` is what the other tasks read."""
+
+    def __init__(self, store: StoreClient, peers: Peers, members: Members) -> None:
+        self.store = store
+        self.peers = peers
+        self.members = members
+        self.configuration: Latest[Configuration] = Latest(Configuration())
+        self.replicas = Replicas()
+        self.readiness = Readiness()
+        #: Newest revision seen in digests by name, with the instance that has it.
+        self.wanted: dict[str, tuple[int, str]] = {}
+        self.pulling: set[str] = set()
+        self.watching: set[str] = set()
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def ready(self) -> bool:
+        """Say whether a table is in force that was checked against the store or the peers."""
+        has_table = self.configuration.value.table is not None
+        return self.readiness.ready(has_table, self.peers.connected())
+
+    def register(self, handlers: Handlers) -> None:
+        """Register the handlers of this task; they serve the view of the members task too."""
+        handlers.on(Pull)(self.on_pull)
+        handlers.on(Document)(self.on_document)
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Read the store, then watch it or follow the peers until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._first_read)
+            nursery.start_soon(self._find_catalogs)
+            nursery.start_soon(self._watch, TABLE_NAME)
+            nursery.start_soon(self._pull_again)
+            task_status.started()
+            await trio.sleep_forever()
+
+    # Digests.
+
+    def digest(self) -> dict[str, int]:
+        """Return the revisions in force by name."""
+        return self.replicas.digest()
+
+    def see_digest(self, instance: str, entries: Iterable[DocumentRevision]) -> None:
+        """Take the digest of a peer and pull what is newer there."""
+        self.readiness.compared.add(instance)
+        for name, revision in self.replicas.lacking(entries):
+            if revision >= self.wanted.get(name, (0, ""))[0]:
+                self.wanted[name] = (revision, instance)
+            self._start_pull(name)
+
+    # Messages.
+
+    async def on_pull(self, message: Pull) -> Document:
+        """Return the document if it is newer than the asker's, else an empty value."""
+        if message.name == self.members.key:
+            document = self.members.document()
+        else:
+            held = self.replicas.held.get(message.name, Held(0, b""))
+            document = Document(message.name, held.revision, held.value)
+        if document.revision <= message.revision:
+            return document._replace(value=b"")
+        return document
+
+    async def on_document(self, message: Document) -> Accepted:
+        """Take a document that a peer pushes."""
+        if message.name == self.members.key:
+            return Accepted(self.members.offer(message))
+        return Accepted(self._offer(message.name, message.value))
+
+    # Edits.
+
+    async def edit(self, name: str, change: Change) -> Document:
+        """Apply `change` to the newest value in the store and push the result to the peers.
+
+        `change` takes the old value (None without one) and returns the new one, with a higher
+        revision; it is called again after a lost swap, and what it raises ends the edit. Raises
+        `version_conflict` after too many lost swaps, `store_unavailable` (not run) or
+        `outcome_unknown` when a write without an answer could not be settled.
+        """
+        for attempt in range(EDIT_ATTEMPTS):
+            stored = await self._read(name)
+            base = self._base(name, stored)
+            value = change(base.value if base else None)
+            written = Held(revision_of(name, value), value)
+            if written.revision <= (base.revision if base else 0):
+                raise RelayError("internal", f"{name}: the revision did not rise", step="edit")
+            if await self._swap(name, written, stored.version):
+                self._offer(name, value)
+                await self._push(Document(name, written.revision, value))
+                return Document(name, written.revision, value)
+            await trio.sleep(EDIT_RETRY_S * (attempt + 1))
+        raise RelayError("version_conflict", f"{name} changes too often", step="edit")
+
+    def _base(self, name: str, stored: _Stored) -> Held | None:
+        """Return the newer one of the stored and the held document."""
+        return self.replicas.newer_than_stored(name, _revision(stored)) or stored.held
+
+    async def _swap(self, name: str, written: Held, expected: int) -> bool:
+        """Write against a store version; False if another write came first."""
+        try:
+            await self.store.put(name, written.value, expected)
+        except RelayError as error:
+            if error.code == "version_conflict":
+                return False
+            if error.code == "store_unavailable" and error.ran == "unknown":
+                return await self._settle(name, written, expected)
+            raise
+        return True
+
+    async def _settle(self, name: str, written: Held, expected: int) -> bool:
+        """Find out by reading back whether an unanswered write took effect.
+
+        While it is not seen it may still be applied, so the same write is repeated against the
+        same version until either one of them or another write has replaced that version.
+        """
+        with trio.move_on_after(SETTLE_TIMEOUT_S):
+            while True:
+                outcome = await self._read_outcome(name, written, expected)
+                if outcome == "applied":
+                    return True
+                if outcome == "lost":
+                    return False
+                if outcome == "pending" and await self._repeat(name, written, expected):
+                    return True
+                await trio.sleep(SETTLE_RETRY_S)
+        raise RelayError(
+            "outcome_unknown", f"{name}: the store did not answer", step="edit", ran="unknown"
+        )
+
+    async def _read_outcome(self, name: str, written: Held, expected: int) -> str:
+        try:
+            stored = await self._read(name)
+        except RelayError:
+            return ""
+        return settle_write(written, expected, stored.version, stored.held)
+
+    async def _repeat(self, name: str, written: Held, expected: int) -> bool:
+        try:
+            await self.store.put(name, written.value, expected)
+        except RelayError:
+            return False
+        return True
+
+    async def _push(self, document: Document) -> None:
+        """Send a document to all peers; return when each has answered or timed out."""
+        async with trio.open_nursery() as nursery:
+            for member in self.members.members:
+                if member.instance != self.members.instance:
+                    nursery.start_soon(self._push_to, member.instance, document)
+
+    async def _push_to(self, instance: str, document: Document) -> None:
+        try:
+            await self.peers.call(instance, document, PUSH_TIMEOUT_S)
+        except RelayError as error:
+            event("documents.push_failed", peer=instance, document=document.name, code=error.code)
+
+    # Taking over documents.
+
+    def _offer(self, name: str, value: bytes) -> bool:
+        """Put a document in force if it is newer; a malformed one is logged and refused."""
+        try:
+            decoded = _decoded(name, value)
+        except RelayError as error:
+            event("documents.refused", document=name, error=error.message)
+            return False
+        if not self.replicas.offer(name, decoded.revision, value):
+            return False
+        if self.wanted.get(name, (0, ""))[0] <= decoded.revision:
+            self.wanted.pop(name, None)
+        event("documents.in_force", document=name, revision=decoded.revision)
+        self._publish(decoded)
+        self._start_watch(name)
+        return True
+
+    def _publish(self, decoded: Table | Catalog) -> None:
+        current = self.configuration.value
+        if isinstance(decoded, Table):
+            self.configuration.set(current._replace(table=decoded))
+            self.members.want(self._in_service(decoded))
+            return
+        catalogs = {**current.catalogs, decoded.service: decoded}
+        self.configuration.set(current._replace(catalogs=catalogs))
+
+    def _in_service(self, table: Table) -> bool:
+        """Say whether the rows of this instance and its domain let it take part."""
+        instance = table.instances.get(self.members.instance)
+        domain = table.domains.get(self.members.me.failure_domain)
+        return all(row is None or row.state == "in" for row in (instance, domain))
+
+    # Pulls from peers.
+
+    def _start_pull(self, name: str) -> None:
+        if self._nursery is None or name in self.pulling or len(self.pulling) >= MAX_PULLS:
+            return
+        self.pulling.add(name)
+        self._nursery.start_soon(self._pull, name)
+
+    async def _pull(self, name: str) -> None:
+        try:
+            _, instance = self.wanted[name]
+            message = Pull(name, self.replicas.revision(name))
+            reply = await self.peers.call(instance, message, PULL_TIMEOUT_S)
+            if reply.value:
+                self._offer(name, reply.value)
+        except (KeyError, RelayError):
+            return
+        finally:
+            self.pulling.discard(name)
+
+    async def _pull_again(self) -> None:
+        """Repeat the pulls that failed."""
+        while True:
+            await trio.sleep(PULL_RETRY_S)
+            for name in list(self.wanted):
+                self._start_pull(name)
+
+    # The store.
+
+    async def _first_read(self) -> None:
+        """Read all documents once, so that the instance can become ready."""
+        while not self.readiness.store_read:
+            try:
+                await self._refresh(TABLE_NAME)
+                for name in await self.store.list(CATALOG_PREFIX):
+                    await self._refresh(name)
+            except RelayError as error:
+                event("documents.store_error", code=error.code, error=error.message)
+                await trio.sleep(START_RETRY_S)
+                continue
+            self.readiness.store_read = True
+
+    async def _find_catalogs(self) -> None:
+        while True:
+            await trio.sleep(LIST_EVERY_S)
+            if not self.members.chosen("watch", WATCHERS):
+                continue
+            try:
+                for name in await self.store.list(CATALOG_PREFIX):
+                    self._start_watch(name)
+            except RelayError as error:
+                event("documents.store_error", code=error.code, error=error.message)
+
+    def _start_watch(self, name: str) -> None:
+        if self._nursery is not None and name != TABLE_NAME and name not in self.watching:
+            self.watching.add(name)
+            self._nursery.start_soon(self._watch, name)
+
+    async def _watch(self, name: str) -> None:
+        """Follow one document in the store while this instance is one of the watchers."""
+        version = ABSENT
+        while True:
+            if not self.members.chosen("watch", WATCHERS):
+                await trio.sleep(WATCH_PAUSE_S)
+                continue
+            started = trio.current_time()
+            try:
+                entry = await self.store.watch(name, version)
+                if entry is not None:
+                    await self._take(name, _stored(name, entry))
+                    version = entry.version
+                    continue
+                if trio.current_time() < started + WATCH_PAUSE_S:
+                    # A watch that ends early found no such key.
+                    await self._refresh(name)
+            except RelayError as error:
+                event("documents.store_error", code=error.code, error=error.message)
+            await trio.sleep(WATCH_PAUSE_S)
+
+    async def _refresh(self, name: str) -> None:
+        await self._take(name, await self._read(name))
+
+    async def _take(self, name: str, stored: _Stored) -> None:
+        """Put what the store has in force, or write back what is newer than that."""
+        if stored.held is not None:
+            self._offer(name, stored.held.value)
+        newer = self.replicas.newer_than_stored(name, _revision(stored))
+        if newer is None:
+            return
+        event("documents.write_back", document=name, stored=_revision(stored), held=newer.revision)
+        try:
+            await self.store.put(name, newer.value, stored.version)
+        except RelayError as error:
+            if error.code != "version_conflict":
+                raise
+
+    async def _read(self, name: str) -> _Stored:
+        entry = await self.store.get(name)
+        return _stored(name, entry) if entry else _Stored(ABSENT, None)
+
+
+def _revision(stored: _Stored) -> int:
+    return stored.held.revision if stored.held else 0
+
+
+def _stored(name: str, entry: Entry) -> _Stored:
+    """Decode an entry; a malformed value counts as none, so a newer one replaces it."""
+    try:
+        return _Stored(entry.version, Held(revision_of(name, entry.value), entry.value))
+    except RelayError as error:
+        event("documents.refused", document=name, error=error.message)
+        return _Stored(entry.version, None)
--- /dev/null
+++ b/rattanrelay/node/members.py
@@ -0,0 +1,437 @@
+"""The members task: heartbeats, the view document and the right to dispatch."""
+
+from collections import Counter
+from collections.abc import Awaitable, Callable, Iterable
+
+import msgspec
+import trio
+
+from ..decide.lease import View, decode_view, encode_view, view_key
+from ..decide.membership import Beat, Effect, Fetch, Membership, Propose, ReadStore
+from ..decide.ownership import Identity, Member
+from ..decide.revision import DigestFeed
+from ..decide.succession import with_stopped
+from ..errors import RelayError
+from ..log import event
+from ..store import Entry, StoreClient
+from ..store.client import ABSENT
+from ..wire import (
+    BlockedRequest,
+    Document,
+    DocumentRevision,
+    FrameKind,
+    Handlers,
+    Heartbeat,
+    HeartbeatAck,
+    Pull,
+    encode_frame,
+)
+from .peers import Peers
+from .ports import Latest
+
+__all__ = ["Members"]
+
+TICK_S = 0.1
+HEARTBEAT_TIMEOUT_S = 1.0
+FETCH_TIMEOUT_S = 1.0
+STORE_QUEUE = 2
+WATCHERS = 2
+WATCH_PAUSE_S = 1.0
+LEAVE_TIMEOUT_S = 5.0
+CONTACT_EVERY_S = 2.0
+MAX_CONTACTS = 16
+#: Attempts of an operator's change of the view against concurrent changes.
+CONFIRM_ATTEMPTS = 8
+CONFIRM_RETRY_S = 0.2
+
+
+async def _no_contacts() -> list[Member]:
+    return []
+
+
+class Members:
+    """Membership of this instance in its cell; implements `MembersPort`.
+
+    `digest()` returns the revisions of all documents, `see_digest(instance, entries)` takes those
+    of a peer, `holding()` returns the backend servers with work or connections, `blocked()` the
+    blocked fingerprints and `see_blocked(entries)` takes those of a peer. `contacts()` returns
+    possible members from the platform's list, for an instance outside the view.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        incarnation: str,
+        address: str,
+        failure_domain: str,
+        cell: str,
+        store: StoreClient,
+        peers: Peers,
+        *,
+        digest: Callable[[], dict[str, int]] = dict,
+        see_digest: Callable[[str, Iterable[DocumentRevision]], None] = lambda *_: None,
+        holding: Callable[[], Iterable[str]] = tuple,
+        blocked: Callable[[], Iterable[BlockedRequest]] = tuple,
+        see_blocked: Callable[[Iterable[BlockedRequest]], None] = lambda _: None,
+        contacts: Callable[[], Awaitable[list[Member]]] = _no_contacts,
+    ) -> None:
+        self.instance = instance
+        self.me = Member(instance, incarnation, address, failure_domain)
+        self.cell = cell
+        self.key = view_key(cell)
+        self.store = store
+        self.peers = peers
+        self.digest = digest
+        self.see_digest = see_digest
+        self.holding = holding
+        self.blocked = blocked
+        self.see_blocked = see_blocked
+        self.contacts = contacts
+        self.core = Membership(self.me, cell, trio.current_time())
+        self.feed = DigestFeed()
+        #: The adopted view; waiters see each change.
+        self.view: Latest[View | None] = Latest(None)
+        #: Messages and bytes of heartbeats and their acknowledgements by direction and kind.
+        self.traffic: Counter[str] = Counter()
+        self.fetching: set[str] = set()
+        self.contacted_at = -float("inf")
+        self._orders, self._queue = trio.open_memory_channel[Effect](STORE_QUEUE)
+        self._nursery: trio.Nursery | None = None
+
+    # MembersPort.
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the adopted view, 0 before the first."""
+        return self.core.epoch
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """Members of the adopted view."""
+        return self.core.members
+
+    def owner(self, name: str) -> Member | None:
+        """Return the member that owns a backend server or claim bucket, None without a view."""
+        return self.core.owner(name)
+
+    def may_dispatch(self, server: str) -> bool:
+        """Say whether this instance may send work to a backend server now."""
+        return self.core.may_dispatch(server, trio.current_time())
+
+    def lease_left(self) -> float:
+        """Return for how many seconds the quorum lease still holds, 0.0 when it does not."""
+        return self.core.lease.left(trio.current_time())
+
+    # Use by the daemon and other tasks.
+
+    def register(self, handlers: Handlers) -> None:
+        """Register the handlers of this task."""
+        handlers.on(Heartbeat)(self.on_heartbeat)
+
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Take part in the cell until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._serve_store)
+            nursery.start_soon(self._watch)
+            task_status.started()
+            while True:
+                self._carry_out(self.core.tick(trio.current_time()))
+                await trio.sleep(TICK_S)
+
+    async def leave(self) -> bool:
+        """Hand over and leave the view; return whether that succeeded in bounded time.
+
+        Call it while the task runs. With the store down it ends after `LEAVE_TIMEOUT_S`.
+        """
+        self.want(False)
+        with trio.move_on_after(LEAVE_TIMEOUT_S):
+            while self.giving_up() or not self.core.has_left():  # noqa: ASYNC110
+                await trio.sleep(TICK_S / 2)
+        left = not self.core.is_member
+        event("members.left", left=left, epoch=self.epoch, holding=list(self.giving_up()))
+        return left
+
+    def want(self, wanted: bool) -> None:
+        """Set whether this instance should be a member, as its row of the table says."""
+        if wanted != self.core.wanted:
+            event("members.wanted", wanted=wanted, epoch=self.epoch)
+        self.core.want(wanted, trio.current_time())
+
+    async def confirm_stopped(self, instance: str) -> View:
+        """Record the operator's statement that all processes of an instance have stopped.
+
+        Raises `bad_request` for this instance, `store_unavailable` or `version_conflict`.
+        """
+        if instance == self.instance:
+            raise RelayError("bad_request", "this instance runs", step="confirm stopped")
+        for _ in range(CONFIRM_ATTEMPTS):
+            entry, stored = await self._read()
+            if stored is not None:
+                self._learn(stored)
+            view = self.core.view
+            if view is None:
+                raise RelayError("not_ready", "no view yet", step="confirm stopped")
+            now = trio.current_time()
+            target = with_stopped(view, instance, self.core.evidence, now)
+            if await self._write(target, entry):
+                event("members.confirmed_stopped", instance=instance, epoch=target.epoch)
+                return target
+            await trio.sleep(CONFIRM_RETRY_S)
+        raise RelayError("version_conflict", self.key, step="confirm stopped")
+
+    def document(self) -> Document:
+        """Return the adopted view as a document, revision 0 without one."""
+        view = self.core.view
+        return Document(self.key, view.epoch, encode_view(view)) if view else Document(self.key, 0)
+
+    def offer(self, document: Document) -> bool:
+        """Take a view from a peer; return whether it was adopted."""
+        try:
+            view = decode_view(document.value)
+        except msgspec.DecodeError as error:
+            event("members.bad_view", error=str(error))
+            return False
+        return self._learn(view)
+
+    def giving_up(self) -> tuple[str, ...]:
+        """Return the backend servers of other owners on which work here has not ended."""
+        return self.core.giving_up(self.holding())
+
+    def chosen(self, name: str, count: int) -> bool:
+        """Say whether this instance is among the `count` live members ranked first for a name."""
+        return self.core.chosen(name, count, trio.current_time())
+
+    async def on_heartbeat(self, message: Heartbeat) -> HeartbeatAck:
+        """Acknowledge a heartbeat with the adopted epoch."""
+        now = trio.current_time()
+        sender = Identity(message.instance, message.incarnation)
+        giving_up = self.giving_up()
+        self._carry_out(self.core.on_heartbeat(sender, message.epoch, giving_up, now))
+        self._see(message.instance, message)
+        outside = self.core.view is None or self.core.view.member(sender) is None
+        ack = HeartbeatAck(
+            self.me.instance,
+            self.me.incarnation,
+            self.core.ack_epoch(sender, message.epoch),
+            message.sequence,
+            _revisions(self.digest()) if outside else None,
+            giving_up or None,
+        )
+        self._count("in", message)
+        self._count("out", ack)
+        return ack
+
+    # Effects.
+
+    def _carry_out(self, effects: list[Effect]) -> None:
+        if self._nursery is None:
+            return
+        for effect in effects:
+            if isinstance(effect, Beat):
+                self._nursery.start_soon(self._beat, effect)
+            elif isinstance(effect, Fetch):
+                self._start_fetch(effect.instance)
+            else:
+                self._order(effect)
+
+    def _order(self, effect: Effect) -> None:
+        try:
+            self._orders.send_nowait(effect)
+        except trio.WouldBlock:
+            event("members.store_busy", effect=type(effect).__name__)
+
+    async def _beat(self, beat: Beat) -> None:
+        peer = "/".join(beat.to.identity)
+        now = trio.current_time()
+        entries = self.feed.entries(peer, beat.sequence, self.digest(), now)
+        message = Heartbeat(
+            self.me.instance,
+            self.me.incarnation,
+            beat.epoch,
+            beat.sequence,
+            _revisions(entries) or None,
+            tuple(self.blocked()) or None,
+        )
+        self._count("out", message)
+        try:
+            ack = await self.peers.call(beat.to.instance, message, HEARTBEAT_TIMEOUT_S)
+        except RelayError:
+            return
+        self._count("in", ack)
+        self.feed.acknowledged(peer, ack.sequence)
+        self._see(ack.instance, ack)
+        sender = Identity(ack.instance, ack.incarnation)
+        now = trio.current_time()
+        self._carry_out(self.core.on_ack(sender, ack.epoch, ack.sequence, ack.holding, now))
+
+    def _see(self, instance: str, message: Heartbeat | HeartbeatAck) -> None:
+        self.see_digest(instance, message.digest)
+        if isinstance(message, Heartbeat) and message.blocked:
+            self.see_blocked(message.blocked)
+
+    def _start_fetch(self, instance: str) -> None:
+        if instance not in self.fetching:
+            self.fetching.add(instance)
+            self._nursery.start_soon(self._fetch, instance)
+
+    async def _fetch(self, instance: str) -> None:
+        try:
+            reply = await self.peers.call(instance, Pull(self.key, self.epoch), FETCH_TIMEOUT_S)
+        except RelayError:
+            return
+        finally:
+            self.fetching.discard(instance)
+        if reply.value:
+            self.offer(reply)
+
+    async def _serve_store(self) -> None:
+        async for order in self._queue:
+            try:
+                if isinstance(order, Propose):
+                    await self._propose(order)
+                elif isinstance(order, ReadStore):
+                    await self._refresh()
+            except RelayError as error:
+                event("members.store_error", code=error.code, error=error.message)
+
+    async def _refresh(self) -> None:
+        """Read the view from the store, and from the platform's contacts while outside."""
+        if not self.core.is_member:
+            await self._ask_contacts()
+        entry, view = await self._read()
+        if entry is not None and view is None:
+            return
+        before = self.epoch
+        self._carry_out(self.core.stored(view, trio.current_time()))
+        self._publish(before)
+
+    async def _ask_contacts(self) -> None:
+        if trio.current_time() < self.contacted_at + CONTACT_EVERY_S:
+            return
+        self.contacted_at = trio.current_time()
+        contacts = [member for member in await self.contacts() if member.address != self.me.address]
+        known = {member.instance for member in self.members}
+        new = [member for member in contacts if member.instance not in known][:MAX_CONTACTS]
+        self._update_peers(new)
+        async with trio.open_nursery() as nursery:
+            for member in new:
+                nursery.start_soon(self._ask, member.instance)
+
+    async def _ask(self, instance: str) -> None:
+        if instance not in self.fetching:
+            self.fetching.add(instance)
+            await self._fetch(instance)
+
+    async def _propose(self, order: Propose) -> None:
+        entry, stored = await self._read()
+        if stored is not None and stored.epoch > order.base:
+            self._learn(stored)
+            return
+        if order.view.epoch > self.epoch:
+            await self._write(order.view, entry)
+
+    async def _write(self, view: View, entry: Entry | None) -> bool:
+        """Swap the stored view for `view`; False when another write came first."""
+        expected = entry.version if entry else ABSENT
+        try:
+            await self.store.put(self.key, encode_view(view), expected)
+        except RelayError as error:
+            if error.code == "store_unavailable" and error.ran == "unknown":
+                return await self._settle(view)
+            if error.code != "version_conflict":
+                raise
+            _, stored = await self._read()
+            if stored is not None:
+                self._learn(stored)
+            return False
+        self._learn(view)
+        return True
+
+    async def _settle(self, view: View) -> bool:
+        """Find out by reading back whether an unanswered write took effect."""
+        _, stored = await self._read()
+        if stored is not None:
+            self._learn(stored)
+        return stored == view
+
+    async def _read(self) -> tuple[Entry | None, View | None]:
+        entry = await self.store.get(self.key)
+        if entry is None:
+            return None, None
+        try:
+            return entry, decode_view(entry.value)
+        except msgspec.DecodeError as error:
+            event("members.bad_view", error=str(error), version=entry.version)
+            return entry, None
+
+    def _learn(self, view: View) -> bool:
+        before = self.epoch
+        self._carry_out(self.core.learn(view, trio.current_time()))
+        return self._publish(before)
+
+    def _publish(self, before: int) -> bool:
+        """Tell links and waiters about a new view."""
+        view = self.core.view
+        if view is None or view.epoch == before:
+            return False
+        event(
+            "members.view",
+            epoch=view.epoch,
+            members=[member.instance for member in view.members],
+            departed=[entry.member.instance for entry in view.departed],
+            member=self.core.is_member,
+        )
+        self._update_peers([])
+        self.view.set(view)
+        return True
+
+    def _update_peers(self, contacts: list[Member]) -> None:
+        view = self.core.view
+        members = list(view.members) if view else []
+        departed = [entry.member for entry in view.departed] if view else []
+        known = {member.instance: member for member in (*contacts, *departed, *members)}
+        self.peers.update(known.values())
+        self.feed.keep("/".join(member.identity) for member in (*members, *departed))
+
+    # The view in the store.
+
+    async def _watch(self) -> None:
+        """Two members of the cell watch the view; they restore it when the store lost it."""
+        version = ABSENT
+        while True:
+            if not self.chosen("watch", WATCHERS):
+                await trio.sleep(WATCH_PAUSE_S)
+                continue
+            try:
+                entry = await self.store.watch(self.key, version)
+                if entry is not None:
+                    await self._check_stored(entry)
+                    version = entry.version
+                    continue
+            except RelayError as error:
+                event("members.store_error", code=error.code, error=error.message)
+            await trio.sleep(WATCH_PAUSE_S)
+
+    async def _check_stored(self, entry: Entry) -> None:
+        try:
+            stored = decode_view(entry.value)
+        except msgspec.DecodeError as error:
+            event("members.bad_view", error=str(error), version=entry.version)
+            return
+        view = self.core.view
+        if view is not None and stored.epoch < view.epoch:
+            event("members.older_view", stored=stored.epoch, held=view.epoch)
+            await self._write(view, entry)
+        else:
+            self._learn(stored)
+
+    def _count(self, direction: str, message: tuple) -> None:
+        self.traffic[f"{direction}_messages"] += 1
+        fields = (None if field == () else field for field in message)
+        frame = encode_frame(FrameKind.CALL, 0, type(message)(*fields))
+        self.traffic[f"{direction}_bytes"] += len(frame)
+
+
+def _revisions(digest: dict[str, int]) -> tuple[DocumentRevision, ...]:
+    return tuple(DocumentRevision(name, revision) for name, revision in digest.items())
--- a/rattanrelay/node/ports.py
+++ b/rattanrelay/node/ports.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from ..decide.ownership import Member
 from ..table import Catalog, Table
 from ..wire import ActionResult, RunAction, ShardResults, SubQuery
 
@@ -51,15 +52,6 @@
     catalogs: dict[str, Catalog] = {}
 
 
-class Member(NamedTuple):
-    """A member of a view; `address` is `host:port` of its peer listener."""
-
-    instance: str
-    incarnation: str
-    address: str
-    failure_domain: str
-
-
 class MembersPort(Protocol):
     """Membership and ownership as the members task publishes them."""
 
