Rank hits without decoding them and scan for hedges only when one is due

Merging took most of the time for a shard: each hit was decoded into a dict and ranked by a Python function. Now only key and score are decoded, hits below the worst kept one are dropped at once, and whole hits are decoded for the final ones only.

--- a/rattanrelay/decide/gather.py
+++ b/rattanrelay/decide/gather.py
@@ -1,8 +1,7 @@
 """Merge of the shard results of one query against one snapshot."""
 
-import heapq
 from collections.abc import Iterable
-from typing import Any, Literal, NamedTuple
+from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 
@@ -12,11 +11,26 @@
 Verdict = Literal["counted", "duplicate", "crossed", "snapshot_mismatch", "bad_answer"]
 
 
+class RankedHit(msgspec.Struct, gc=False):
+    """The fields of a hit by which it is ranked; the others are passed on unread."""
+
+    key: str
+    score: float
+
+
 class ShardPayload(msgspec.Struct):
-    """Answer of one shard: hits with at least `key` and `score`, and the number of matches."""
+    """Answer of one shard: its hits and the number of matches."""
+
+    hits: list[RankedHit]
+    count: Annotated[int, msgspec.Meta(ge=0)]
+    shard: str = ""
+    snapshot: str = ""
+
 
-    hits: list[dict[str, Any]] = []
-    count: int = 0
+class FullPayload(msgspec.Struct):
+    """The same answer with whole hits."""
+
+    hits: list[dict[str, Any]]
 
 
 class Missing(NamedTuple):
@@ -34,21 +48,21 @@
     missing: tuple[Missing, ...]
 
 
-_DECODER = msgspec.json.Decoder(ShardPayload)
+_RANKED = msgspec.json.Decoder(ShardPayload)
+_FULL = msgspec.json.Decoder(FullPayload)
+
+#: Kept hits are cut to the best ones once there are this many times the limit.
+TRIM_FACTOR = 4
 
 
 def decode_payload(payload: bytes) -> ShardPayload | None:
     """Decode the answer of a shard; None when it is malformed."""
     try:
-        return _DECODER.decode(payload)
+        return _RANKED.decode(payload)
     except (msgspec.DecodeError, UnicodeDecodeError):
         return None
 
 
-def _rank(hit: tuple) -> tuple:
-    return hit[0], hit[1]
-
-
 class Gather:
     """Counts each shard of one snapshot once and keeps the best hits.
 
@@ -64,7 +78,11 @@
         self.limit = limit
         self.count = 0
         self.reasons: dict[str, str] = {}
-        self._best: list[tuple] = []
+        #: Hits as (-score, key, serial number of the payload, index in it).
+        self._best: list[tuple[float, str, int, int]] = []
+        self._payloads: list[bytes] = []
+        #: Hits with a lower score cannot be among the best.
+        self._cutoff = float("-inf")
 
     @property
     def answered(self) -> int:
@@ -85,8 +103,11 @@
         if snapshot != self.snapshot:
             return "snapshot_mismatch"
         decoded = decode_payload(payload)
-        if decoded is None or not self._merge(decoded):
+        if decoded is None or decoded.shard not in ("", shard):
             return "bad_answer"
+        if decoded.snapshot not in ("", self.snapshot):
+            return "snapshot_mismatch"
+        self._merge(decoded, payload)
         del self.pending[shard]
         self.reasons.pop(shard, None)
         return "counted"
@@ -106,22 +127,32 @@
     def hits(self) -> list[dict[str, Any]]:
         """Return the best hits, best first."""
         self._trim()
-        return [hit for _, _, hit in self._best]
-
-    def _merge(self, payload: ShardPayload) -> bool:
-        """Add the hits and the count; False and no change when a hit is malformed."""
-        try:
-            ranked = [(-hit["score"], hit["key"], hit) for hit in payload.hits]
-            ranked.sort(key=_rank)
-        except (KeyError, TypeError):
-            return False
-        if ranked and not all(type(key) is str for _, key, _ in ranked):
-            return False
-        self._best += ranked[: self.limit]
+        whole: dict[int, list[dict[str, Any]]] = {}
+        hits = []
+        for _, _, serial, index in self._best:
+            if serial not in whole:
+                whole[serial] = _FULL.decode(self._payloads[serial]).hits
+            hits.append(whole[serial][index])
+        return hits
+
+    def _merge(self, payload: ShardPayload, data: bytes) -> None:
+        """Add the count and the hits that may be among the best."""
         self.count += payload.count
-        if len(self._best) > 16 * self.limit:
-            self._trim()
-        return True
+        serial = len(self._payloads)
+        cutoff = self._cutoff
+        best = [
+            (-hit.score, hit.key, serial, index)
+            for index, hit in enumerate(payload.hits)
+            if hit.score >= cutoff
+        ]
+        if best:
+            self._payloads.append(data)
+            self._best += best
+            if len(self._best) > TRIM_FACTOR * self.limit:
+                self._trim()
 
     def _trim(self) -> None:
-        self._best = heapq.nsmallest(self.limit, self._best, key=_rank)
+        self._best.sort()
+        del self._best[self.limit :]
+        if len(self._best) == self.limit:
+            self._cutoff = -self._best[-1][0]
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -32,6 +32,7 @@
 #: Reasons by which a canary may have crashed its server.
 CANARY_LOST = frozenset({"connection_lost", "request_suspect"})
 
+NEVER = float("inf")
 #: First wait before all replicas of a shard are tried again; it doubles with each round.
 BACKOFF_S = 0.02
 MAX_BACKOFF_S = 0.5
@@ -119,6 +120,8 @@
         self.shards = {planned.name: _Shard(planned) for planned in plan.shards}
         self.gather = Gather(query_id, plan.snapshot, self.shards, query.limit)
         self.open = 0
+        #: Send time of the oldest sub-request that may still be hedged.
+        self.hedge_from = NEVER
         self.retries: list[tuple[float, _Shard]] = []
         self.sent: Counter[str] = Counter()
         self.congested = 0
@@ -203,6 +206,8 @@
             shard.first_sent = shard.first_sent or now
             replica.outstanding += 1
             count += 1
+        if count and not canary:
+            self.hedge_from = min(self.hedge_from, now)
         self.open += count
         self.sent[kind] += count
         for message, targets in groups.values():
@@ -408,23 +413,27 @@
         """Hedge the sub-requests that are due; return when the next one is due."""
         delay = self.state.latencies.delay()
         if delay is None or not self.row.hedge or not self.open:
-            return float("inf")
-        next_due = float("inf")
+            return NEVER
+        if now < self.hedge_from + delay:
+            return self.hedge_from + delay
+        self.hedge_from = NEVER
         wave = []
         for name in self.gather.pending:
             shard = self.shards[name]
             if shard.hedged or len(shard.attempts) != 1:
                 continue
-            due = shard.attempts[0].sent_at + delay
-            if due > now:
-                next_due = min(next_due, due)
+            sent_at = shard.attempts[0].sent_at
+            if now < sent_at + delay:
+                self.hedge_from = min(self.hedge_from, sent_at)
                 continue
             shard.hedged = True
             replica = choose_replica(self._untried(shard), now, self.ports.rng)
             if replica is not None and self._pay(FULL_PRICE, now):
                 wave.append((shard, replica))
+        next_from = self.hedge_from
         self._launch(wave, "hedge", now)
-        return next_due
+        self.hedge_from = next_from
+        return next_from + delay
 
     # Canary.
 
@@ -482,7 +491,7 @@
         """Wait until a canary succeeded or failed, or a straggling one needs a second one."""
         delay = self.state.latencies.delay()
         hedge = delay is not None and self.row.hedge and self.open == 1 and not seen
-        patience = delay * CANARY_PATIENCE if hedge else float("inf")
+        patience = delay * CANARY_PATIENCE if hedge else NEVER
         with trio.move_on_after(patience):
             while not self.gather.answered and len(self.canary_failures) == seen:
                 self.wake = trio.Event()
