--- /dev/null
+++ b/rattanrelay/decide/canary.py
@@ -0,0 +1,155 @@
+"""Requests that crash servers: canary trials, suspects and blocks of fingerprints."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+from typing import Literal, NamedTuple
+
+import xxhash
+
+__all__ = [
+    "BLOCK_S",
+    "LOSSES_TO_BLOCK",
+    "PROVEN_S",
+    "Canary",
+    "SharedEntry",
+    "Verdict",
+    "fingerprint",
+]
+
+#: How long a fingerprint stays blocked, and how long a single loss is remembered.
+BLOCK_S = 600.0
+#: How long a success lets requests with this fingerprint run without a canary.
+PROVEN_S = 600.0
+LOSSES_TO_BLOCK = 2
+#: Fingerprints that are remembered in each map; the oldest are forgotten first.
+MAX_TRACKED = 10_000
+#: Entries in one heartbeat.
+MAX_SHARED = 32
+#: A peer's entry must last this much longer than the own one to replace it: transport delays must
+#: not prolong an entry that instances send back and forth.
+MERGE_SLACK_S = 5.0
+
+#: Separates the fingerprint of a suspect from the id of its loss in a shared entry.
+_LOSS_MARK = "@"
+
+#: Run it as the only trial, run it freely, wait for the trial in progress, or refuse it.
+Verdict = Literal["trial", "proven", "wait", "blocked"]
+
+
+class SharedEntry(NamedTuple):
+    """A block (`fingerprint`) or one loss (`fingerprint@loss`) with its remaining seconds."""
+
+    name: str
+    seconds_left: int
+
+
+def fingerprint(service: str, body: bytes) -> str:
+    """Return the fingerprint of a request: 16 hex digits."""
+    return xxhash.xxh64_hexdigest(service.encode() + b"\n" + body)
+
+
+class Canary:
+    """Trials and losses by fingerprint; times are seconds on the caller's clock.
+
+    Losses are a set of ids that instances exchange, so the order and repetition of messages do not
+    matter, and no loss is counted twice.
+    """
+
+    def __init__(self) -> None:
+        self.running: set[str] = set()
+        self.proven: OrderedDict[str, float] = OrderedDict()
+        self.losses: OrderedDict[str, dict[str, float]] = OrderedDict()
+        self.blocks: OrderedDict[str, float] = OrderedDict()
+
+    def is_blocked(self, name: str, now: float) -> bool:
+        """Say whether a fingerprint is blocked."""
+        until = self.blocks.get(name)
+        if until is None:
+            return False
+        if until <= now:
+            del self.blocks[name]
+            return False
+        return True
+
+    def is_suspect(self, name: str, now: float) -> bool:
+        """Say whether a server was lost with this fingerprint and it has not succeeded since."""
+        return any(until > now for until in self.losses.get(name, {}).values())
+
+    def begin(self, name: str, now: float) -> Verdict:
+        """Ask to run a request; after `trial`, one of `succeeded`, `lost`, `ended` must follow."""
+        if self.is_blocked(name, now):
+            return "blocked"
+        if self.proven.get(name, now) > now:
+            return "proven"
+        if name in self.running:
+            return "wait"
+        self.running.add(name)
+        return "trial"
+
+    def succeeded(self, name: str, now: float) -> None:
+        """Note a success: the fingerprint is proven and no suspect."""
+        self.running.discard(name)
+        self.losses.pop(name, None)
+        _remember(self.proven, name, now + PROVEN_S)
+
+    def ended(self, name: str) -> None:
+        """Note a trial that showed nothing, for example because it was refused."""
+        self.running.discard(name)
+
+    def lost(self, name: str, loss: str, now: float, *, second: bool = False) -> bool:
+        """Note that a server was lost during a trial; True if the fingerprint is now blocked.
+
+        `loss` names this loss among those of all instances. `second` says that the trial followed
+        a loss at another owner, which may not have been shared yet.
+        """
+        self.running.discard(name)
+        self.proven.pop(name, None)
+        if second:
+            self._block(name, now + BLOCK_S, now)
+            return True
+        return self._add_loss(name, loss, now + BLOCK_S, now)
+
+    def shared(self, now: float) -> tuple[SharedEntry, ...]:
+        """Return blocks and losses for the heartbeat, the newest first and blocks before losses."""
+        entries = [(name, until) for name, until in reversed(self.blocks.items())]
+        for name, losses in reversed(self.losses.items()):
+            entries += [(f"{name}{_LOSS_MARK}{loss}", until) for loss, until in losses.items()]
+        shared = [SharedEntry(name, int(until - now)) for name, until in entries]
+        return tuple(entry for entry in shared if entry.seconds_left > 0)[:MAX_SHARED]
+
+    def merge(self, entries: Iterable[SharedEntry], now: float) -> None:
+        """Take over what another instance shares."""
+        for entry in entries:
+            left = min(entry.seconds_left, BLOCK_S)
+            name, mark, loss = entry.name.partition(_LOSS_MARK)
+            if left <= 0:
+                continue
+            if not mark:
+                self._block(name, now + left, now)
+            elif self.proven.get(name, now) <= now:
+                self._add_loss(name, loss, now + left, now)
+
+    def _add_loss(self, name: str, loss: str, until: float, now: float) -> bool:
+        if self.is_blocked(name, now):
+            return True
+        losses = {known: end for known, end in self.losses.get(name, {}).items() if end > now}
+        losses.setdefault(loss, until)
+        _remember(self.losses, name, losses)
+        if len(losses) < LOSSES_TO_BLOCK:
+            return False
+        self._block(name, max(losses.values()), now)
+        return True
+
+    def _block(self, name: str, until: float, now: float) -> None:
+        known = self.blocks.get(name, now)
+        if until > known + MERGE_SLACK_S or known <= now:
+            _remember(self.blocks, name, until)
+        self.losses.pop(name, None)
+        self.proven.pop(name, None)
+
+
+def _remember(entries: OrderedDict, name: str, value) -> None:
+    entries[name] = value
+    entries.move_to_end(name)
+    while len(entries) > MAX_TRACKED:
+        entries.popitem(last=False)
--- a/rattanrelay/node/dispatch.py
+++ b/rattanrelay/node/dispatch.py
@@ -2,13 +2,15 @@
 
 import random
 import time
+from collections import deque
 from collections.abc import Awaitable, Callable
 from itertools import count
 
 import msgspec
 import trio
 
-from ..decide.limits import Limit, effective_limits
+from ..decide.canary import SharedEntry
+from ..decide.limits import Limit, effective_limits, settling_limits
 from ..errors import CODES, RelayError
 from ..http import HttpConnection
 from ..metrics import Metrics
@@ -25,16 +27,21 @@
     SubQuery,
     Target,
 )
-from .pool import Connect
+from .pool import CLOCK_MARGIN_S, MAX_SUBREQUEST_S, Connect, Pool
 from .ports import Configuration, Latest, MembersPort
 from .server import Rows, Searcher, SearcherStatus, Surroundings
 from .subrequest import Outcome, SubRequest
+from .trials import SECOND_TRIAL, Trial, Trials
 
 __all__ = ["Dispatcher"]
 
 Emit = Callable[[ShardResults], Awaitable[None]]
 
 HOUSEKEEPING_INTERVAL_S = 0.25
+#: Time within which a table is in force on every instance.
+CONFIGURATION_SPREAD_S = 7.0
+#: Time after which no work is in progress that was sent under an earlier table.
+SETTLE_S = CONFIGURATION_SPREAD_S + MAX_SUBREQUEST_S + CLOCK_MARGIN_S
 
 #: Error codes for reasons of sub-requests that are not error codes themselves.
 ACTION_CODES = {
@@ -70,10 +77,16 @@
         self.connect = connect
         self.searchers: dict[str, Searcher] = {}
         self.limits: dict[str, Limit] = {}
+        self.target_limits: dict[str, Limit] = {}
+        #: Limits of earlier tables, and until when they may be in use at another instance.
+        self.replaced_limits: deque[tuple[float, dict[str, Limit]]] = deque()
+        #: True while a searcher with a new address waits for the end of work at the old one.
+        self.moving = False
         self.open: dict[tuple[str, str, str], tuple[_Batch, SubRequest]] = {}
         self.around: Surroundings | None = None
         self.seen: tuple[int, int] | None = None
         self._prefix = f"{members.instance}-{rng.getrandbits(64):016x}"
+        self.trials = Trials(self._prefix)
         self._numbers = count(1)
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -112,8 +125,12 @@
         """
         self.sync()
         batch = _Batch(self, query)
-        try:
+        reason = await self._admit(batch)
+        if reason:
+            batch.refuse(reason)
+        else:
             batch.start()
+        try:
             await batch.emit_all(emit)
         finally:
             batch.withdraw()
@@ -125,7 +142,14 @@
         searcher = self.searchers.get(order.searcher)
         if searcher is None:
             return _action_result(Outcome(self.absence(order.searcher), "not_run"))
-        return await _Act(order, searcher, self.trio_time(order.deadline_ms)).run()
+        deadline = self.trio_time(order.deadline_ms)
+        trial = None
+        if searcher.rows.service.canary:
+            trial = Trial(self.trials, order.svc, order.body)
+            reason = await trial.begin(deadline)
+            if reason:
+                return _action_result(Outcome(reason, "not_run"))
+        return await _Act(order, searcher, deadline, trial).run()
 
     def cancel(self, order: Cancel) -> bool:
         """Give up one sub-request; False if it is not in progress."""
@@ -146,6 +170,7 @@
     def holding(self) -> tuple[str, ...]:
         """Return the servers that are not owned any more and whose work has not ended."""
         self.sync()
+        self._drop_ended()
         held = {one.server for one in self.searchers.values() if not one.owned}
         return tuple(sorted(held))
 
@@ -154,11 +179,14 @@
         return tuple(self.searchers[name].status() for name in sorted(self.searchers))
 
     def blocked(self) -> tuple[BlockedRequest, ...]:
-        """Return the blocked fingerprints for the heartbeat."""
-        return ()
+        """Return the blocks and losses of fingerprints for the heartbeat."""
+        entries = self.trials.canary.shared(trio.current_time())
+        return tuple(BlockedRequest(*entry) for entry in entries)
 
     def see_blocked(self, entries: tuple[BlockedRequest, ...]) -> None:
-        """Take over the blocked fingerprints of another instance."""
+        """Take over the blocks and losses that another instance shares."""
+        shared = [SharedEntry(entry.fingerprint, entry.seconds_left) for entry in entries]
+        self.trials.canary.merge(shared, trio.current_time())
 
     def absence(self, searcher: str) -> str:
         """Return why there is no searcher of this name here."""
@@ -172,6 +200,20 @@
         left = deadline_ms / 1000 - self.wall()
         return trio.current_time() + left
 
+    async def _admit(self, batch: "_Batch") -> str:
+        """Wait for the turn of a canary; return why the sub-query may not run, empty if it may."""
+        query = batch.query
+        table = self.configuration.value.table
+        service = table.services.get(query.svc) if table else None
+        if service is None or not service.canary:
+            return ""
+        trial = Trial(self.trials, query.svc, query.body, second=query.kind == SECOND_TRIAL)
+        if not query.canary:
+            return trial.blocked()
+        reason = await trial.begin(batch.deadline)
+        batch.trial = trial
+        return reason
+
     # Configuration and ownership
 
     def sync(self) -> None:
@@ -183,7 +225,7 @@
         table = self.configuration.value.table
         if table is None:
             return
-        self.limits = effective_limits(table)
+        self._set_limits(table)
         wanted = self._owned(table)
         for name in list(self.searchers):
             if name not in wanted:
@@ -192,6 +234,18 @@
             self._take(name, address, rows)
         self._drop_ended()
 
+    def _set_limits(self, table: Table) -> None:
+        """Set the limits of a table, and for a while those of the tables before it as well."""
+        now = trio.current_time()
+        new = effective_limits(table)
+        if self.target_limits and new != self.target_limits:
+            self.replaced_limits.append((now + SETTLE_S, self.target_limits))
+        self.target_limits = new
+        while self.replaced_limits and self.replaced_limits[0][0] <= now:
+            self.replaced_limits.popleft()
+        recent = [limits for _, limits in self.replaced_limits]
+        self.limits = settling_limits(recent, new, table) if recent else new
+
     def _owned(self, table: Table) -> dict[str, tuple[str, Rows]]:
         """Return address and rows of each searcher that this instance owns."""
         wanted = {}
@@ -199,8 +253,10 @@
             owner = self.members.owner(row.name)
             if owner is None or owner.instance != self.members.instance:
                 continue
-            service = table.services[row.service]
-            domain = table.domains[row.failure_domain]
+            service = table.services.get(row.service)
+            domain = table.domains.get(row.failure_domain)
+            if service is None or domain is None:
+                continue
             out = "out" in (row.state, service.state, domain.state)
             for name, address in zip(row.searchers, row.addresses.split(), strict=True):
                 wanted[name] = address, Rows(row, service, self.limits[name], out)
@@ -210,7 +266,7 @@
         searcher = self.searchers.get(name)
         if searcher is not None and searcher.address != address:
             searcher.give_up()
-            self.seen = None
+            self.moving = True
             return
         if searcher is None:
             searcher = self.searchers[name] = Searcher(name, address, rows, self.around)
@@ -224,6 +280,7 @@
             if not searcher.owned and searcher.pool.empty:
                 searcher.polling.cancel()
                 del self.searchers[name]
+                self._set_gauges(name, 0, 0)
 
     async def _follow_configuration(self) -> None:
         version = -1
@@ -233,13 +290,20 @@
             self.sync()
 
     def _keep_house(self) -> None:
+        settled = self.replaced_limits and self.replaced_limits[0][0] <= trio.current_time()
+        if settled or self.moving:
+            self.moving = False
+            self.seen = None
         self.sync()
         self._drop_ended()
         for name, searcher in self.searchers.items():
             searcher.settle()
-            labels = {"searcher": name}
-            self.metrics.slots.set(labels, searcher.pool.slots.in_use)
-            self.metrics.slot_limit.set(labels, searcher.allowance())
+            self._set_gauges(name, searcher.pool.slots.in_use, searcher.allowance())
+
+    def _set_gauges(self, searcher: str, in_use: int, allowance: int) -> None:
+        labels = {"searcher": searcher}
+        self.metrics.slots.set(labels, in_use)
+        self.metrics.slot_limit.set(labels, allowance)
 
     def _request_id(self) -> str:
         return f"{self._prefix}-{next(self._numbers)}"
@@ -260,6 +324,8 @@
         self.deadline = dispatcher.trio_time(query.deadline_ms)
         self.labels = {"service": query.svc, "kind": query.kind}
         self.jobs: dict[SubRequest, Target] = {}
+        self.pools: dict[SubRequest, Pool] = {}
+        self.trial: Trial | None = None
         self.ready: list[ShardResult] = []
         self.wake = trio.Event()
 
@@ -270,8 +336,10 @@
             if searcher is None:
                 reason = self.dispatcher.absence(target.searcher)
                 self._add(target, Outcome(reason, "not_run"))
-                continue
-            self._submit(target, searcher)
+            else:
+                self._submit(target, searcher)
+        if self.trial is not None and not self.jobs:
+            self.trial.abandon()
 
     async def emit_all(self, emit: Emit) -> None:
         """Emit results until each target has one, at the deadline the failures that remain."""
@@ -287,16 +355,23 @@
 
     def cancel(self, job: SubRequest) -> None:
         """Give up one sub-request."""
-        searcher = self.dispatcher.searchers.get(self.jobs[job].searcher)
-        job.finish(Outcome("cancelled", "unknown"))
-        if searcher is not None:
-            searcher.pool.withdraw(job)
+        pool = self.pools[job]
+        if pool.forget(job):
+            job.finish(Outcome("cancelled", "not_run"))
+            return
+        job.abandon(Outcome("cancelled", "unknown"))
+        pool.cancel(job)
 
     def withdraw(self) -> None:
         """Give up all that has not ended."""
         for job in list(self.jobs):
             self.cancel(job)
 
+    def refuse(self, reason: str) -> None:
+        """Fail all targets before anything is sent."""
+        for target in self.query.targets:
+            self._add(target, Outcome(reason, "not_run"))
+
     def _submit(self, target: Target, searcher: Searcher) -> None:
         query = self.query
         job = SubRequest(
@@ -311,6 +386,9 @@
             self._finished,
         )
         self.jobs[job] = target
+        self.pools[job] = searcher.pool
+        if self.trial is not None:
+            job.on_settled = self.trial.settle
         self.dispatcher.open[query.query_id, target.shard, target.searcher] = (self, job)
         searcher.pool.submit(job)
 
@@ -327,17 +405,19 @@
 
     def _expire(self) -> None:
         """Fail what has no answer at the deadline; the server drops its part by itself."""
-        for job, target in list(self.jobs.items()):
-            searcher = self.dispatcher.searchers.get(target.searcher)
-            if searcher is not None:
-                searcher.pool.forget(job)
-            job.finish(Outcome("deadline", "unknown"))
+        for job in list(self.jobs):
+            if self.pools[job].forget(job):
+                job.finish(Outcome("deadline", "not_run"))
+            else:
+                job.abandon(Outcome("deadline", "unknown"))
 
 
 class _Act:
     """One run of a non-idempotent request."""
 
-    def __init__(self, order: RunAction, searcher: Searcher, deadline: float) -> None:
+    def __init__(
+        self, order: RunAction, searcher: Searcher, deadline: float, trial: Trial | None
+    ) -> None:
         self.searcher = searcher
         self.deadline = deadline
         self.ended = trio.Event()
@@ -353,6 +433,8 @@
             {"service": order.svc, "kind": "action"},
             self._finished,
         )
+        if trial is not None:
+            self.job.on_settled = trial.settle
 
     async def run(self) -> ActionResult:
         """Wait for the outcome; work that was sent is waited for until its slot is free."""
--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -150,11 +150,14 @@
 
     def submit(self, job: SubRequest) -> None:
         """Queue a sub-request; it is refused at once if it cannot be sent."""
-        reason = self.supervisor.refusal()
+        reason = "no_owner" if self.closing else self.supervisor.refusal()
         if reason:
             self.refuse(job, reason)
             return
-        job.queued_at = job.queued_at or trio.current_time()
+        job.queued_at = trio.current_time()
+        self._enqueue(job)
+
+    def _enqueue(self, job: SubRequest) -> None:
         weight = self.supervisor.weight(job.tenant)
         pushed = self.queue.push(Entry(id(job), job.tenant, job.deadline), weight)
         if pushed.evicted is not None:
@@ -172,10 +175,8 @@
         del self.jobs[id(job)]
         return True
 
-    def withdraw(self, job: SubRequest) -> None:
-        """Take back a sub-request; if it was sent, the server is asked to cancel it."""
-        if self.forget(job):
-            return
+    def cancel(self, job: SubRequest) -> None:
+        """Ask the server to cancel a sub-request that was sent; it keeps its slot until then."""
         if self.slots.cancel(job.request_id):
             done = partial(self._cancelled, job.request_id)
             self.control(cancel_request(job.request_id), job.free_at, done)
@@ -211,12 +212,12 @@
         self._close_idle()
 
     def close(self) -> None:
-        """Take no more connections; each open one is closed when its work has ended."""
+        """Take no new work; each connection is closed when the queue and its work have ended."""
         self.closing = True
         self._close_idle()
 
     def reopen(self) -> None:
-        """Allow connections again after `close`."""
+        """Take work again after `close`."""
         self.closing = False
         if self.ended.is_set():
             self.ended = trio.Event()
@@ -255,7 +256,7 @@
     def _connect_if_needed(self) -> None:
         room = self.supervisor.allowance() - self.slots.in_use
         wanted = min(len(self.queue), max(room, 0)) + len(self.controls)
-        if wanted <= len(self.idle) or self.connecting or self.closing:
+        if wanted <= len(self.idle) or self.connecting:
             return
         if self.open_connections < self.connections:
             self.connecting = True
@@ -265,7 +266,7 @@
         connection = None
         try:
             await trio.sleep_until(self.next_connect)
-            if self.closing or not self.supervisor.may_connect():
+            if not self.supervisor.may_connect():
                 self.refuse_queued(self.supervisor.refusal() or "no_owner")
                 return
             self.next_connect = trio.current_time() + self.connect_s
@@ -311,7 +312,8 @@
 
     def _close_idle(self) -> None:
         """Close idle connections above the limit, all of them when the pool is closing."""
-        limit = 0 if self.closing else self.connections
+        done = self.closing and not len(self.queue)
+        limit = 0 if done else self.connections
         while self.idle and len(self.workers) - self.leaving > limit:
             worker = self.idle.pop()
             worker.leaving = True
@@ -364,10 +366,12 @@
         """Queue a sub-request again whose connection closed before anything was written."""
         self.slots.free(job.request_id)
         job.started_at = 0.0
-        if trio.current_time() >= job.deadline:
+        if job.finished:
+            self.refuse(job, "cancelled")
+        elif trio.current_time() >= job.deadline:
             self.refuse(job, "deadline")
-        elif not job.finished:
-            self.submit(job)
+        else:
+            self._enqueue(job)
 
     def _answered(self, worker: _Worker, job: SubRequest, response: Response) -> None:
         outcome = judge(job, response)
--- a/rattanrelay/node/server.py
+++ b/rattanrelay/node/server.py
@@ -95,7 +95,6 @@
         self.poll_busy_until = 0.0
         self.wake = trio.Event()
         self.owned = True
-        self.released = False
         self.pool = Pool(name, address, self, around.nursery, around.wall, around.connect)
         self.polling = trio.CancelScope()
         self.update(rows)
@@ -108,16 +107,13 @@
         self.pool.connections = rows.limit.connections
         self.pool.connect_s = rows.server.connect_ms / 1000
         self.pool.queue.capacity = rows.service.queue
-        if rows.out:
-            self._send("taken_out", "row is out")
-        elif self.chart.state == "out":
-            self._send("returned", "row is in")
+        if rows.out != (self.chart.state == "out"):
+            self._send("taken_out" if rows.out else "returned", "row changed")
         self.settle()
 
     def give_up(self) -> None:
         """Take no new work because another instance owns the server; close as work ends."""
         self.owned = False
-        self.released = False
         self.settle()
         self.pool.close()
 
@@ -129,9 +125,7 @@
             self._send("cold", "owned again")
 
     async def release(self) -> None:
-        """Take no new work; return when the work and the connections have ended."""
-        self.released = True
-        self.settle()
+        """Take no new work; return when queue, work and connections have ended."""
         self.pool.close()
         await self.pool.ended.wait()
 
@@ -259,7 +253,7 @@
     # Evidence
 
     def _no_authority(self) -> str:
-        if self.released or not self.owned:
+        if not self.owned:
             return "no_owner"
         members = self.around.members
         if members.may_dispatch(self.server):
--- a/rattanrelay/node/subrequest.py
+++ b/rattanrelay/node/subrequest.py
@@ -13,6 +13,9 @@
 #: Refusals by which a server states that nothing ran, by HTTP status.
 REFUSALS = {409: ("snapshot_gone",), 503: ("shedding", "draining"), 504: ("deadline",)}
 
+#: Status of the answer to a sub-request that was cancelled.
+CANCELLED_STATUS = 499
+
 Kind = Literal["search", "action"]
 
 _encode = msgspec.json.encode
@@ -34,8 +37,10 @@
 class SubRequest:
     """A sub-request on its way through the queue; `deadline` is trio time, `deadline_ms` Unix.
 
-    `labels` are those of its metrics; `finish` is called once with the outcome. `request_id`,
-    `sent_deadline_ms` and `free_at` are set when the sub-request gets a slot.
+    `labels` are those of its metrics. `finish` is called once with the outcome that the asker
+    sees. `on_settled`, if set, is called once with what became of the work itself, also after the
+    asker has given it up. `request_id`, `sent_deadline_ms` and `free_at` are set when the
+    sub-request gets a slot.
     """
 
     def __init__(
@@ -59,6 +64,7 @@
         self.deadline_ms = deadline_ms
         self.labels = labels
         self.on_finish = finish
+        self.on_settled: Callable[[Outcome], None] | None = None
         self.queued_at = 0.0
         self.started_at = 0.0
         self.request_id = ""
@@ -67,7 +73,14 @@
         self.finished = False
 
     def finish(self, outcome: Outcome) -> None:
-        """Report the outcome; later outcomes are dropped."""
+        """Report the outcome of the work, once."""
+        settled, self.on_settled = self.on_settled, None
+        if settled is not None:
+            settled(outcome)
+        self.abandon(outcome)
+
+    def abandon(self, outcome: Outcome) -> None:
+        """Report an outcome while the work may go on; what is reported later is dropped."""
         if not self.finished:
             self.finished = True
             self.on_finish(self, outcome)
@@ -116,6 +129,8 @@
         return Outcome("bad_answer", "unknown")
     if answer.code in REFUSALS.get(response.status, ()):
         return Outcome(answer.code, "not_run", held=answer.snapshots)
+    if (response.status, answer.code) == (CANCELLED_STATUS, "cancelled"):
+        return Outcome("cancelled", "unknown")
     if response.status != 200 or answer.shard != job.shard or not answer.complete:
         return Outcome("bad_answer", "unknown")
     if job.kind == "search" and answer.snapshot != job.snapshot:
