--- a/rattanrelay/decide/limits.py
+++ b/rattanrelay/decide/limits.py
@@ -1,12 +1,12 @@
 """Slots and connections of each searcher, from the rows of servers, domains and services."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from math import floor
 from typing import NamedTuple
 
 import xxhash
 
-from ..table import ServerRow, Table
+from ..table import ServerRow, Table, server_of
 
 __all__ = ["CONNECTION_SHARE", "Limit", "apportion", "effective_limits", "settling_limits"]
 
@@ -49,26 +49,21 @@
     return {key: _limit(servers[key], count) for key, count in slots.items()}
 
 
-def settling_limits(
-    recent: Iterable[Mapping[str, Limit]], new: Mapping[str, Limit], table: Table
-) -> dict[str, Limit]:
-    """Return the limits to use until the limits in `recent` are no longer in use anywhere.
+def settling_limits(recent: Iterable[Table], table: Table) -> dict[str, Limit]:
+    """Return the limits to use until the tables in `recent` are no longer in use anywhere.
 
-    Another instance may still use a recent limit, and work sent under it may still run. A searcher
+    Another instance may still use a recent table, and work sent under it may still run. A searcher
     is raised at once only if its domain and service rows hold even then; it is lowered at once.
     """
-    recent = list(recent)
-    highest = {
-        key: max([limit.slots, *(old[key].slots for old in recent if key in old)])
-        for key, limit in new.items()
-    }
-    safe = _safe_rows(table, highest)
+    new = effective_limits(table)
+    olds = [(old, effective_limits(old)) for old in recent]
+    safe = _safe_groups([*olds, (table, new)])
     result = {}
     for key, limit in new.items():
-        row = table.servers[key.rpartition("/")[0]]
-        olds = [old.get(key, Limit()) for old in recent]
-        raised = ("domain", row.failure_domain) in safe and ("service", row.service) in safe
-        slots = limit.slots if raised else min([limit.slots, *(old.slots for old in olds)])
+        row = table.servers[server_of(key)]
+        slots = limit.slots
+        if not safe.issuperset(_groups(row)):
+            slots = min([slots, *(limits.get(key, Limit()).slots for _, limits in olds)])
         result[key] = _limit(row, slots)
     return result
 
@@ -108,7 +103,7 @@
 
 
 def _tie(name: str) -> int:
-    return xxhash.xxh64_intdigest(name)
+    return xxhash.xxh64_intdigest(name.encode())
 
 
 def _own_slots(table: Table, row: ServerRow) -> int:
@@ -141,13 +136,21 @@
     return Limit(slots, max(1, row.connections // CONNECTION_SHARE))
 
 
-def _safe_rows(table: Table, highest: Mapping[str, int]) -> set[tuple[str, str]]:
-    """Return the domains and services whose rows hold with the given slots."""
+def _groups(row: ServerRow) -> tuple[tuple[str, str], tuple[str, str]]:
+    return ("domain", row.failure_domain), ("service", row.service)
+
+
+def _safe_groups(tables: list[tuple[Table, dict[str, Limit]]]) -> set[tuple[str, str]]:
+    """Return the domains and services whose newest rows hold if any of the tables is in use."""
+    highest: dict[tuple[tuple[str, str], str], int] = {}
+    for table, limits in tables:
+        for key, limit in limits.items():
+            for group in _groups(table.servers[server_of(key)]):
+                highest[group, key] = max(limit.slots, highest.get((group, key), 0))
     sums: dict[tuple[str, str], int] = {}
-    for key, slots in highest.items():
-        row = table.servers[key.rpartition("/")[0]]
-        for group in (("domain", row.failure_domain), ("service", row.service)):
-            sums[group] = sums.get(group, 0) + slots
-    caps = {("domain", name): row.max_in_flight for name, row in table.domains.items()}
-    caps |= {("service", name): row.max_in_flight for name, row in table.services.items()}
+    for (group, _), slots in highest.items():
+        sums[group] = sums.get(group, 0) + slots
+    newest = tables[-1][0]
+    caps = {("domain", name): row.max_in_flight for name, row in newest.domains.items()}
+    caps |= {("service", name): row.max_in_flight for name, row in newest.services.items()}
     return {group for group, total in sums.items() if total <= caps.get(group, 0)}
--- /dev/null
+++ b/rattanrelay/node/connection.py
@@ -0,0 +1,41 @@
+"""An open connection of a pool with the channel through which its task gets work."""
+
+import select
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ..http import HttpConnection, Request
+from .subrequest import SubRequest
+
+__all__ = ["Connect", "Control", "Worker"]
+
+#: Opens a connection to a host and port; raises `connect_failed`.
+Connect = Callable[[str, int], Awaitable[HttpConnection]]
+
+
+class Control:
+    """A request without a slot: a cancellation or a status poll."""
+
+    def __init__(self, request: Request, expires: float, done: Callable) -> None:
+        self.request = request
+        self.expires = expires
+        self.done = done
+
+
+class Worker:
+    """An open connection and the channel through which its task gets work."""
+
+    def __init__(self, connection: HttpConnection) -> None:
+        self.connection = connection
+        self.leaving = False
+        self.sender, self.receiver = trio.open_memory_channel[SubRequest | Control](1)
+
+    def is_stale(self) -> bool:
+        """Say whether the server has closed the idle connection or sent stray bytes on it."""
+        socket = getattr(self.connection.stream, "socket", None)
+        if socket is None:
+            return False
+        poll = select.poll()
+        poll.register(socket.fileno(), select.POLLIN)
+        return bool(poll.poll(0))
--- a/rattanrelay/node/dispatch.py
+++ b/rattanrelay/node/dispatch.py
@@ -3,15 +3,13 @@
 import random
 import time
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from itertools import count
 
-import msgspec
 import trio
 
 from ..decide.canary import SharedEntry
-from ..decide.limits import Limit, effective_limits, settling_limits
-from ..errors import CODES, RelayError
+from ..decide.limits import Limit, settling_limits
 from ..http import HttpConnection
 from ..metrics import Metrics
 from ..table import Table, server_of
@@ -22,36 +20,24 @@
     Cancel,
     Handlers,
     RunAction,
-    ShardResult,
-    ShardResults,
     SubQuery,
-    Target,
 )
-from .pool import CLOCK_MARGIN_S, MAX_SUBREQUEST_S, Connect, Pool
+from .batch import ActionRun, Batch, Emit, OpenJobs, action_result, check_json
+from .connection import Connect
+from .pool import CLOCK_MARGIN_S, MAX_SUBREQUEST_S
 from .ports import Configuration, Latest, MembersPort
 from .server import Rows, Searcher, SearcherStatus, Surroundings
-from .subrequest import Outcome, SubRequest
+from .subrequest import Outcome
 from .trials import SECOND_TRIAL, Trial, Trials
 
 __all__ = ["Dispatcher"]
 
-Emit = Callable[[ShardResults], Awaitable[None]]
-
 HOUSEKEEPING_INTERVAL_S = 0.25
 #: Time within which a table is in force on every instance.
 CONFIGURATION_SPREAD_S = 7.0
 #: Time after which no work is in progress that was sent under an earlier table.
 SETTLE_S = CONFIGURATION_SPREAD_S + MAX_SUBREQUEST_S + CLOCK_MARGIN_S
 
-#: Error codes for reasons of sub-requests that are not error codes themselves.
-ACTION_CODES = {
-    "shedding": "overloaded",
-    "draining": "no_replica",
-    "out": "no_replica",
-    "snapshot_gone": "no_replica",
-    "cancelled": "deadline",
-}
-
 
 class Dispatcher:
     """Runs sub-queries and actions on searchers within their limits; implements `DispatchPort`.
@@ -77,12 +63,12 @@
         self.connect = connect
         self.searchers: dict[str, Searcher] = {}
         self.limits: dict[str, Limit] = {}
-        self.target_limits: dict[str, Limit] = {}
-        #: Limits of earlier tables, and until when they may be in use at another instance.
-        self.replaced_limits: deque[tuple[float, dict[str, Limit]]] = deque()
+        self.table: Table | None = None
+        #: Earlier tables, and until when they may be in use at another instance.
+        self.replaced_tables: deque[tuple[float, Table]] = deque()
         #: True while a searcher with a new address waits for the end of work at the old one.
         self.moving = False
-        self.open: dict[tuple[str, str, str], tuple[_Batch, SubRequest]] = {}
+        self.open_jobs: OpenJobs = {}
         self.around: Surroundings | None = None
         self.seen: tuple[int, int] | None = None
         self._prefix = f"{members.instance}-{rng.getrandbits(64):016x}"
@@ -124,7 +110,7 @@
         Work that has not ended when this is cancelled is cancelled at the servers.
         """
         self.sync()
-        batch = _Batch(self, query)
+        batch = self._batch(query)
         reason = await self._admit(batch)
         if reason:
             batch.refuse(reason)
@@ -138,22 +124,22 @@
     async def act(self, order: RunAction) -> ActionResult:
         """Run a claimed non-idempotent request once; the result says `not_run` only if true."""
         self.sync()
-        _check_json(order.body)
+        check_json(order.body)
         searcher = self.searchers.get(order.searcher)
         if searcher is None:
-            return _action_result(Outcome(self.absence(order.searcher), "not_run"))
+            return action_result(Outcome(self.absence(order.searcher), "not_run"))
         deadline = self.trio_time(order.deadline_ms)
         trial = None
         if searcher.rows.service.canary:
             trial = Trial(self.trials, order.svc, order.body)
             reason = await trial.begin(deadline)
             if reason:
-                return _action_result(Outcome(reason, "not_run"))
-        return await _Act(order, searcher, deadline, trial).run()
+                return action_result(Outcome(reason, "not_run"))
+        return await ActionRun(order, searcher, deadline, trial).run()
 
     def cancel(self, order: Cancel) -> bool:
         """Give up one sub-request; False if it is not in progress."""
-        entry = self.open.get((order.query_id, order.shard, order.searcher))
+        entry = self.open_jobs.get((order.query_id, order.shard, order.searcher))
         if entry is None:
             return False
         batch, job = entry
@@ -200,7 +186,11 @@
         left = deadline_ms / 1000 - self.wall()
         return trio.current_time() + left
 
-    async def _admit(self, batch: "_Batch") -> str:
+    def _batch(self, query: SubQuery) -> Batch:
+        deadline = self.trio_time(query.deadline_ms)
+        return Batch(query, deadline, self.searchers, self.absence, self.open_jobs)
+
+    async def _admit(self, batch: Batch) -> str:
         """Wait for the turn of a canary; return why the sub-query may not run, empty if it may."""
         query = batch.query
         table = self.configuration.value.table
@@ -237,14 +227,12 @@
     def _set_limits(self, table: Table) -> None:
         """Set the limits of a table, and for a while those of the tables before it as well."""
         now = trio.current_time()
-        new = effective_limits(table)
-        if self.target_limits and new != self.target_limits:
-            self.replaced_limits.append((now + SETTLE_S, self.target_limits))
-        self.target_limits = new
-        while self.replaced_limits and self.replaced_limits[0][0] <= now:
-            self.replaced_limits.popleft()
-        recent = [limits for _, limits in self.replaced_limits]
-        self.limits = settling_limits(recent, new, table) if recent else new
+        if self.table is not None and self.table.revision != table.revision:
+            self.replaced_tables.append((now + SETTLE_S, self.table))
+        self.table = table
+        while self.replaced_tables and self.replaced_tables[0][0] <= now:
+            self.replaced_tables.popleft()
+        self.limits = settling_limits([old for _, old in self.replaced_tables], table)
 
     def _owned(self, table: Table) -> dict[str, tuple[str, Rows]]:
         """Return address and rows of each searcher that this instance owns."""
@@ -290,7 +278,7 @@
             self.sync()
 
     def _keep_house(self) -> None:
-        settled = self.replaced_limits and self.replaced_limits[0][0] <= trio.current_time()
+        settled = self.replaced_tables and self.replaced_tables[0][0] <= trio.current_time()
         if settled or self.moving:
             self.moving = False
             self.seen = None
@@ -312,177 +300,3 @@
         table = self.configuration.value.table
         row = table.tenants.get(tenant) if table else None
         return float(row.weight) if row else 1.0
-
-
-class _Batch:
-    """The targets of one sub-query and the results that are ready to be emitted."""
-
-    def __init__(self, dispatcher: Dispatcher, query: SubQuery) -> None:
-        _check_json(query.body)
-        self.dispatcher = dispatcher
-        self.query = query
-        self.deadline = dispatcher.trio_time(query.deadline_ms)
-        self.labels = {"service": query.svc, "kind": query.kind}
-        self.jobs: dict[SubRequest, Target] = {}
-        self.pools: dict[SubRequest, Pool] = {}
-        self.trial: Trial | None = None
-        self.ready: list[ShardResult] = []
-        self.wake = trio.Event()
-
-    def start(self) -> None:
-        """Submit all targets."""
-        for target in self.query.targets:
-            searcher = self.dispatcher.searchers.get(target.searcher)
-            if searcher is None:
-                reason = self.dispatcher.absence(target.searcher)
-                self._add(target, Outcome(reason, "not_run"))
-            else:
-                self._submit(target, searcher)
-        if self.trial is not None and not self.jobs:
-            self.trial.abandon()
-
-    async def emit_all(self, emit: Emit) -> None:
-        """Emit results until each target has one, at the deadline the failures that remain."""
-        while self.jobs or self.ready:
-            if not self.ready:
-                with trio.move_on_at(self.deadline):
-                    await self.wake.wait()
-                if not self.ready:
-                    self._expire()
-            self.wake = trio.Event()
-            results, self.ready = tuple(self.ready), []
-            await emit(ShardResults(results))
-
-    def cancel(self, job: SubRequest) -> None:
-        """Give up one sub-request."""
-        pool = self.pools[job]
-        if pool.forget(job):
-            job.finish(Outcome("cancelled", "not_run"))
-            return
-        job.abandon(Outcome("cancelled", "unknown"))
-        pool.cancel(job)
-
-    def withdraw(self) -> None:
-        """Give up all that has not ended."""
-        for job in list(self.jobs):
-            self.cancel(job)
-
-    def refuse(self, reason: str) -> None:
-        """Fail all targets before anything is sent."""
-        for target in self.query.targets:
-            self._add(target, Outcome(reason, "not_run"))
-
-    def _submit(self, target: Target, searcher: Searcher) -> None:
-        query = self.query
-        job = SubRequest(
-            "search",
-            target.shard,
-            query.snapshot,
-            query.body,
-            query.tenant,
-            self.deadline,
-            query.deadline_ms,
-            self.labels,
-            self._finished,
-        )
-        self.jobs[job] = target
-        self.pools[job] = searcher.pool
-        if self.trial is not None:
-            job.on_settled = self.trial.settle
-        self.dispatcher.open[query.query_id, target.shard, target.searcher] = (self, job)
-        searcher.pool.submit(job)
-
-    def _finished(self, job: SubRequest, outcome: Outcome) -> None:
-        target = self.jobs.pop(job)
-        key = (self.query.query_id, target.shard, target.searcher)
-        if self.dispatcher.open.get(key, (None, None))[1] is job:
-            del self.dispatcher.open[key]
-        self._add(target, outcome)
-
-    def _add(self, target: Target, outcome: Outcome) -> None:
-        self.ready.append(_shard_result(self.query, target, outcome))
-        self.wake.set()
-
-    def _expire(self) -> None:
-        """Fail what has no answer at the deadline; the server drops its part by itself."""
-        for job in list(self.jobs):
-            if self.pools[job].forget(job):
-                job.finish(Outcome("deadline", "not_run"))
-            else:
-                job.abandon(Outcome("deadline", "unknown"))
-
-
-class _Act:
-    """One run of a non-idempotent request."""
-
-    def __init__(
-        self, order: RunAction, searcher: Searcher, deadline: float, trial: Trial | None
-    ) -> None:
-        self.searcher = searcher
-        self.deadline = deadline
-        self.ended = trio.Event()
-        self.outcome: Outcome | None = None
-        self.job = SubRequest(
-            "action",
-            order.shard,
-            "",
-            order.body,
-            order.tenant,
-            deadline,
-            order.deadline_ms,
-            {"service": order.svc, "kind": "action"},
-            self._finished,
-        )
-        if trial is not None:
-            self.job.on_settled = trial.settle
-
-    async def run(self) -> ActionResult:
-        """Wait for the outcome; work that was sent is waited for until its slot is free."""
-        pool = self.searcher.pool
-        pool.submit(self.job)
-        try:
-            with trio.move_on_at(self.deadline):
-                await self.ended.wait()
-        finally:
-            if pool.forget(self.job):
-                self.job.finish(Outcome("deadline", "not_run"))
-        await self.ended.wait()
-        return _action_result(self.outcome)
-
-    def _finished(self, job: SubRequest, outcome: Outcome) -> None:
-        self.outcome = outcome
-        self.ended.set()
-
-
-def _check_json(body: bytes) -> None:
-    """Raise `bad_body` unless the body is one JSON value, since it becomes part of another."""
-    try:
-        msgspec.json.decode(body, type=msgspec.Raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise RelayError("bad_body", str(error), step="check body") from error
-
-
-def _shard_result(query: SubQuery, target: Target, outcome: Outcome) -> ShardResult:
-    return ShardResult(
-        query.query_id,
-        target.shard,
-        target.searcher,
-        "failed" if outcome.reason else "ok",
-        outcome.reason,
-        "" if outcome.reason else query.snapshot,
-        outcome.payload,
-        outcome.held,
-        int(outcome.service * 1e6),
-        int(outcome.queued * 1e6),
-        outcome.in_flight,
-        outcome.limit,
-    )
-
-
-def _action_result(outcome: Outcome) -> ActionResult:
-    if not outcome.reason:
-        return ActionResult("done", payload=outcome.payload)
-    if outcome.ran == "not_run":
-        code = ACTION_CODES.get(outcome.reason, outcome.reason)
-        return ActionResult("not_run", code if code in CODES else "internal", outcome.reason)
-    return ActionResult("unknown", "outcome_unknown", outcome.reason)
--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -1,8 +1,7 @@
 """Connections, slots and queue of one searcher; each connection is a task that owns its socket."""
 
-import select
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
@@ -12,6 +11,7 @@
 from ..decide.slots import Slots
 from ..errors import RelayError
 from ..http import HttpConnection, Request, Response
+from .connection import Connect, Control, Worker
 from .subrequest import Outcome, SubRequest, cancel_request, judge
 
 __all__ = [
@@ -19,14 +19,10 @@
     "CONNECT_TIMEOUT_S",
     "CONTROL_TIMEOUT_S",
     "MAX_SUBREQUEST_S",
-    "Connect",
     "Pool",
     "Supervisor",
 ]
 
-#: Opens a connection to a host and port; raises `connect_failed`.
-Connect = Callable[[str, int], Awaitable[HttpConnection]]
-
 #: A sub-request's deadline lies at most this far ahead of the check of the lease.
 MAX_SUBREQUEST_S = 2.0
 #: Time after its deadline at which the work of a sub-request has certainly ended.
@@ -55,6 +51,9 @@
     def lost(self) -> None:
         """Note a connection that broke while the server worked on a request."""
 
+    def dropped(self) -> None:
+        """Note an idle connection that the server closed: it may have started anew."""
+
     def unreachable(self) -> None:
         """Note a connection that could not be opened."""
 
@@ -68,33 +67,6 @@
         """Count a sub-request that is being written."""
 
 
-class _Control:
-    """A request without a slot: a cancellation or a status poll."""
-
-    def __init__(self, request: Request, expires: float, done: Callable) -> None:
-        self.request = request
-        self.expires = expires
-        self.done = done
-
-
-class _Worker:
-    """An open connection and the channel through which its task gets work."""
-
-    def __init__(self, connection: HttpConnection) -> None:
-        self.connection = connection
-        self.leaving = False
-        self.sender, self.receiver = trio.open_memory_channel[SubRequest | _Control](1)
-
-    def is_stale(self) -> bool:
-        """Say whether the server has closed the idle connection or sent stray bytes on it."""
-        socket = getattr(self.connection.stream, "socket", None)
-        if socket is None:
-            return False
-        poll = select.poll()
-        poll.register(socket.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
-
 class Pool:
     """Sends the sub-requests of one searcher within its limits.
 
@@ -123,11 +95,11 @@
         self.slots = Slots()
         self.queue = FairQueue(0)
         self.jobs: dict[int, SubRequest] = {}
-        self.controls: deque[_Control] = deque()
-        self.workers: set[_Worker] = set()
+        self.controls: deque[Control] = deque()
+        self.workers: set[Worker] = set()
         #: Number of idle connections that were told to close and have not yet.
         self.leaving = 0
-        self.idle: list[_Worker] = []
+        self.idle: list[Worker] = []
         self.connecting = False
         self.closing = False
         self.next_connect = 0.0
@@ -186,18 +158,29 @@
 
         It is dropped without a call of `done` if no connection is free before `expires`.
         """
-        self.controls.append(_Control(request, expires, done))
+        self.controls.append(Control(request, expires, done))
         self.pump()
 
     def refuse(self, job: SubRequest, reason: str) -> None:
         """Finish a sub-request of which nothing was written."""
-        job.finish(self._measured(job, Outcome(reason, "not_run")))
+        job.finish(self.measured(job, Outcome(reason, "not_run")))
 
     def refuse_queued(self, reason: str) -> None:
         """Refuse all queued sub-requests."""
         for entry in self.queue.drain():
             self.refuse(self.jobs.pop(entry.key), reason)
 
+    def measured(self, job: SubRequest, outcome: Outcome) -> Outcome:
+        """Add times and load to an outcome."""
+        now = trio.current_time()
+        started = job.started_at or now
+        return outcome._replace(
+            service=now - started if job.started_at else 0.0,
+            queued=started - job.queued_at if job.queued_at else 0.0,
+            in_flight=self.load,
+            limit=self.supervisor.allowance(),
+        )
+
     def pump(self) -> None:
         """Give work to idle connections as far as the limits allow; open one if it is needed."""
         now = trio.current_time()
@@ -281,16 +264,16 @@
             self.next_connect = trio.current_time() + max(self.connect_s, RECONNECT_S)
             self.supervisor.unreachable()
             return
-        worker = _Worker(connection)
+        worker = Worker(connection)
         self.workers.add(worker)
         self.nursery.start_soon(self._work, worker)
 
-    async def _work(self, worker: _Worker) -> None:
+    async def _work(self, worker: Worker) -> None:
         """Serve one connection until it is closed."""
         try:
             self._ready(worker)
             async for job in worker.receiver:
-                if isinstance(job, _Control):
+                if isinstance(job, Control):
                     await self._run_control(worker, job)
                 else:
                     await self._run(worker, job)
@@ -306,7 +289,7 @@
             self.leaving -= worker.leaving
             self.pump()
 
-    def _ready(self, worker: _Worker) -> None:
+    def _ready(self, worker: Worker) -> None:
         self.idle.append(worker)
         self.pump()
 
@@ -324,9 +307,9 @@
 
     # Requests
 
-    async def _run_control(self, worker: _Worker, control: _Control) -> None:
+    async def _run_control(self, worker: Worker, control: Control) -> None:
         if worker.is_stale():
-            worker.connection.usable = False
+            self._drop(worker)
             self.controls.appendleft(control)
             return
         response = None
@@ -334,13 +317,17 @@
             try:
                 response = await worker.connection.request(control.request)
             except RelayError:
-                response = None
+                self.supervisor.dropped()
         control.done(response)
 
-    async def _run(self, worker: _Worker, job: SubRequest) -> None:
+    def _drop(self, worker: Worker) -> None:
+        worker.connection.usable = False
+        self.supervisor.dropped()
+
+    async def _run(self, worker: Worker, job: SubRequest) -> None:
         request = job.request()
         if worker.is_stale():
-            worker.connection.usable = False
+            self._drop(worker)
             self._requeue(job)
             return
         reason = "cancelled" if job.finished else self.supervisor.refusal()
@@ -358,7 +345,7 @@
                 return
         if response is None:
             self.slots.free(job.request_id)
-            job.finish(self._measured(job, Outcome("deadline", "unknown")))
+            job.finish(self.measured(job, Outcome("deadline", "unknown")))
             return
         self._answered(worker, job, response)
 
@@ -373,7 +360,7 @@
         else:
             self._enqueue(job)
 
-    def _answered(self, worker: _Worker, job: SubRequest, response: Response) -> None:
+    def _answered(self, worker: Worker, job: SubRequest, response: Response) -> None:
         outcome = judge(job, response)
         if outcome.reason == "bad_answer":
             worker.connection.usable = False
@@ -382,7 +369,7 @@
             self.slots.free(job.request_id)
         if outcome.reason == "snapshot_mismatch":
             worker.connection.usable = False
-        outcome = self._measured(job, outcome)
+        outcome = self.measured(job, outcome)
         self.supervisor.answered(response, outcome)
         job.finish(outcome)
 
@@ -392,7 +379,7 @@
         else:
             self._free_later(job)
             self.supervisor.lost()
-        job.finish(self._measured(job, Outcome(error.code, error.ran)))
+        job.finish(self.measured(job, Outcome(error.code, error.ran)))
 
     def _cancelled(self, request_id: str, response: Response | None) -> None:
         if response is None or response.status != 200:
@@ -411,13 +398,3 @@
         await trio.sleep_until(job.free_at)
         self.slots.free(job.request_id)
         self.pump()
-
-    def _measured(self, job: SubRequest, outcome: Outcome) -> Outcome:
-        now = trio.current_time()
-        started = job.started_at or now
-        return outcome._replace(
-            service=now - started if job.started_at else 0.0,
-            queued=started - job.queued_at if job.queued_at else 0.0,
-            in_flight=self.load,
-            limit=self.supervisor.allowance(),
-        )
--- a/rattanrelay/node/server.py
+++ b/rattanrelay/node/server.py
@@ -13,7 +13,8 @@
 from ..http import HttpConnection, Response
 from ..metrics import Metrics
 from ..table import ServerRow, ServiceRow
-from .pool import CONTROL_TIMEOUT_S, Connect, Pool
+from .connection import Connect
+from .pool import CONTROL_TIMEOUT_S, Pool
 from .ports import MembersPort
 from .subrequest import Outcome, SubRequest, status_request
 
@@ -93,6 +94,8 @@
         self.last_leaving = -LEAVING_HOLD_S
         self.silent_polls = 0
         self.poll_busy_until = 0.0
+        self.polled_at = 0.0
+        self.unconfirmed_since: float | None = None
         self.wake = trio.Event()
         self.owned = True
         self.pool = Pool(name, address, self, around.nursery, around.wall, around.connect)
@@ -170,7 +173,10 @@
         """Return how many slots may be in use now."""
         if self.chart.state in REFUSED_STATES:
             return 0
-        return self.ramp.allowance(self.rows.limit.slots)
+        allowed = self.ramp.allowance(self.rows.limit.slots)
+        if self.unconfirmed_since is not None:
+            return min(allowed, max(self.rows.server.cold_slots, 1))
+        return allowed
 
     def request_id(self) -> str:
         """Return a new request id."""
@@ -204,6 +210,15 @@
         """Note a connection that broke while the server worked on a request."""
         self._send("lost", "connection broke during a request")
 
+    def dropped(self) -> None:
+        """Note an idle connection that the server closed.
+
+        The server may have started anew, so it gets the slots of a cold one until a status poll
+        shows the same boot id.
+        """
+        self.unconfirmed_since = trio.current_time()
+        self.wake.set()
+
     def unreachable(self) -> None:
         """Note a connection that could not be opened."""
         self.poll_busy_until = 0.0
@@ -217,8 +232,8 @@
         with self.polling:
             while True:
                 self._ask_status()
-                lost = self.chart.state == "lost"
-                with trio.move_on_after(PROBE_INTERVAL_S if lost else STATUS_INTERVAL_S):
+                soon = self.chart.state == "lost" or self.unconfirmed_since is not None
+                with trio.move_on_after(PROBE_INTERVAL_S if soon else STATUS_INTERVAL_S):
                     await self.wake.wait()
                 self.wake = trio.Event()
 
@@ -226,6 +241,7 @@
         now = trio.current_time()
         idle = now >= self.poll_busy_until and not self.pool.closing
         if idle and self.rows.limit.connections and self.may_connect():
+            self.polled_at = now
             self.poll_busy_until = now + 2 * CONTROL_TIMEOUT_S
             self.pool.control(status_request(), now + CONTROL_TIMEOUT_S, self._saw_status)
 
@@ -236,6 +252,8 @@
             return
         self.silent_polls = 0
         self._note_headers(response)
+        if self.unconfirmed_since is not None and self.polled_at >= self.unconfirmed_since:
+            self.unconfirmed_since = None
         try:
             state = _STATUS.decode(response.body).state
         except msgspec.DecodeError:
