--- a/rattanrelay/decide/canary.py
+++ b/rattanrelay/decide/canary.py
@@ -4,8 +4,6 @@
 from collections.abc import Iterable
 from typing import Literal, NamedTuple
 
-import xxhash
-
 __all__ = [
     "BLOCK_S",
     "LOSSES_TO_BLOCK",
@@ -13,7 +11,6 @@
     "Canary",
     "SharedEntry",
     "Verdict",
-    "fingerprint",
 ]
 
 #: How long a fingerprint stays blocked, and how long a single loss is remembered.
@@ -32,8 +29,9 @@
 #: Separates the fingerprint of a suspect from the id of its loss in a shared entry.
 _LOSS_MARK = "@"
 
-#: Run it as the only trial, run it freely, wait for the trial in progress, or refuse it.
-Verdict = Literal["trial", "proven", "wait", "blocked"]
+#: Run it as the only trial, run it freely, wait for the trial in progress, refuse it, or leave
+#: its second trial to another replica.
+Verdict = Literal["trial", "proven", "wait", "blocked", "suspect"]
 
 
 class SharedEntry(NamedTuple):
@@ -43,11 +41,6 @@
     seconds_left: int
 
 
-def fingerprint(service: str, body: bytes) -> str:
-    """Return the fingerprint of a request: 16 hex digits."""
-    return xxhash.xxh64_hexdigest(service.encode() + b"\n" + body)
-
-
 class Canary:
     """Trials and losses by fingerprint; times are seconds on the caller's clock.
 
@@ -75,14 +68,19 @@
         """Say whether a server was lost with this fingerprint and it has not succeeded since."""
         return any(until > now for until in self.losses.get(name, {}).values())
 
-    def begin(self, name: str, now: float) -> Verdict:
-        """Ask to run a request; after `trial`, one of `succeeded`, `lost`, `ended` must follow."""
+    def begin(self, name: str, now: float, *, second: bool = False) -> Verdict:
+        """Ask to run a request; after `trial`, one of `succeeded`, `lost`, `ended` must follow.
+
+        `second` says that this is the one more trial that a suspect gets.
+        """
         if self.is_blocked(name, now):
             return "blocked"
         if self.proven.get(name, now) > now:
             return "proven"
         if name in self.running:
             return "wait"
+        if self.is_suspect(name, now) and not second:
+            return "suspect"
         self.running.add(name)
         return "trial"
 
--- a/rattanrelay/node/batch.py
+++ b/rattanrelay/node/batch.py
@@ -20,15 +20,6 @@
 #: Sub-requests in progress by query id, shard and searcher.
 OpenJobs = dict[tuple[str, str, str], tuple["Batch", SubRequest]]
 
-#: Error codes for reasons of sub-requests that are not error codes themselves.
-ACTION_CODES = {
-    "shedding": "overloaded",
-    "draining": "no_replica",
-    "out": "no_replica",
-    "snapshot_gone": "no_replica",
-    "cancelled": "deadline",
-}
-
 
 class Batch:
     """The targets of one sub-query and the results that are ready to be emitted.
@@ -76,20 +67,23 @@
             if not self.ready:
                 with trio.move_on_at(self.deadline):
                     await self.wake.wait()
-                if not self.ready:
+                if trio.current_time() >= self.deadline:
                     self._expire()
             self.wake = trio.Event()
             results, self.ready = tuple(self.ready), []
-            await emit(ShardResults(results))
+            if results:
+                await emit(ShardResults(results))
 
     def cancel(self, job: SubRequest) -> None:
-        """Give up one sub-request."""
+        """Give up one sub-request without a result."""
+        self._forget(job)
         pool = self.pools[job]
         if pool.forget(job):
             pool.refuse(job, "cancelled")
-            return
-        job.abandon(pool.measured(job, Outcome("cancelled", "unknown")))
-        pool.cancel(job)
+        else:
+            job.abandon(Outcome("cancelled", "unknown"))
+            pool.cancel(job)
+        self.wake.set()
 
     def withdraw(self) -> None:
         """Give up all that has not ended."""
@@ -122,11 +116,17 @@
         searcher.pool.submit(job)
 
     def _finished(self, job: SubRequest, outcome: Outcome) -> None:
-        target = self.jobs.pop(job)
-        key = (self.query.query_id, target.shard, target.searcher)
-        if self.open_jobs.get(key, (None, None))[1] is job:
-            del self.open_jobs[key]
-        self._add(target, outcome)
+        target = self._forget(job)
+        if target is not None:
+            self._add(target, outcome)
+
+    def _forget(self, job: SubRequest) -> Target | None:
+        target = self.jobs.pop(job, None)
+        if target is not None:
+            key = (self.query.query_id, target.shard, target.searcher)
+            if self.open_jobs.get(key, (None, None))[1] is job:
+                del self.open_jobs[key]
+        return target
 
     def _add(self, target: Target, outcome: Outcome) -> None:
         self.ready.append(_shard_result(self.query, target, outcome))
@@ -214,6 +214,6 @@
     if not outcome.reason:
         return ActionResult("done", payload=outcome.payload)
     if outcome.ran == "not_run":
-        code = ACTION_CODES.get(outcome.reason, outcome.reason)
-        return ActionResult("not_run", code if code in CODES else "internal", outcome.reason)
+        code = outcome.reason if outcome.reason in CODES else "internal"
+        return ActionResult("not_run", code, outcome.reason)
     return ActionResult("unknown", "outcome_unknown", outcome.reason)
--- a/rattanrelay/node/dispatch.py
+++ b/rattanrelay/node/dispatch.py
@@ -101,8 +101,9 @@
         handlers.on(RunAction)(self.act)
 
         @handlers.on(Cancel)
-        async def cancel(order: Cancel) -> Accepted:
-            return Accepted(self.cancel(order))
+        async def cancel(message: Cancel) -> Accepted:
+            await self.cancel(message)
+            return Accepted(True)
 
     async def run(self, query: SubQuery, emit: Emit) -> None:
         """Run the targets of a sub-query and emit each shard result as soon as it is there.
@@ -131,20 +132,18 @@
         deadline = self.trio_time(order.deadline_ms)
         trial = None
         if searcher.rows.service.canary:
-            trial = Trial(self.trials, order.svc, order.body)
+            trial = Trial(self.trials, order.svc, order.body, second=None)
             reason = await trial.begin(deadline)
             if reason:
                 return action_result(Outcome(reason, "not_run"))
         return await ActionRun(order, searcher, deadline, trial).run()
 
-    def cancel(self, order: Cancel) -> bool:
-        """Give up one sub-request; False if it is not in progress."""
-        entry = self.open_jobs.get((order.query_id, order.shard, order.searcher))
-        if entry is None:
-            return False
-        batch, job = entry
-        batch.cancel(job)
-        return True
+    async def cancel(self, message: Cancel) -> None:
+        """Give up one target of a running sub-query; it emits no result for it."""
+        entry = self.open_jobs.get((message.query_id, message.shard, message.searcher))
+        if entry is not None:
+            batch, job = entry
+            batch.cancel(job)
 
     async def release(self, server: str) -> None:
         """Take no new work for a server; return when its work and connections have ended."""
--- a/rattanrelay/node/server.py
+++ b/rattanrelay/node/server.py
@@ -29,7 +29,7 @@
 
 LEAVING_STATES = frozenset(("leaving", "draining"))
 #: Why a searcher in this state takes no new work.
-REFUSED_STATES = {"leaving": "draining", "lost": "connect_failed", "out": "out"}
+REFUSED_STATES = {"leaving": "draining", "lost": "connect_failed", "out": "no_replica"}
 
 
 class Surroundings(NamedTuple):
--- a/rattanrelay/node/trials.py
+++ b/rattanrelay/node/trials.py
@@ -4,7 +4,8 @@
 
 import trio
 
-from ..decide.canary import Canary, fingerprint
+from ..decide.canary import Canary
+from ..decide.proven import request_fingerprint
 from ..log import event
 from .subrequest import Outcome
 
@@ -14,6 +15,9 @@
 SECOND_TRIAL = "suspect"
 
 
+REFUSALS = {"blocked": "request_blocked", "suspect": "request_suspect"}
+
+
 class Trials:
     """Canary state of this instance; `prefix` makes the ids of its losses unique."""
 
@@ -30,11 +34,17 @@
 
 
 class Trial:
-    """One request that wants to run as a canary; `second` if its first trial lost a server."""
+    """One request that wants to run as a canary.
+
+    `second` says that its first trial lost a server; an earlier loss then counts as well. With
+    `second` None the request has no trial elsewhere to refer to, so it runs although suspect.
+    """
 
-    def __init__(self, trials: Trials, service: str, body: bytes, *, second: bool = False) -> None:
+    def __init__(
+        self, trials: Trials, service: str, body: bytes, *, second: bool | None = False
+    ) -> None:
         self.trials = trials
-        self.name = fingerprint(service, body)
+        self.name = request_fingerprint(service, body)
         self.second = second
         self.running = False
 
@@ -47,9 +57,10 @@
         """Wait while another trial runs; return why the request may not run, empty if it may."""
         while True:
             ended = self.trials.ended
-            verdict = self.trials.canary.begin(self.name, trio.current_time())
-            if verdict == "blocked":
-                return "request_blocked"
+            now = trio.current_time()
+            verdict = self.trials.canary.begin(self.name, now, second=self.second is not False)
+            if verdict in REFUSALS:
+                return REFUSALS[verdict]
             if verdict != "wait":
                 self.running = verdict == "trial"
                 return ""
@@ -69,7 +80,7 @@
             canary.succeeded(self.name, now)
         elif (outcome.reason, outcome.ran) == ("connection_lost", "unknown"):
             loss = f"{self.trials.prefix}.{next(self.trials.numbers)}"
-            blocked = canary.lost(self.name, loss, now, second=self.second)
+            blocked = canary.lost(self.name, loss, now, second=bool(self.second))
             event("server_lost_in_trial", fingerprint=self.name, blocked=blocked)
         else:
             canary.ended(self.name)
