--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -1,8 +1,7 @@
 """Connections, slots and queue of one searcher; each connection is a task that owns its socket."""
 
-import select
 from collections import deque
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from functools import partial
 from typing import Protocol
 
@@ -12,6 +11,7 @@
 from ..decide.slots import Slots
 from ..errors import RelayError
 from ..http import HttpConnection, Request, Response
+from .connection import Connect, Control, Worker
 from .subrequest import Outcome, SubRequest, cancel_request, judge
 
 __all__ = [
@@ -19,14 +19,10 @@
     "CONNECT_TIMEOUT_S",
     "CONTROL_TIMEOUT_S",
     "MAX_SUBREQUEST_S",
-    "Connect",
     "Pool",
     "Supervisor",
 ]
 
-#: Opens a connection to a host and port; raises `connect_failed`.
-Connect = Callable[[str, int], Awaitable[HttpConnection]]
-
 #: A sub-request's deadline lies at most this far ahead of the check of the lease.
 MAX_SUBREQUEST_S = 2.0
 #: Time after its deadline at which the work of a sub-request has certainly ended.
@@ -55,6 +51,9 @@
     def lost(self) -> None:
         """Note a connection that broke while the server worked on a request."""
 
+    def dropped(self) -> None:
+        """Note an idle connection that the server closed: it may have started anew."""
+
     def unreachable(self) -> None:
         """Note a connection that could not be opened."""
 
@@ -68,33 +67,6 @@
         """Count a sub-request that is being written."""
 
 
-class _Control:
-    """A request without a slot: a cancellation or a status poll."""
-
-    def __init__(self, request: Request, expires: float, done: Callable) -> None:
-        self.request = request
-        self.expires = expires
-        self.done = done
-
-
-class _Worker:
-    """An open connection and the channel through which its task gets work."""
-
-    def __init__(self, connection: HttpConnection) -> None:
-        self.connection = connection
-        self.leaving = False
-        self.sender, self.receiver = trio.open_memory_channel[SubRequest | _Control](1)
-
-    def is_stale(self) -> bool:
-        """Say whether the server has closed the idle connection or sent stray bytes on it."""
-        socket = getattr(self.connection.stream, "socket", None)
-        if socket is None:
-            return False
-        poll = select.poll()
-        poll.register(socket.fileno(), select.POLLIN)
-        return bool(poll.poll(0))
-
-
 class Pool:
     """Sends the sub-requests of one searcher within its limits.
 
@@ -123,11 +95,11 @@
         self.slots = Slots()
         self.queue = FairQueue(0)
         self.jobs: dict[int, SubRequest] = {}
-        self.controls: deque[_Control] = deque()
-        self.workers: set[_Worker] = set()
+        self.controls: deque[Control] = deque()
+        self.workers: set[Worker] = set()
         #: Number of idle connections that were told to close and have not yet.
         self.leaving = 0
-        self.idle: list[_Worker] = []
+        self.idle: list[Worker] = []
         self.connecting = False
         self.closing = False
         self.next_connect = 0.0
@@ -150,11 +122,14 @@
 
     def submit(self, job: SubRequest) -> None:
         """Queue a sub-request; it is refused at once if it cannot be sent."""
-        reason = self.supervisor.refusal()
+        reason = "no_owner" if self.closing else self.supervisor.refusal()
         if reason:
             self.refuse(job, reason)
             return
-        job.queued_at = job.queued_at or trio.current_time()
+        job.queued_at = trio.current_time()
+        self._enqueue(job)
+
+    def _enqueue(self, job: SubRequest) -> None:
         weight = self.supervisor.weight(job.tenant)
         pushed = self.queue.push(Entry(id(job), job.tenant, job.deadline), weight)
         if pushed.evicted is not None:
@@ -172,10 +147,8 @@
         del self.jobs[id(job)]
         return True
 
-    def withdraw(self, job: SubRequest) -> None:
-        """Take back a sub-request; if it was sent, the server is asked to cancel it."""
-        if self.forget(job):
-            return
+    def cancel(self, job: SubRequest) -> None:
+        """Ask the server to cancel a sub-request that was sent; it keeps its slot until then."""
         if self.slots.cancel(job.request_id):
             done = partial(self._cancelled, job.request_id)
             self.control(cancel_request(job.request_id), job.free_at, done)
@@ -185,18 +158,29 @@
 
         It is dropped without a call of `done` if no connection is free before `expires`.
         """
-        self.controls.append(_Control(request, expires, done))
+        self.controls.append(Control(request, expires, done))
         self.pump()
 
     def refuse(self, job: SubRequest, reason: str) -> None:
         """Finish a sub-request of which nothing was written."""
-        job.finish(self._measured(job, Outcome(reason, "not_run")))
+        job.finish(self.measured(job, Outcome(reason, "not_run")))
 
     def refuse_queued(self, reason: str) -> None:
         """Refuse all queued sub-requests."""
         for entry in self.queue.drain():
             self.refuse(self.jobs.pop(entry.key), reason)
 
+    def measured(self, job: SubRequest, outcome: Outcome) -> Outcome:
+        """Add times and load to an outcome."""
+        now = trio.current_time()
+        started = job.started_at or now
+        return outcome._replace(
+            service=now - started if job.started_at else 0.0,
+            queued=started - job.queued_at if job.queued_at else 0.0,
+            in_flight=self.load,
+            limit=self.supervisor.allowance(),
+        )
+
     def pump(self) -> None:
         """Give work to idle connections as far as the limits allow; open one if it is needed."""
         now = trio.current_time()
@@ -211,12 +195,12 @@
         self._close_idle()
 
     def close(self) -> None:
-        """Take no more connections; each open one is closed when its work has ended."""
+        """Take no new work; each connection is closed when the queue and its work have ended."""
         self.closing = True
         self._close_idle()
 
     def reopen(self) -> None:
-        """Allow connections again after `close`."""
+        """Take work again after `close`."""
         self.closing = False
         if self.ended.is_set():
             self.ended = trio.Event()
@@ -255,7 +239,7 @@
     def _connect_if_needed(self) -> None:
         room = self.supervisor.allowance() - self.slots.in_use
         wanted = min(len(self.queue), max(room, 0)) + len(self.controls)
-        if wanted <= len(self.idle) or self.connecting or self.closing:
+        if wanted <= len(self.idle) or self.connecting:
             return
         if self.open_connections < self.connections:
             self.connecting = True
@@ -265,7 +249,7 @@
         connection = None
         try:
             await trio.sleep_until(self.next_connect)
-            if self.closing or not self.supervisor.may_connect():
+            if not self.supervisor.may_connect():
                 self.refuse_queued(self.supervisor.refusal() or "no_owner")
                 return
             self.next_connect = trio.current_time() + self.connect_s
@@ -280,16 +264,16 @@
             self.next_connect = trio.current_time() + max(self.connect_s, RECONNECT_S)
             self.supervisor.unreachable()
             return
-        worker = _Worker(connection)
+        worker = Worker(connection)
         self.workers.add(worker)
         self.nursery.start_soon(self._work, worker)
 
-    async def _work(self, worker: _Worker) -> None:
+    async def _work(self, worker: Worker) -> None:
         """Serve one connection until it is closed."""
         try:
             self._ready(worker)
             async for job in worker.receiver:
-                if isinstance(job, _Control):
+                if isinstance(job, Control):
                     await self._run_control(worker, job)
                 else:
                     await self._run(worker, job)
@@ -305,13 +289,14 @@
             self.leaving -= worker.leaving
             self.pump()
 
-    def _ready(self, worker: _Worker) -> None:
+    def _ready(self, worker: Worker) -> None:
         self.idle.append(worker)
         self.pump()
 
     def _close_idle(self) -> None:
         """Close idle connections above the limit, all of them when the pool is closing."""
-        limit = 0 if self.closing else self.connections
+        done = self.closing and not len(self.queue)
+        limit = 0 if done else self.connections
         while self.idle and len(self.workers) - self.leaving > limit:
             worker = self.idle.pop()
             worker.leaving = True
@@ -322,9 +307,9 @@
 
     # Requests
 
-    async def _run_control(self, worker: _Worker, control: _Control) -> None:
+    async def _run_control(self, worker: Worker, control: Control) -> None:
         if worker.is_stale():
-            worker.connection.usable = False
+            self._drop(worker)
             self.controls.appendleft(control)
             return
         response = None
@@ -332,13 +317,17 @@
             try:
                 response = await worker.connection.request(control.request)
             except RelayError:
-                response = None
+                self.supervisor.dropped()
         control.done(response)
 
-    async def _run(self, worker: _Worker, job: SubRequest) -> None:
+    def _drop(self, worker: Worker) -> None:
+        worker.connection.usable = False
+        self.supervisor.dropped()
+
+    async def _run(self, worker: Worker, job: SubRequest) -> None:
         request = job.request()
         if worker.is_stale():
-            worker.connection.usable = False
+            self._drop(worker)
             self._requeue(job)
             return
         reason = "cancelled" if job.finished else self.supervisor.refusal()
@@ -356,7 +345,7 @@
                 return
         if response is None:
             self.slots.free(job.request_id)
-            job.finish(self._measured(job, Outcome("deadline", "unknown")))
+            job.finish(self.measured(job, Outcome("deadline", "unknown")))
             return
         self._answered(worker, job, response)
 
@@ -364,12 +353,14 @@
         """Queue a sub-request again whose connection closed before anything was written."""
         self.slots.free(job.request_id)
         job.started_at = 0.0
-        if trio.current_time() >= job.deadline:
+        if job.finished:
+            self.refuse(job, "cancelled")
+        elif trio.current_time() >= job.deadline:
             self.refuse(job, "deadline")
-        elif not job.finished:
-            self.submit(job)
+        else:
+            self._enqueue(job)
 
-    def _answered(self, worker: _Worker, job: SubRequest, response: Response) -> None:
+    def _answered(self, worker: Worker, job: SubRequest, response: Response) -> None:
         outcome = judge(job, response)
         if outcome.reason == "bad_answer":
             worker.connection.usable = False
@@ -378,7 +369,7 @@
             self.slots.free(job.request_id)
         if outcome.reason == "snapshot_mismatch":
             worker.connection.usable = False
-        outcome = self._measured(job, outcome)
+        outcome = self.measured(job, outcome)
         self.supervisor.answered(response, outcome)
         job.finish(outcome)
 
@@ -388,7 +379,7 @@
         else:
             self._free_later(job)
             self.supervisor.lost()
-        job.finish(self._measured(job, Outcome(error.code, error.ran)))
+        job.finish(self.measured(job, Outcome(error.code, error.ran)))
 
     def _cancelled(self, request_id: str, response: Response | None) -> None:
         if response is None or response.status != 200:
@@ -407,13 +398,3 @@
         await trio.sleep_until(job.free_at)
         self.slots.free(job.request_id)
         self.pump()
-
-    def _measured(self, job: SubRequest, outcome: Outcome) -> Outcome:
-        now = trio.current_time()
-        started = job.started_at or now
-        return outcome._replace(
-            service=now - started if job.started_at else 0.0,
-            queued=started - job.queued_at if job.queued_at else 0.0,
-            in_flight=self.load,
-            limit=self.supervisor.allowance(),
-        )
