Add balancer, fault proxy and the process harness of the tests

Cause: tests need partitions, cut connections and real processes that are always cleaned up. Change: TCP forwarding with shapes that change at run time, a round-robin balancer that learns of stopped instances after a lag, and tests/harness with processes, clients and a whole fleet.

--- a/rattanrelay/emulator/run.py
+++ b/rattanrelay/emulator/run.py
@@ -7,11 +7,13 @@
 
 from ..http import Request, Response
 from ..log import event
-from . import backend_control, store_control  # noqa: F401  (registers the control routes)
+from . import backend_control, network_control, store_control  # noqa: F401  (control routes)
 from .backend import Backends
+from .balancer import Balancer
 from .config import EmulatorConfig
 from .control import control, handle_control
 from .endpoint import Endpoint
+from .faultproxy import FaultProxy
 from .instances import InstanceList
 from .store import KeyValueStore
 
@@ -25,6 +27,8 @@
         self.backends = Backends(config.servers, now)
         self.store = KeyValueStore(config.store, now) if config.store else None
         self.instances = InstanceList(config.instance_list, now) if config.instance_list else None
+        self.balancers = [Balancer(balancer) for balancer in config.balancers]
+        self.proxy = FaultProxy(config.proxies)
         self.endpoint = Endpoint(config.control.host, config.control.port, self._handle)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -46,10 +50,13 @@
             "searchers": self.backends.addresses(),
             "store": self.store.address if self.store else None,
             "instances": self.instances.address if self.instances else None,
+            "balancers": [balancer.address for balancer in self.balancers],
+            "proxies": self.proxy.addresses(),
         }
 
     def _services(self) -> list:
-        return [service for service in (self.backends, self.store, self.instances) if service]
+        single = (self.backends, self.store, self.instances, self.proxy)
+        return [service for service in single if service] + self.balancers
 
     async def _handle(self, request: Request) -> Response:
         return await handle_control(self, request)
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Features, their steps and the process harness."""
--- /dev/null
+++ b/tests/harness/fleet.py
@@ -0,0 +1,216 @@
+"""A whole fleet of processes for one deployment: platform, backend servers, entry instances."""
+
+import json
+from collections.abc import Iterable
+from pathlib import Path
+
+import msgspec
+import tomli_w
+
+from rattanrelay.emulator.config import (
+    BalancerConfig,
+    EmulatorConfig,
+    InstanceListConfig,
+    ProxyConfig,
+    ServerConfig,
+    StoreConfig,
+)
+from rattanrelay.emulator.deployments import DEPLOYMENTS, Deployment, located
+
+from .client import AdminClient, CallerClient, ControlClient, http_call
+from .processes import Process, Processes, free_ports
+
+__all__ = ["ADMIN_TOKEN", "Entry", "Fleet"]
+
+HOST = "127.0.0.1"
+ADMIN_TOKEN = "test-token-of-the-operators"
+
+
+class Entry:
+    """An entry instance: its process, addresses and clients."""
+
+    def __init__(self, name: str, domain: str, ports: list[int]) -> None:
+        self.name = name
+        self.domain = domain
+        self.callers, self.peers, self.admin = (f"{HOST}:{port}" for port in ports)
+        self.process: Process | None = None
+        self.caller_client = CallerClient(self.callers)
+        self.admin_client = AdminClient(self.admin, ADMIN_TOKEN)
+
+    def settings(self, store: str, instances: str, token_file: Path) -> dict:
+        """Return the settings of the daemon."""
+        return {
+            "instance": self.name,
+            "failure_domain": self.domain,
+            "callers": _address(self.callers),
+            "peers": _address(self.peers),
+            "admin": _address(self.admin),
+            "store": _address(store),
+            "instance_list": _address(instances),
+            "admin_tokens": [
+                {
+                    "team": "operators",
+                    "file": str(token_file),
+                    "scopes": ["read", "edit", "operate"],
+                }
+            ],
+        }
+
+
+class Fleet:
+    """Context manager; the emulators run inside it, entries start with `start_entries`.
+
+    `platform` controls the process with store, instance list, balancer and proxies; `backends`
+    controls the processes with the backend servers, which are spread over `backend_processes`.
+    With `proxied_store`, entries reach the store through the proxy route `store`.
+    """
+
+    def __init__(
+        self,
+        deployment: str = "norte",
+        *,
+        entries: int = 3,
+        backend_processes: int = 1,
+        instance_lag_ms: float = 500.0,
+        balancer_lag_ms: float = 500.0,
+        proxied_store: bool = False,
+        **options,
+    ) -> None:
+        self.processes = Processes()
+        self.deployment: Deployment = DEPLOYMENTS[deployment](instances=entries, **options)
+        self.entries = self._make_entries()
+        self.backend_processes = backend_processes
+        self.instance_lag_ms = instance_lag_ms
+        self.balancer_lag_ms = balancer_lag_ms
+        self.proxied_store = proxied_store
+        self.platform: ControlClient | None = None
+        self.backends: list[ControlClient] = []
+        self.hosts: dict = {}
+
+    def __enter__(self) -> "Fleet":
+        try:
+            self._start_backends()
+            self._start_platform()
+        except BaseException:
+            self.close()
+            raise
+        return self
+
+    def __exit__(self, *exception) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Kill all processes and remove their files."""
+        self.processes.close()
+
+    @property
+    def balancer(self) -> CallerClient:
+        """Caller client that goes through the balancer."""
+        return CallerClient(self.hosts["balancers"][0])
+
+    @property
+    def store_address(self) -> str:
+        """Address of the store as the entries see it."""
+        return self.hosts["proxies"]["store"] if self.proxied_store else self.hosts["store"]
+
+    def start_entries(self, names: Iterable[str] = ()) -> None:
+        """Start entry instances, all without names, and wait until they are ready."""
+        chosen = [self.entries[name] for name in names or self.entries]
+        for entry in chosen:
+            self.start_entry(entry.name)
+        for entry in chosen:
+            self.wait_ready(entry.name)
+
+    def start_entry(self, name: str) -> Entry:
+        """Start one entry instance, or start it again, without waiting."""
+        entry = self.entries[name]
+        if entry.process is not None:
+            entry.process.start()
+            return entry
+        token_file = self.processes.write("operators.token", ADMIN_TOKEN.encode())
+        settings = entry.settings(self.store_address, self.hosts["instances"], token_file)
+        path = self.processes.write(f"{name}.toml", tomli_w.dumps(settings).encode())
+        entry.process = self.processes.start_daemon(name, path)
+        return entry
+
+    def wait_ready(self, name: str) -> None:
+        """Wait until an entry instance reports that it is ready."""
+        entry = self.entries[name]
+        entry.process.wait_ready(entry.caller_client.ready)
+
+    def list_instance(self, name: str, state: str = "live") -> None:
+        """Put an entry instance on the platform's list, as its platform would."""
+        entry = self.entries[name]
+        body = {"address": entry.callers, "failure_domain": entry.domain, "state": state}
+        data = json.dumps(body).encode()
+        http_call(self.hosts["instances"], "PUT", f"/v1/instances/{name}", data)
+
+    def searchers(self) -> dict:
+        """Return state and journal summary of all searchers."""
+        return {name: one for control in self.backends for name, one in control.searchers().items()}
+
+    def journals(self, **select) -> dict:
+        """Return the journals of the selected searchers of all processes."""
+        found = [control.journals(**select) for control in self.backends]
+        return {name: journal for journals in found for name, journal in journals.items()}
+
+    def violations(self) -> list[tuple[str, dict]]:
+        """Return all violations with their searcher."""
+        return [
+            (name, violation)
+            for name, journal in self.journals().items()
+            for violation in journal["violations"]
+        ]
+
+    def control_of(self, searcher: str) -> ControlClient:
+        """Return the control client of the process that hosts a searcher."""
+        return next(control for control in self.backends if searcher in control.searchers())
+
+    def _make_entries(self) -> dict[str, Entry]:
+        rows = self.deployment.table.instances.values()
+        ports = iter(free_ports(3 * len(rows)))
+        return {
+            row.name: Entry(row.name, row.failure_domain, [next(ports) for _ in range(3)])
+            for row in rows
+        }
+
+    def _start_backends(self) -> None:
+        addresses: dict[str, str] = {}
+        for number in range(self.backend_processes):
+            servers: list[ServerConfig] = list(
+                self.deployment.servers[number :: self.backend_processes]
+            )
+            control = self._start_emulator(f"backends-{number}", EmulatorConfig(servers=servers))
+            self.backends.append(control)
+            addresses.update(control.get("hosts")["searchers"])
+        self.deployment = located(self.deployment, addresses)
+
+    def _start_platform(self) -> None:
+        store_port, *_ = free_ports(1)
+        config = EmulatorConfig(
+            store=StoreConfig(port=store_port, values=self.deployment.store_values()),
+            instance_list=InstanceListConfig(lag_ms=self.instance_lag_ms),
+            balancers=[
+                BalancerConfig(
+                    targets=[entry.callers for entry in self.entries.values()],
+                    lag_ms=self.balancer_lag_ms,
+                )
+            ],
+            proxies=[ProxyConfig(name="store", target=f"{HOST}:{store_port}")],
+        )
+        self.platform = self._start_emulator("platform", config)
+        self.hosts = self.platform.get("hosts")
+
+    def _start_emulator(self, name: str, config: EmulatorConfig) -> ControlClient:
+        [port] = free_ports(1)
+        config.control.port = port
+        path = self.processes.write(f"{name}.json", msgspec.json.encode(config))
+        process = self.processes.start_emulator(name, path)
+        control = ControlClient(f"{HOST}:{port}")
+        process.wait_ready(lambda: control.get("hosts"))
+        return control
+
+
+def _address(text: str) -> dict:
+    host, _, port = text.rpartition(":")
+    return {"host": host, "port": int(port)}
