--- a/rattanrelay/emulator/deployments.py
+++ b/rattanrelay/emulator/deployments.py
@@ -237,8 +237,10 @@
 
 
 def _shard_names(service: str, servers: list[ServerConfig]) -> list[str]:
+    """Return as many shards as give each searcher the same number of replicas."""
     searchers = sum(len(server.ports) for server in servers)
-    return [_shard_name(service, number) for number in range(max(1, searchers // REPLICAS))]
+    total = searchers if searchers % REPLICAS else searchers // REPLICAS
+    return [_shard_name(service, number) for number in range(total)]
 
 
 def _place(servers: list[ServerConfig], snapshot: str, shards: list[str]) -> Snapshot:
--- /dev/null
+++ b/tests/emulator/network.feature
@@ -0,0 +1,56 @@
+Feature: Emulated network, balancer and instance list
+  Guards against faults that do more or less to the bytes than their names say.
+
+  Scenario: A healthy route passes bytes in both directions
+    When 100000 random bytes are sent through a route to an echo
+    Then the echo is the same bytes
+
+  Scenario: Small pieces change nothing in the bytes
+    Given route faults {"piece_bytes": 7, "piece_gap_ms": 0}
+    When 3000 random bytes are sent through a route to an echo
+    Then the echo is the same bytes
+
+  Scenario Outline: A connection is cut after an exact number of bytes
+    Given route faults {"<setting>": 1000}
+    When 3000 random bytes are sent through a route to an echo
+    Then the target received <received> bytes at least and the client <echoed> before the reset
+
+    Examples:
+      | setting             | received | echoed |
+      | cut_after_to_target | 1000     | 0      |
+      | cut_after_to_client | 1000     | 1000   |
+
+  Scenario Outline: A black hole holds one direction and delivers after it
+    When the route gets a black hole <direction> and a request is sent
+    Then the target <target> it, the client <client> the echo, and after healing all is delivered
+
+    Examples:
+      | direction | target        | client        |
+      | to_target | does not get  | does not get  |
+      | to_client | gets          | does not get  |
+      | both      | does not get  | does not get  |
+
+  Scenario: Delay is added to each direction
+    Given route faults {"delay_ms": 30}
+    When a request and its echo pass through the route
+    Then they take 60 ms
+
+  Scenario: Faults of one source host leave the others alone
+    Given faults {"refuse": true} for source host 127.0.0.2
+    When clients connect from 127.0.0.1 and 127.0.0.2
+    Then only the client from 127.0.0.1 is served
+
+  Scenario: Open connections are reset on order
+    When open connections of a route are cut
+    Then both ends see a reset, and a new connection is served
+
+  Scenario: The balancer takes turns and keeps sending to a stopped target for its lag
+    Given a balancer over 3 entry instances with a lag of 1000 ms
+    When 6 calls are made, one instance stops, and calls go on for 3 s
+    Then each instance got 2 of the 6 calls
+    And calls fail only in the first 1500 ms after the stop, and some do
+
+  Scenario: The instance list shows a change only after its lag
+    Given an instance list with a lag of 800 ms
+    When an instance is added, changed and removed 100 ms apart
+    Then the list shows each state 800 ms after its change
--- /dev/null
+++ b/tests/emulator/processes.feature
@@ -0,0 +1,20 @@
+Feature: Emulator processes and the harness that runs them
+  Guards against processes that outlive their test, and against silent configuration errors.
+
+  Scenario: A process hosts what its file names and ends on SIGTERM
+    When an emulator process with a store and a searcher is started, called and stopped
+    Then the control listener named both, faults took effect, and the status was 0
+
+  Scenario Outline: A faulty file is refused with its cause
+    When an emulator process is started on a file with <content>
+    Then it ends with status 2 and names "<cause>"
+
+    Examples:
+      | content                | cause                  |
+      | [store]\nprot = 1      | prot                   |
+      | [[servers]]\nname="a"  | service                |
+      | not TOML               | emulator.toml          |
+
+  Scenario: A fleet is cleaned up when its test fails
+    When a test with a paused process in its fleet fails
+    Then none of its processes runs and its directory is gone
