--- a/rattanrelay/http/server.py
+++ b/rattanrelay/http/server.py
@@ -29,7 +29,8 @@
     Once `stopping` is set, each connection is closed after the request that it is serving.
     """
     limits = limits or HttpLimits()
-    stopping = stopping or trio.Event()
+    if stopping is None:
+        stopping = trio.Event()
     idle: set[trio.CancelScope] = set()
     async with trio.open_nursery() as connections:
 
--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -24,6 +24,7 @@
 from .instances import InstanceList
 from .members import Members
 from .peers import Peers
+from .ports import Member
 from .report import Report
 
 __all__ = ["Addresses", "Daemon"]
@@ -92,7 +93,11 @@
         name = settings.instance
         self.store = StoreClient(settings.store.host, settings.store.port)
         self.peers = Peers(name)
-        contacts = InstanceList(settings.instance_list.host, settings.instance_list.port)
+        listed = InstanceList(settings.instance_list.host, settings.instance_list.port)
+
+        async def contacts() -> list[Member]:
+            return [contact.as_member() for contact in await listed.contacts()]
+
         self.members = Members(
             name,
             self.incarnation,
@@ -106,7 +111,7 @@
             holding=lambda: self.dispatch.holding(),
             blocked=lambda: self.dispatch.blocked(),
             see_blocked=lambda entries: self.dispatch.see_blocked(entries),
-            contacts=contacts.contacts,
+            contacts=contacts,
         )
         self.documents = Documents(self.store, self.peers, self.members)
         configuration = self.documents.configuration
--- a/rattanrelay/node/report.py
+++ b/rattanrelay/node/report.py
@@ -53,7 +53,7 @@
             "members": [member.instance for member in daemon.members.members],
             "lease_left_s": round(daemon.members.lease_left(), 3),
             "degraded": self.degraded(),
-            "documents": {item.name: item.revision for item in daemon.documents.digest()},
+            "documents": dict(daemon.documents.digest()),
             "searchers": [item._asdict() for item in daemon.dispatch.held()],
             "blocked": [item._asdict() for item in daemon.dispatch.blocked()],
             "store_calls": dict(daemon.store.calls),
@@ -64,8 +64,8 @@
         metrics = daemon.metrics
         for kind, count in daemon.store.calls.items():
             metrics.store_calls.set({"kind": kind}, count)
-        for item in daemon.documents.digest():
-            metrics.revision.set({"document": item.name}, item.revision)
+        for name, revision in daemon.documents.digest().items():
+            metrics.revision.set({"document": name}, revision)
         held = self.degraded()
         for reason in ("no_table", "no_view", "no_quorum", "store_down"):
             metrics.degraded.set({"reason": reason}, int(reason in held))
