--- a/tests/harness/__init__.py
+++ b/tests/harness/__init__.py
@@ -2,7 +2,7 @@
 
 from .client import ActionKey, CallerClient, ControlClient, Reply, http_call
 from .fleet import Fleet
-from .processes import HANG_LIMIT_S, Processes, free_ports, wait_until
+from .processes import HANG_LIMIT_S, HarnessError, Processes, free_ports, wait_until
 
 __all__ = [
     "HANG_LIMIT_S",
@@ -10,6 +10,7 @@
     "CallerClient",
     "ControlClient",
     "Fleet",
+    "HarnessError",
     "Processes",
     "Reply",
     "free_ports",
