--- /dev/null
+++ b/tests/decide/canary.feature
@@ -0,0 +1,12 @@
+Feature: Requests that crash servers
+  Guards against a request that crashes server after server, and against lost or prolonged blocks.
+
+  Scenario: A request that always crashes its server
+    Then a request that crashes each server crashes 2 in each block period at one owner
+
+  Scenario: Losses at several owners
+    Then instances that exchange losses in any order agree on what is blocked
+
+  Scenario: A proven request
+    Given a fingerprint that succeeded
+    Then it runs without a trial until a peer shares a block of it
--- /dev/null
+++ b/tests/decide/ramp.feature
@@ -0,0 +1,9 @@
+Feature: Ramp after a cold start
+  Guards against more work than a cold server can take, and against a ramp that never ends.
+
+  Scenario: Random answers
+    Then a random ramp stays within its bounds and grows only after fast answers
+
+  Scenario: A warm searcher turns slow
+    When 8 slow answers arrive from a warm searcher
+    Then only the last of them shows that it is cold
--- /dev/null
+++ b/tests/node/dispatch.feature
@@ -0,0 +1,134 @@
+Feature: Owner side
+  Guards against load beyond the limits, work without authority, answers that reach another
+  request, untrue statements about what ran, and work for servers that start or leave.
+
+  Scenario: Random work within the limits
+    Given a dispatcher with 3 slots and 20 connections
+    When 150 random sub-queries run, with cancellations and faults
+    Then no limit was exceeded and each answer reached its own request
+
+  Scenario: One connection for work, polls and cancellations
+    Given a dispatcher with 2 slots and 3 connections
+    When shards "a b c" are asked for
+    Then the results are "a=ok b=ok c=ok"
+    And no more than 1 connections were open and 1 were opened
+
+  Scenario Outline: Answers that do not fit are not counted
+    Given a dispatcher with 2 slots and 25 connections
+    And the searcher's work has the fault "<fault>"
+    When shards "a" are asked for
+    Then the results are "a=<reason>"
+    And <slots> slots are in use at once and none 5 s later
+    And no more than 6 connections were open and 2 were opened
+
+    Examples:
+      | fault          | reason            | slots |
+      | crossed        | bad_answer        | 1     |
+      | other_shard    | bad_answer        | 1     |
+      | incomplete     | bad_answer        | 1     |
+      | other_snapshot | snapshot_mismatch | 0     |
+      | reset          | connection_lost   | 1     |
+
+  Scenario Outline: Refusals and deadlines
+    Given a dispatcher with 2 slots and 25 connections
+    And the searcher's work has the fault "<fault>"
+    When shards "a" are asked for within <timeout> s
+    Then the results are "a=<reason>"
+    And <slots> slots are in use at once and none 5 s later
+
+    Examples:
+      | fault         | timeout | reason        | slots |
+      | snapshot_gone | 1       | snapshot_gone | 0     |
+      | shedding      | 1       | shedding      | 0     |
+      | draining      | 1       | draining      | 0     |
+      | hang          | 0.5     | deadline      | 1     |
+      | hang          | 4       | deadline      | 0     |
+
+  Scenario: A full queue
+    Given a dispatcher with a queue of 2
+    And the searcher's work has the fault "hang"
+    When shards "a b c d" are asked for within 0.5 s
+    Then the results are "a=deadline b=deadline c=deadline d=queue_full"
+
+  Scenario: A searcher that cannot be reached
+    Given a dispatcher with 2 slots and 25 connections
+    And the searcher cannot be reached
+    When shards "a" are asked for
+    Then the results are "a=connect_failed"
+
+  Scenario Outline: Outcomes of actions
+    Given a dispatcher with 2 slots and 25 connections
+    When an action runs while the searcher's fault is "<fault>"
+    Then its outcome is "<outcome>" with code "<code>", and it was sent <count> times
+
+    Examples:
+      | fault       | outcome | code            | count |
+      | none        | done    | none            | 1     |
+      | shedding    | not_run | shedding        | 1     |
+      | draining    | not_run | draining        | 1     |
+      | unreachable | not_run | connect_failed  | 0     |
+      | hang        | not_run | deadline        | 1     |
+      | reset       | unknown | outcome_unknown | 1     |
+      | crossed     | unknown | outcome_unknown | 1     |
+      | incomplete  | unknown | outcome_unknown | 1     |
+
+  Scenario: A lost lease
+    Given a dispatcher with 2 slots and 25 connections
+    When the lease is lost with 2 sub-requests in progress and 2 queued
+    Then nothing was sent after that
+    And the results are "s0=ok s1=ok s2=no_quorum s3=no_quorum z=no_quorum"
+
+  Scenario: The asker gives up
+    Given a dispatcher with 2 slots and 25 connections
+    When the asker gives up 3 sub-requests of 1 s after 0.1 s
+    Then 2 cancellations were sent and the slots in use went "2 0 0 0 0"
+
+  Scenario: The asker gives up and the server does not confirm
+    Given a dispatcher with 2 slots and 25 connections
+    And the searcher ignores cancellations
+    When the asker gives up 3 sub-requests of 1 s after 0.1 s
+    Then 2 cancellations were sent and the slots in use went "2 2 2 0 0"
+
+  Scenario: A searcher that starts anew unannounced
+    Given a dispatcher over TCP with 4 slots
+    When the warm searcher starts anew between two bursts of 12 sub-requests
+    Then the cold searcher never got more work than it can take, and all 24 got an answer
+
+  Scenario: A searcher that leaves
+    Given a dispatcher with 2 slots and 25 connections
+    When work arrives all the time and the searcher announces that it leaves after 3 s
+    Then it got work before, none after 3 s more, and is in state "leaving"
+
+  Scenario: A row that is taken out
+    Given a dispatcher with 2 slots and 25 connections
+    When work arrives all the time and the searcher row is taken out after 3 s
+    Then it got work before, none after 0.001 s more, and is in state "out"
+
+  Scenario: Another owner
+    Given a dispatcher with 2 slots and 25 connections
+    When another instance becomes the owner with 2 sub-requests in progress
+    Then the server was held until they ended, and then without a connection
+    And the results are "s0=ok s1=ok s2=no_owner z=ok"
+
+  Scenario: A graceful release
+    Given a dispatcher with 2 slots and 25 connections
+    When a server is released with 4 sub-requests in progress or queued
+    Then all connections were closed when the release returned
+    And the results are "s0=ok s1=ok s2=ok s3=ok z=no_owner"
+
+  Scenario: A request that crashes its server is not tried again here
+    Given a dispatcher with canaries
+    When 4 copies of a request that crashes its server run as canaries of kind canary
+    Then it ran 1 times and 1 entry is shared
+    And the results are "a=connection_lost a=request_suspect a=request_suspect a=request_suspect"
+
+  Scenario: A second loss blocks the request
+    Given a dispatcher with canaries
+    When 4 copies of a request that crashes its server run as canaries of kind suspect
+    Then it ran 2 times and 1 entry is shared
+    And the results are "a=connection_lost a=connection_lost a=request_blocked a=request_blocked"
+
+  Scenario: A crash after the asker has given up still counts
+    Given a dispatcher with canaries
+    When the asker of a canary that crashes its server later gives up first
+    Then it ran 1 times and 1 entry is shared
--- /dev/null
+++ b/tests/steps/dispatch_decide_steps.py
@@ -0,0 +1,355 @@
+"""Steps for the pure decisions of the owner side."""
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from rattanrelay.charts.interpreter import Chart, load_chart, unanswered
+from rattanrelay.decide.canary import BLOCK_S, Canary
+from rattanrelay.decide.fairqueue import Entry, FairQueue
+from rattanrelay.decide.limits import apportion, effective_limits, settling_limits
+from rattanrelay.decide.ramp import RUN_LENGTH, Ramp
+from rattanrelay.decide.slots import Slots
+from rattanrelay.table import DomainRow, ServerRow, ServiceRow, Table, server_of
+
+MARGIN = 0.25
+STATES = st.sampled_from(["in", "in", "in", "out"])
+WEIGHTS = st.integers(0, 3)
+
+
+@st.composite
+def tables(draw, revision=1):
+    """Tables with two services, three domains and up to eight servers."""
+    caps = st.integers(0, 30)
+    services = {
+        name: ServiceRow(name, max_in_flight=draw(caps), weight=draw(WEIGHTS), state=draw(STATES))
+        for name in ("logs", "bills")
+    }
+    domains = {
+        name: DomainRow(name, draw(caps), draw(WEIGHTS), draw(STATES)) for name in ("a", "b", "c")
+    }
+    servers = {}
+    for number in range(draw(st.integers(0, 8))):
+        name = f"s{number}"
+        service = draw(st.sampled_from(sorted(services)))
+        domain = draw(st.sampled_from(sorted(domains)))
+        addresses = " ".join(["h:1"] * draw(st.integers(1, 3)))
+        counts = draw(st.integers(0, 6)), draw(st.integers(0, 110))
+        row = ServerRow(name, service, domain, addresses, *counts)
+        servers[name] = row._replace(weight=draw(WEIGHTS), state=draw(STATES))
+    return Table(revision, services, domains, servers)
+
+
+def group_sums(table, slots):
+    """Return the slots by row name of domains and services."""
+    sums = {}
+    for searcher, count in slots.items():
+        row = table.servers[server_of(searcher)]
+        for name in (row.failure_domain, row.service):
+            sums[name] = sums.get(name, 0) + count
+    return sums
+
+
+def caps_of(table):
+    return {name: row.max_in_flight for name, row in {**table.domains, **table.services}.items()}
+
+
+@then("no limit of any random table exceeds its rows")
+def limits_hold(context):
+    @for_all(tables())
+    def check(table):
+        limits = effective_limits(table)
+        caps = caps_of(table)
+        sums = group_sums(table, {name: limit.slots for name, limit in limits.items()})
+        assert all(total <= caps[name] for name, total in sums.items())
+        for name, limit in limits.items():
+            row = table.servers[server_of(name)]
+            states = table.domains[row.failure_domain].state, table.services[row.service].state
+            assert 0 <= limit.slots <= row.slots
+            assert limit.connections <= max(1, row.connections // 4)
+            assert (limit.connections > 0) == (limit.slots > 0)
+            if "out" in (row.state, *states):
+                assert limit.slots == 0
+        mirrored = table._replace(servers=dict(reversed(table.servers.items())))
+        assert effective_limits(mirrored) == limits, "the order of the rows matters"
+
+    check()
+
+
+@then("random shares are whole, within their caps and use up the total")
+def shares_exact(context):
+    claim = st.tuples(st.integers(0, 5), st.integers(0, 9))
+
+    @for_all(st.integers(0, 60), st.lists(claim, max_size=10))
+    def check(total, claims):
+        named = [(f"n{number}", *claim) for number, claim in enumerate(claims)]
+        shares = apportion(total, named)
+        usable = sum(cap for _, weight, cap in named if weight > 0)
+        assert sum(shares.values()) == min(total, usable)
+        for name, weight, cap in named:
+            assert 0 <= shares[name] <= (cap if weight > 0 else 0)
+        open_names = [(name, weight) for name, weight, cap in named if 0 < shares[name] < cap]
+        for one, heavy in open_names:
+            for other, light in open_names:
+                assert heavy < light or shares[one] >= shares[other] - 1
+
+    check()
+
+
+@then("instances with any mix of two random tables keep the sums within the larger rows")
+def settling_holds(context):
+    @for_all(tables(), tables(revision=2))
+    def check(old, new):
+        shared = {name: row for name, row in old.servers.items() if name in new.servers}
+        moved = {
+            name: row._replace(service=shared[name].service, failure_domain=shared[name][2])
+            for name, row in new.servers.items()
+            if name in shared
+        }
+        new = new._replace(servers={**new.servers, **moved})
+        before = {name: limit.slots for name, limit in effective_limits(old).items()}
+        after = {name: limit.slots for name, limit in settling_limits([old], new).items()}
+        target = {name: limit.slots for name, limit in effective_limits(new).items()}
+        assert all(count <= target[name] for name, count in after.items())
+        sums = {}
+        for table, slots in ((old, before), (new, after)):
+            for name, count in slots.items():
+                row = table.servers[server_of(name)]
+                for group in (row.failure_domain, row.service):
+                    by_name = sums.setdefault(group, {})
+                    by_name[name] = max(count, by_name.get(name, 0))
+        for group, by_name in sums.items():
+            allowed = max(caps_of(old)[group], caps_of(new)[group])
+            assert sum(by_name.values()) <= allowed, (group, by_name)
+
+    check()
+
+
+@then("random work, answers, cancellations and losses never put more work on a server than slots")
+def slots_hold(context):
+    actions = st.sampled_from(["take", "answer", "lose", "cancel", "confirm", "wait"])
+
+    @for_all(st.lists(st.tuples(actions, st.integers(0, 7)), max_size=60), st.integers(0, 4))
+    def check(steps, limit):
+        slots, running, now, number = Slots(), {}, 0.0, 0
+        for action, pick in steps:
+            work = sorted(running)[pick % len(running)] if running else None
+            if action == "take":
+                number += 1
+                deadline = now + pick / 2
+                if slots.take(f"r{number}", deadline + MARGIN, limit):
+                    running[f"r{number}"] = deadline
+            elif action == "wait":
+                now += pick / 3
+                running = {name: end for name, end in running.items() if end > now}
+                slots.expire(now)
+            elif work and action in ("answer", "confirm"):
+                del running[work]
+                assert slots.free(work) and not slots.free(work)
+            elif work and action == "lose":
+                del running[work]
+            elif work and action == "cancel":
+                assert slots.cancel(work) or work in slots.cancelled
+            assert len(running) <= limit
+            assert running.keys() <= slots.held.keys()
+            assert slots.next_expiry() > now
+
+    check()
+
+
+@then("random pushes, pops and cancellations keep the queue bounded and lose no entry")
+def queue_holds(context):
+    step = st.tuples(
+        st.sampled_from(["push", "push", "pop", "cancel", "wait"]),
+        st.sampled_from(["x", "y", "z"]),
+        st.integers(0, 9),
+    )
+
+    @for_all(st.lists(step, max_size=60), st.integers(0, 5))
+    def check(steps, capacity):
+        queue, now, queued, last = FairQueue(capacity), 0.0, {}, {}
+        for number, (action, tenant, value) in enumerate(steps):
+            if action == "push":
+                entry = Entry(number, tenant, now + value)
+                pushed = queue.push(entry, 1.0 + "xyz".index(tenant))
+                if pushed.accepted:
+                    queued[number] = entry
+                if pushed.evicted:
+                    assert pushed.accepted and pushed.evicted.tenant != tenant
+                    assert queued.pop(pushed.evicted.key) == pushed.evicted
+            elif action == "pop":
+                popped = queue.pop(now)
+                for late in popped.late:
+                    assert queued.pop(late.key).deadline <= now
+                if popped.entry:
+                    assert queued.pop(popped.entry.key).deadline > now
+                    assert popped.entry.key > last.get(popped.entry.tenant, -1)
+                    last[popped.entry.tenant] = popped.entry.key
+                else:
+                    assert not queued
+            elif action == "cancel" and queued:
+                key = sorted(queued)[value % len(queued)]
+                assert queue.cancel(key) == queued.pop(key)
+                assert queue.cancel(key) is None
+            else:
+                now += value
+            assert len(queue) == len(queued) <= capacity
+        assert {entry.key for entry in queue.drain()} == queued.keys()
+
+    check()
+
+
+@given("a queue of {capacity:d} entries that tenant {tenant} has filled")
+def filled_queue(context, capacity, tenant):
+    context.queue = FairQueue(capacity)
+    for number in range(3 * capacity):
+        context.queue.push(Entry((tenant, number), tenant, 1e9), 1.0)
+
+
+@when(
+    "tenants {first} and {second} with weights {one:d} and {two:d} keep pushing for {count:d} pops"
+)
+def keep_pushing(context, first, second, one, two, count):
+    context.served = {first: 0, second: 0}
+    for number in range(count):
+        for copy in range(8):
+            context.queue.push(Entry((first, number, copy), first, 1e9), one)
+            context.queue.push(Entry((second, number, copy), second, 1e9), two)
+        context.served[context.queue.pop(0.0).entry.tenant] += 1
+
+
+@then("tenant {name} is served {low:d} to {high:d} times")
+def served_times(context, name, low, high):
+    assert low <= context.served[name] <= high, context.served
+
+
+@then("a random ramp stays within its bounds and grows only after fast answers")
+def ramp_holds(context):
+    event = st.sampled_from(["fast", "fast", "fast", "middle", "slow", "shed", "restart"])
+
+    @for_all(st.lists(event, max_size=120), st.integers(1, 9), st.integers(0, 3))
+    def check(events, limit, cold):
+        ramp, fast, floor = Ramp(cold), 0, min(limit, max(cold, 1))
+        for name in events:
+            before = ramp.allowance(limit)
+            if name == "restart":
+                ramp.restart(cold)
+                assert ramp.allowance(limit) == floor
+            elif name == "shed":
+                assert ramp.shed(limit, cold) == (ramp.allowance(limit) < before)
+                assert ramp.allowance(limit) == max(before // 2, floor)
+            else:
+                latency = {"fast": 2.0, "middle": 3.0, "slow": 5.0}[name]
+                ramp.answer(latency, 1.0, limit)
+            fast = fast + 1 if name == "fast" else 0
+            now = ramp.allowance(limit)
+            assert floor <= now <= limit
+            assert now <= before + 1
+            if now > before:
+                assert fast >= RUN_LENGTH
+                fast = 0
+
+    check()
+
+
+@when("{count:d} slow answers arrive from a warm searcher")
+def slow_answers(context, count):
+    ramp = Ramp(1)
+    ramp.allowed = None
+    context.changes = [ramp.answer(5.0, 1.0, 2) for _ in range(count)]
+
+
+@then("only the last of them shows that it is cold")
+def last_is_slow(context):
+    assert context.changes == ["none"] * (len(context.changes) - 1) + ["slow"]
+
+
+@then("a request that crashes each server crashes 2 in each block period at one owner")
+def two_crashes(context):
+    @for_all(st.lists(st.floats(0.1, 200.0), min_size=5, max_size=60))
+    def check(waits):
+        canary, now, crashes = Canary(), 0.0, []
+        for number, wait in enumerate(waits):
+            now += wait
+            second = canary.is_suspect("f", now)
+            verdict = canary.begin("f", now, second=second)
+            if verdict == "trial":
+                assert canary.begin("f", now, second=True) == "wait", "two trials at once"
+                canary.lost("f", f"l{number}", now)
+                crashes.append(now)
+            else:
+                assert verdict == "blocked"
+            assert sum(now - crash < BLOCK_S for crash in crashes) <= 2
+
+    check()
+
+
+@then("instances that exchange losses in any order agree on what is blocked")
+def merge_agrees(context):
+    losses = st.lists(st.tuples(st.integers(0, 2), st.sampled_from("fgh")), max_size=8)
+    pairs = st.lists(st.tuples(st.integers(0, 2), st.integers(0, 2)), max_size=12)
+
+    @for_all(losses, pairs)
+    def check(lost, exchanges):
+        nodes = [Canary() for _ in range(3)]
+        for number, (node, name) in enumerate(lost):
+            nodes[node].lost(name, f"l{number}", 0.0)
+        rounds = [(one, other) for one in range(3) for other in range(3)] * 2
+        for sender, receiver in exchanges + rounds:
+            nodes[receiver].merge(nodes[sender].shared(1.0), 1.0)
+        for name in "fgh":
+            count = sum(one == name for _, one in lost)
+            for node in nodes:
+                assert node.is_blocked(name, 2.0) == (count >= 2)
+                assert node.is_suspect(name, 2.0) == (count == 1)
+                assert not node.is_blocked(name, BLOCK_S + 10)
+
+    check()
+
+
+@given("a fingerprint that succeeded")
+def proven(context):
+    context.canary = Canary()
+    assert context.canary.begin("f", 0.0) == "trial"
+    context.canary.succeeded("f", 0.0)
+
+
+@then("it runs without a trial until a peer shares a block of it")
+def proven_until_blocked(context):
+    assert context.canary.begin("f", 1.0) == "proven"
+    peer = Canary()
+    for number in range(2):
+        peer.lost("f", f"p{number}", 1.0)
+    context.canary.merge(peer.shared(1.0), 1.0)
+    assert context.canary.begin("f", 2.0) == "blocked"
+
+
+@then("chart {name} answers each event in each state")
+def chart_complete(context, name):
+    chart = load_chart(name)
+    assert unanswered(chart) == ()
+    context.states = {state for state in chart.states if not chart.children_for(state)}
+    context.reached = set()
+
+
+@when('a {name} chart gets "{events}" it is in state "{state}"')
+def chart_run(context, name, events, state):
+    chart = Chart(name, "test")
+    for event in filter(None, events.split()):
+        chart.send(event)
+    assert chart.state == state, chart.state
+    context.reached.add(state)
+
+
+@then("each state was reached")
+def all_reached(context):
+    assert context.reached == context.states, context.states - context.reached
+
+
+@then("a chart refuses an event that it does not know")
+def unknown_event(context):
+    try:
+        Chart("backend_server", "test").send("explode")
+    except ValueError:
+        return
+    raise AssertionError("the event was accepted")
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -1,206 +1,356 @@
-"""Steps for the owner side, against an in-process stand-in for a searcher."""
-
-import random
-from collections import Counter
+"""Steps for the owner side."""
 
 import msgspec
 import trio
-from trio.testing import MockClock, memory_stream_pair
-
-from rattanrelay.errors import RelayError
-from rattanrelay.http import HttpConnection, json_response, serve_http
-from rattanrelay.metrics import Metrics
-from rattanrelay.node.dispatch import Dispatcher
-from rattanrelay.node.ports import Configuration, Latest, Member
-from rattanrelay.table import DomainRow, ServerRow, ServiceRow, Table
-from rattanrelay.wire import RunAction, SubQuery, Target
-
-UNIX_START = 1_700_000_000.0
-SNAPSHOT = "snap-1"
-
-
-class StandInMembers:
-    """Membership of a single instance; tests change `owned`, `lease` and `epoch`."""
-
-    instance = "i1"
-
-    def __init__(self):
-        self.epoch = 1
-        self.owned = True
-        self.lease = 2.0
-        self.me = Member("i1", "a", "127.0.0.1:1", "d1")
-        self.members = (self.me,)
-
-    def owner(self, name):
-        return self.me if self.owned else Member("i2", "b", "127.0.0.1:2", "d1")
-
-    def may_dispatch(self, server):
-        return self.owned and self.lease > 0
-
-    def lease_left(self):
-        return self.lease
-
-
-class StandInSearcher:
-    """A searcher on memory streams that counts work and connections and plays faults."""
-
-    def __init__(self):
-        self.boot_id = "boot-1"
-        self.state = "warm"
-        self.service_s = 0.01
-        self.fault = lambda body: ""
-        self.reachable = True
-        self.ignores_cancel = False
-        self.running = {}
-        self.connections = 0
-        self.peak_work = 0
-        self.peak_connections = 0
-        self.requests = []
-        self.opened_at = []
-        self.paths = Counter()
-        self.streams = []
-
-    async def connect(self, nursery):
-        if not self.reachable:
-            raise RelayError("connect_failed", "refused", step="connect")
-        client, server = memory_stream_pair()
-        self.opened_at.append(trio.current_time())
-        nursery.start_soon(self._serve, server)
-        return HttpConnection(client, "searcher")
-
-    async def _serve(self, stream):
-        self.connections += 1
-        self.peak_connections = max(self.peak_connections, self.connections)
-        self.streams.append(stream)
-
-        async def handle(request):
-            return await self._handle(request, stream)
-
-        try:
-            await serve_http(handle, [_OneStream(stream)])
-        finally:
-            self.connections -= 1
-
-    async def _handle(self, request, stream):
-        self.paths[request.path] += 1
-        if request.path == "/status":
-            return self._reply(200, {"state": self.state})
-        if request.path == "/cancel":
-            return self._cancel(msgspec.json.decode(request.body)["request_id"])
-        return await self._work(request, stream)
-
-    def _cancel(self, request_id):
-        scope = None if self.ignores_cancel else self.running.get(request_id)
-        if scope is not None:
-            scope.cancel()
-        return self._reply(200, {"request_id": request_id, "cancelled": int(scope is not None)})
-
-    async def _work(self, request, stream):
-        body = msgspec.json.decode(request.body)
-        request_id = request.headers["x-request-id"]
-        self.requests.append((trio.current_time(), request_id, body))
-        left = int(request.headers["x-deadline"]) / 1000 - UNIX_START - trio.current_time()
-        echo = {
-            "request_id": request_id,
-            "shard": body["shard"],
-            "snapshot": body.get("snapshot", ""),
-        }
-        fault = self.fault(body)
-        if fault in ("shedding", "draining", "snapshot_gone"):
-            status = 409 if fault == "snapshot_gone" else 503
-            return self._reply(status, {**echo, "code": fault, "snapshots": ["snap-0"]})
-        assert request_id not in self.running, "a request id was used twice"
-        with trio.CancelScope(deadline=trio.current_time() + left) as scope:
-            self.running[request_id] = scope
-            self.peak_work = max(self.peak_work, len(self.running))
-            try:
-                await trio.sleep(1e6 if fault == "hang" else self.service_s)
-                if fault == "reset":
-                    await trio.aclose_forcefully(stream)
-            finally:
-                del self.running[request_id]
-        if scope.cancelled_caught:
-            late = trio.current_time() >= scope.deadline
-            code = "deadline" if late else "cancelled"
-            return self._reply(504 if late else 499, {**echo, "code": code})
-        answer = {**echo, "complete": True, "hits": [], "count": 1, "of": body}
-        return self._reply(200, {**answer, **FAULTY_FIELDS.get(fault, {})})
-
-    def _reply(self, status, body):
-        return json_response(status, body, {"x-boot-id": self.boot_id, "x-state": self.state})
-
-
-FAULTY_FIELDS = {
-    "crossed": {"request_id": "another"},
-    "other_shard": {"shard": "another"},
-    "other_snapshot": {"snapshot": "another"},
-    "incomplete": {"complete": False},
-}
-
-
-class _OneStream(trio.abc.Listener):
-    """A listener that accepts one stream."""
-
-    def __init__(self, stream):
-        self.stream = stream
-
-    async def accept(self):
-        if self.stream is None:
-            await trio.sleep_forever()
-        stream, self.stream = self.stream, None
-        return stream
-
-    async def aclose(self):
-        """Nothing to close."""
-
-
-class Bench:
-    """A dispatcher with one server, its stand-in searchers and a list of emitted results."""
-
-    def __init__(self, **row):
-        self.row = ServerRow("s1", "logs", "d1", "a:1", **row)
-        self.service = ServiceRow("logs", canary=False, queue=100)
-        self.table = Table(1, {"logs": self.service}, {"d1": DomainRow("d1")}, {"s1": self.row})
-        self.searcher = StandInSearcher()
-        self.members = StandInMembers()
-        self.configuration = Latest(Configuration(self.table))
-        self.rng = random.Random(5)
-        self.results = []
-
-    def run(self, use):
-        clock = MockClock(autojump_threshold=0)
-        trio.run(self._main, use, clock=clock)
-
-    async def _main(self, use):
+from behave import given, then, when
+from dispatch_bench import Bench
+
+from rattanrelay.wire import Cancel
+
+FAULTS = ["", "", "", "", "crossed", "other_shard", "other_snapshot", "incomplete", "reset"]
+FAULTS += ["hang", "shedding", "snapshot_gone"]
+
+
+@given("a dispatcher with {slots:d} slots and {connections:d} connections")
+def bench(context, slots, connections):
+    context.bench = Bench(slots=slots, connections=connections)
+
+
+@given("a dispatcher with canaries")
+def canary_bench(context):
+    context.bench = Bench(canary=True)
+
+
+@given("a dispatcher with a queue of {queue:d}")
+def queue_bench(context, queue):
+    context.bench = Bench(queue=queue)
+
+
+@given("a dispatcher over TCP with {slots:d} slots")
+def tcp_bench(context, slots):
+    context.bench = Bench(tcp=True, slots=slots, connect_ms=0.0)
+    context.bench.searcher.service_s = 0.001
+
+
+@given('the searcher\'s work has the fault "{fault}"')
+def set_fault(context, fault):
+    context.bench.searcher.fault = lambda body: fault
+
+
+@given("the searcher ignores cancellations")
+def ignore_cancels(context):
+    context.bench.searcher.ignores_cancel = True
+
+
+@given("the searcher cannot be reached")
+def unreachable(context):
+    context.bench.searcher.reachable = False
+
+
+@when("{count:d} random sub-queries run, with cancellations and faults")
+def random_work(context, count):
+    bench = context.bench
+    rng, searcher = bench.rng, bench.searcher
+    searcher.fault = lambda body: rng.choice(FAULTS)
+    context.emitted = {}
+
+    async def one(number):
+        await trio.sleep(rng.uniform(0, 20))
+        shards = [f"sh{index}" for index in range(rng.randint(1, 4))]
+        query = bench.query(f"q{number}", shards, rng.uniform(0.02, 3.0))
+        results = context.emitted[number] = []
+
+        async def emit(item):
+            results.extend(item.results)
+
+        with trio.move_on_after(rng.choice([0.02, 0.1, 1e3, 1e3])) as scope:
+            await bench.dispatcher.run(query, emit)
+        if not scope.cancelled_caught and f"q{number}" not in cancelled:
+            assert sorted(result.shard for result in results) == shards, results
+
+    async def use(bench):
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(one, number)
+            for _ in range(count):
+                await trio.sleep(rng.uniform(0, 0.2))
+                name = f"q{rng.randrange(count)}"
+                cancelled.add(name)
+                searcher.service_s = rng.choice([0.001, 0.01, 0.2])
+                searcher.ignores_cancel = rng.random() < 0.3
+                await bench.dispatcher.cancel(Cancel(name, "sh0", "s1/0"))
+        await trio.sleep(5)
+        context.end = bench.status()
+
+    cancelled = set()
+    bench.run(use)
+
+
+@then("no limit was exceeded and each answer reached its own request")
+def limits_kept(context):
+    searcher, end = context.bench.searcher, context.end
+    assert searcher.peak_work == context.bench.row.slots, searcher.peak_work
+    assert searcher.peak_connections <= context.bench.row.connections // 4
+    assert searcher.late_deadlines == 0
+    assert end.slots_in_use == end.queued == 0, end
+    assert not context.bench.dispatcher.open_jobs
+    answered = 0
+    for results in context.emitted.values():
+        for result in results:
+            assert result.limit <= context.bench.row.slots
+            if result.status == "ok":
+                answered += 1
+                payload = msgspec.json.decode(result.payload)
+                assert payload["of"]["shard"] == payload["shard"] == result.shard
+                assert payload["snapshot"] == result.snapshot
+    assert answered > len(context.emitted) / 4, answered
+
+
+@when('shards "{shards}" are asked for')
+def ask(context, shards):
+    _ask(context, shards.split(), 1.0)
+
+
+@when('shards "{shards}" are asked for within {timeout:g} s')
+def ask_within(context, shards, timeout):
+    _ask(context, shards.split(), timeout)
+
+
+def _ask(context, shards, timeout):
+    async def use(bench):
+        await trio.sleep(1)
+        await bench.dispatcher.run(bench.query("q", shards, timeout), bench.emit)
+        context.end = bench.status()
+        await trio.sleep(5)
+        context.later = bench.status()
+
+    context.bench.run(use)
+
+
+@then('the results are "{expected}"')
+def results_are(context, expected):
+    found = " ".join(f"{shard}={reason}" for shard, reason in sorted(context.bench.outcomes()))
+    assert found == expected, found
+
+
+@then("{count:d} slots are in use at once and none {later:g} s later")
+def slots_then(context, count, later):
+    assert context.end.slots_in_use == count, context.end
+    assert context.later.slots_in_use == 0, context.later
+
+
+@then("no more than {count:d} connections were open and {opened:d} were opened")
+def connections_opened(context, count, opened):
+    assert context.bench.searcher.peak_connections <= count
+    assert len(context.bench.searcher.opened_at) == opened, context.bench.searcher.opened_at
+
+
+@when('an action runs while the searcher\'s fault is "{fault}"')
+def act(context, fault):
+    bench = context.bench
+    bench.searcher.fault = lambda body: "" if fault == "none" else fault
+
+    async def use(bench):
+        bench.searcher.reachable = fault != "unreachable"
+        context.result = await bench.dispatcher.act(bench.order("a"))
+
+    bench.run(use)
+
+
+@then('its outcome is "{outcome}" with code "{code}", and it was sent {count:d} times')
+def act_outcome(context, outcome, code, count):
+    result = context.result
+    assert (result.outcome, result.code or "none") == (outcome, code), result
+    assert context.bench.searcher.paths["/action"] == count
+
+
+@when("the lease is lost with {running:d} sub-requests in progress and {queued:d} queued")
+def lose_lease(context, running, queued):
+    async def use(bench):
+        await bench.warm_up()
+        shards = [f"s{index}" for index in range(running + queued)]
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(bench.dispatcher.run, bench.query("q", shards), bench.emit)
+            await trio.sleep(0.005)
+            bench.members.lease = 0.0
+            context.before = len(bench.searcher.requests)
+        await bench.dispatcher.run(bench.query("r", ["z"]), bench.emit)
+        result = await bench.dispatcher.act(bench.order("a"))
+        assert (result.outcome, result.code) == ("not_run", "no_quorum"), result
+        await trio.sleep(5)
+        context.after = len(bench.searcher.requests)
+
+    context.bench.run(use)
+
+
+@then("nothing was sent after that")
+def nothing_sent(context):
+    assert context.before == context.after, context.bench.searcher.requests
+
+
+@when("the asker gives up {count:d} sub-requests of {service:g} s after {after:g} s")
+def give_up(context, count, service, after):
+    async def use(bench):
+        await bench.warm_up()
+        bench.searcher.service_s = service
+        shards = [f"s{index}" for index in range(count)]
+        with trio.move_on_after(after):
+            await bench.dispatcher.run(bench.query("q", shards, 1.5), bench.emit)
+        context.counts = [bench.status().slots_in_use]
+        for _ in range(4):
+            await trio.sleep(0.45)
+            context.counts.append(bench.status().slots_in_use)
+        context.cancels = bench.searcher.paths["/cancel"]
+
+    context.bench.run(use)
+
+
+@then('{cancels:d} cancellations were sent and the slots in use went "{counts}"')
+def cancels_sent(context, cancels, counts):
+    found = " ".join(map(str, context.counts))
+    assert (context.cancels, found) == (cancels, counts), (context.cancels, found)
+
+
+@when("the warm searcher starts anew between two bursts of {count:d} sub-requests")
+def reboot(context, count):
+    async def use(bench):
+        await bench.warm_up()
+        for number in range(2):
+            shards = [f"s{index}" for index in range(count)]
+            await bench.dispatcher.run(bench.query(f"q{number}", shards, 5.0), bench.emit)
+            if not number:
+                await bench.searcher.reboot()
+        context.end = bench.status()
+
+    context.bench.run(use)
+
+
+@then("the cold searcher never got more work than it can take, and all {count:d} got an answer")
+def cold_kept(context, count):
+    reasons = [reason for _, reason in context.bench.outcomes()]
+    assert reasons.count("ok") == count, reasons
+    assert context.bench.searcher.violations == 0
+    assert context.bench.searcher.allowed, "the searcher did not start anew"
+
+
+@when("work arrives all the time and the searcher {action} after {seconds:d} s")
+def steady_work(context, action, seconds):
+    async def use(bench):
+        with trio.move_on_after(seconds + 6):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_feed, bench)
+                await trio.sleep(seconds)
+                context.since = trio.current_time()
+                ACTIONS[action](bench)
+        context.state = bench.status().state
+        context.times = [time for time, _, _ in bench.searcher.requests]
+
+    context.bench.run(use)
+
+
+async def _feed(bench):
+    for number in range(10_000):
+        await bench.dispatcher.run(bench.query(f"q{number}", ["a", "b"]), bench.emit)
+        await trio.sleep(0.01)
+
+
+def _leave(bench):
+    bench.searcher.state = "leaving"
+
+
+def _take_out(bench):
+    bench.edit(state="out")
+
+
+ACTIONS = {"announces that it leaves": _leave, "row is taken out": _take_out}
+
+
+@then('it got work before, none after {seconds:g} s more, and is in state "{state}"')
+def no_new_work(context, seconds, state):
+    assert [time for time in context.times if time < context.since]
+    late = [time - context.since for time in context.times if time > context.since + seconds]
+    assert not late and context.state == state, (late, context.state)
+
+
+@when("another instance becomes the owner with {count:d} sub-requests in progress")
+def hand_over(context, count):
+    async def use(bench):
+        await bench.warm_up()
+        bench.searcher.service_s = 0.5
+        shards = [f"s{index}" for index in range(count + 1)]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(bench.dispatcher.run, bench.query("q", shards), bench.emit)
+            await trio.sleep(0.1)
+            assert bench.dispatcher.holding() == ()
+            bench.view(owned=False)
+            context.holding = [bench.dispatcher.holding()]
+        await trio.sleep(0.01)
+        context.holding.append(bench.dispatcher.holding())
+        context.open = bench.searcher.connections
+        bench.view(owned=True)
+        await bench.dispatcher.run(bench.query("r", ["z"]), bench.emit)
+
+    context.bench.run(use)
+
+
+@then("the server was held until they ended, and then without a connection")
+def held_until(context):
+    assert context.holding == [("s1",), ()], context.holding
+    assert context.open == 0
+
+
+@when("a server is released with {count:d} sub-requests in progress or queued")
+def release(context, count):
+    async def use(bench):
+        shards = [f"s{index}" for index in range(count)]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(bench.dispatcher.run, bench.query("q", shards), bench.emit)
+            await trio.sleep(0.01)
+            await bench.dispatcher.release("s1")
+            context.open = bench.searcher.connections
+            await bench.dispatcher.run(bench.query("r", ["z"]), bench.emit)
+
+    context.bench.run(use)
+
+
+@then("all connections were closed when the release returned")
+def released(context):
+    assert context.open == 0
+
+
+@when("{count:d} copies of a request that crashes its server run as canaries of kind {kind}")
+def poison(context, count, kind):
+    bench = context.bench
+    bench.searcher.fault = lambda body: "reset"
+
+    async def use(bench):
+        for number in range(count):
+            name = "canary" if kind == "canary" else ("canary", "suspect")[number % 2]
+            query = bench.query(f"q{number}", ["a"], 1.0, canary=True, kind=name)
+            await bench.dispatcher.run(query, bench.emit)
+            await trio.sleep(1)
+        context.shared = bench.dispatcher.blocked()
+
+    bench.run(use)
+
+
+@then("it ran {count:d} times and {shared:d} entry is shared")
+def poison_ran(context, count, shared):
+    assert context.bench.searcher.paths["/search"] == count
+    assert len(context.shared) == shared, context.shared
+
+
+@when("the asker of a canary that crashes its server later gives up first")
+def abandoned_canary(context):
+    bench = context.bench
+    bench.searcher.fault = lambda body: "reset"
+    bench.searcher.service_s = 0.2
+    bench.searcher.ignores_cancel = True
+
+    async def use(bench):
+        with trio.move_on_after(0.1):
+            await bench.dispatcher.run(bench.query("q", ["a"], canary=True), bench.emit)
+        await trio.sleep(1)
+        context.shared = bench.dispatcher.blocked()
 
-            async def connect(host, port):
-                return await self.searcher.connect(nursery)
-
-            self.start = trio.current_time()
-            self.dispatcher = Dispatcher(
-                self.configuration,
-                self.members,
-                Metrics("i1"),
-                wall=lambda: UNIX_START + trio.current_time(),
-                rng=self.rng,
-                connect=connect,
-            )
-            await nursery.start(self.dispatcher.serve)
-            await use(self)
-            nursery.cancel_scope.cancel()
-
-    def query(self, query_id, shards, timeout=1.0, **fields):
-        deadline_ms = int((UNIX_START + trio.current_time() + timeout) * 1000)
-        targets = tuple(Target(shard, "s1/0") for shard in shards)
-        tenant = fields.pop("tenant", "t")
-        return SubQuery(
-            query_id, "logs", SNAPSHOT, tenant, b'{"q":1}', deadline_ms, 1, targets, **fields
-        )
-
-    async def emit(self, item):
-        self.results.extend(item.results)
-
-    def order(self, request_id, timeout=1.0):
-        deadline_ms = int((UNIX_START + trio.current_time() + timeout) * 1000)
-        return RunAction(request_id, "logs", "sh", "s1/0", "t", b'{"a":1}', deadline_ms, 1)
+    bench.run(use)
