--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -267,11 +267,11 @@
         worker = Worker(connection)
         self.workers.add(worker)
         self.nursery.start_soon(self._work, worker)
+        self._ready(worker)
 
     async def _work(self, worker: Worker) -> None:
         """Serve one connection until it is closed."""
         try:
-            self._ready(worker)
             async for job in worker.receiver:
                 if isinstance(job, Control):
                     await self._run_control(worker, job)
