--- a/rattanrelay/node/ports.py
+++ b/rattanrelay/node/ports.py
@@ -6,8 +6,9 @@
 
 import trio
 
+from ..decide.ownership import Member
 from ..table import Catalog, Table
-from ..wire import ActionResult, RunAction, ShardResults, SubQuery
+from ..wire import ActionResult, Cancel, RunAction, ShardResults, SubQuery
 
 __all__ = [
     "ClaimsPort",
@@ -51,15 +52,6 @@
     catalogs: dict[str, Catalog] = {}
 
 
-class Member(NamedTuple):
-    """A member of a view; `address` is `host:port` of its peer listener."""
-
-    instance: str
-    incarnation: str
-    address: str
-    failure_domain: str
-
-
 class MembersPort(Protocol):
     """Membership and ownership as the members task publishes them."""
 
@@ -105,6 +97,9 @@
     async def run(self, query: SubQuery, emit: Callable[[ShardResults], Awaitable[None]]) -> None:
         """Run the targets of a sub-query and emit each shard result as soon as it is there."""
 
+    async def cancel(self, message: Cancel) -> None:
+        """Give up one target of a running sub-query; it emits no result for it."""
+
     async def act(self, order: RunAction) -> ActionResult:
         """Run a claimed non-idempotent request once; the result says `not_run` only if true."""
 
