--- /dev/null
+++ b/rattanrelay/node/admin.py
@@ -0,0 +1,207 @@
+"""Administration API over HTTP for a platform that many teams share."""
+
+import time
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from ..errors import CODES, RelayError
+from ..http import Request, Response, json_response
+from ..log import event
+from ..metrics import Metrics
+from ..settings import Settings
+from ..table import CellChange, Table, decode_table, encode_document
+from ..table.capacity import capacity_without
+from ..table.cells import commit, describe
+from ..table.columns import rows_of
+from . import admin_fleet, admin_table
+from .admin_access import Tokens
+from .admin_ports import DocumentsPort, MembershipPort, StatusSource
+from .admin_routes import Call, match_route, methods_of
+
+__all__ = ["PROBLEM_TYPE", "Admin"]
+
+#: Media type of an error body, as in RFC 9457.
+PROBLEM_TYPE = "application/problem+json"
+
+TABLE_NAME = "table"
+
+
+class Admin:
+    """Answers administration requests; `handle` never raises."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        documents: DocumentsPort,
+        members: MembershipPort,
+        status: StatusSource,
+        metrics: Metrics,
+        *,
+        clock: Callable[[], float] = time.time,
+    ) -> None:
+        """Read the token files; raises `bad_settings`. `clock` returns Unix time in seconds."""
+        self.tokens = Tokens(settings.admin_tokens)
+        self.documents = documents
+        self.members = members
+        self.status = status
+        self.metrics = metrics
+        self.clock = clock
+        self.openapi = admin_fleet.openapi_text()
+
+    async def handle(self, request: Request) -> Response:
+        """Answer one request; errors are problem details."""
+        try:
+            entry, params = match_route(request.method, request.path)
+            access = None
+            if entry.scope:
+                access = self.tokens.find(request.headers)
+                access.require(entry.scope)
+            return await entry.function(self, Call(request, params, access))
+        except RelayError as error:
+            return self._problem(request, error)
+        except Exception as error:
+            event("admin.internal", path=request.path, error=f"{type(error).__name__}: {error}")
+            text = "an internal error, see the log of the instance"
+            failure = RelayError("internal", text, step="answer request", ran="unknown")
+            return self._problem(request, failure)
+
+    @property
+    def table(self) -> Table:
+        """The table in force here, an empty one of revision 0 before the first."""
+        return self.documents.configuration.value.table or Table(0)
+
+    def visible(self, call: Call) -> Table:
+        """Return the table in force here without the rows of other teams."""
+        return call.access.visible(self.table)
+
+    async def edit(
+        self,
+        call: Call,
+        changes: tuple[CellChange, ...],
+        *,
+        status: int = 200,
+        capacity: dict[str, Any] | None = None,
+    ) -> Response:
+        """Write changes to the store and return the accepted revision.
+
+        The changes are applied again to the newer table after a lost swap.
+        """
+        call.access.check(self.table, changes)
+        done: list[Table] = []
+
+        def change(value: bytes | None) -> bytes:
+            done[:] = [self._next(call, changes, value)]
+            return encode_document(done[0])
+
+        await self.documents.edit(TABLE_NAME, change)
+        table = done[0]
+        self.log("admin.edit", call, revision=table.revision, change=table.change)
+        return self.edited(status, table, table.history[-1].changes, capacity)
+
+    def preview(self, call: Call, changes: tuple[CellChange, ...]) -> Response:
+        """Return what an edit would change, checked against the table in force here."""
+        call.access.check(self.table, changes)
+        self._commit(call, changes, self.table)
+        return self.edited(200, self.table, changes)
+
+    def edited(
+        self,
+        status: int,
+        table: Table,
+        changes: tuple[CellChange, ...],
+        capacity: dict[str, Any] | None = None,
+    ) -> Response:
+        """Return the answer to an edit."""
+        value = {
+            "revision": table.revision,
+            "change": describe(changes),
+            "changes": [change._asdict() for change in changes],
+        }
+        if capacity is not None:
+            value["capacity"] = capacity
+        return json_response(status, value, admin_table.etag(table))
+
+    def capacity(self, call: Call) -> dict[str, Any]:
+        """Return what would remain without the row in the path, as far as the team sees it."""
+        table = self.visible(call)
+        catalogs = {
+            name: catalog
+            for name, catalog in self.documents.configuration.value.catalogs.items()
+            if name in table.services
+        }
+        report = capacity_without(table, catalogs, call.kind, call.params["name"])
+        instances = [
+            {"domain": domain, "before": before, "after": report.instances_after[domain]}
+            for domain, before in report.instances_before.items()
+        ]
+        return {
+            "services": [line._asdict() for line in report.lines],
+            "instances": instances,
+            "warnings": list(report.warnings),
+        }
+
+    def log(self, name: str, call: Call, **fields) -> None:
+        """Log who did what; the token never reaches the log."""
+        event(name, author=call.author, peer=call.request.peer, **fields)
+
+    def _next(self, call: Call, changes: tuple[CellChange, ...], value: bytes | None) -> Table:
+        table = self._decode(value)
+        self._check_if_match(call, table)
+        call.access.check(table, changes)
+        return self._commit(call, changes, table)
+
+    def _commit(self, call: Call, changes: tuple[CellChange, ...], table: Table) -> Table:
+        def visible(kind: str, name: str) -> bool:
+            row = rows_of(table, kind).get(name) if hasattr(table, kind) else None
+            return row is None or call.access.sees(kind, row)
+
+        return commit(
+            table, changes, author=call.author, now=self.clock(), note=call.note, visible=visible
+        )
+
+    @staticmethod
+    def _decode(value: bytes | None) -> Table:
+        if value is None:
+            return Table(0)
+        try:
+            return decode_table(value)
+        except msgspec.DecodeError as error:
+            raise RelayError("bad_answer", f"stored table: {error}", step="read table") from None
+
+    @staticmethod
+    def _check_if_match(call: Call, table: Table) -> None:
+        wanted = call.request.headers.get("if-match", "*")
+        tags = [tag.strip() for tag in wanted.split(",")]
+        if "*" in tags or f'"{table.revision}"' in tags:
+            return
+        text = f"If-Match names {wanted}, the table has revision {table.revision}"
+        raise RelayError("precondition_failed", text, step="check If-Match")
+
+    def _problem(self, request: Request, error: RelayError) -> Response:
+        self.metrics.refusals.inc({"service": "admin", "code": error.code})
+        event(
+            "admin.refused",
+            method=request.method,
+            path=request.path,
+            peer=request.peer,
+            code=error.code,
+            error=error.message,
+        )
+        body = {
+            "type": f"urn:rattanrelay:error:{error.code}",
+            "title": CODES[error.code].meaning,
+            "status": error.status,
+            "detail": error.message,
+            "code": error.code,
+            "step": error.step,
+            "peer": error.peer,
+            "outcome": error.ran,
+        }
+        headers = {"content-type": PROBLEM_TYPE}
+        if error.code == "unauthorized":
+            headers["www-authenticate"] = "Bearer"
+        if error.code == "method_not_allowed":
+            headers["allow"] = ", ".join(methods_of(request.path))
+        return Response(error.status, headers, msgspec.json.encode(body))
