Add commands for the table, states, status, query and checks

Errors are one line with a code; exit code 2 is for arguments and files, 1 for the server and network.

--- /dev/null
+++ b/rattanrelay/cli/commands/service.py
@@ -0,0 +1,7 @@
+"""`rattanrelay service`: takes a row out of service and back."""
+
+from ..service_state import add_state_commands
+
+__all__: list[str] = []
+
+add_state_commands("service")
--- /dev/null
+++ b/rattanrelay/cli/commands/status.py
@@ -0,0 +1,90 @@
+"""`rattanrelay status`: members, revisions, conditions and backend servers."""
+
+import sys
+from typing import Any
+
+from ...errors import RelayError
+from ..client import open_admin
+from ..main import EXIT_OK, EXIT_REFUSED
+from ..registry import command
+from ..show import print_json, print_rows, wait_in_force
+
+__all__ = ["status"]
+
+
+@command("status")
+def status(*, until: int = 0, json: bool = False, admin: str = "", token_file: str = "") -> int:
+    """Print the status of each given instance; the exit code is 1 if one of them does not answer.
+
+    :param until: wait until each member is known to have this table revision
+    :param json: print JSON
+    :param admin: host:port of an instance's administration interface, or several with commas
+    :param token_file: file with the bearer token
+    """
+    client = open_admin(admin, token_file)
+    if until:
+        wait_in_force(client, until)
+    results = client.each("/v1/status")
+    answers = [result.json() for result in results if not isinstance(result, RelayError)]
+    errors = [result for result in results if isinstance(result, RelayError)]
+    if json:
+        print_json(answers)
+    else:
+        for answer in answers:
+            _print_instance(answer)
+        _print_searchers(answers)
+    for error in errors:
+        print(error, file=sys.stderr)
+    return EXIT_REFUSED if errors else EXIT_OK
+
+
+def _print_instance(answer: dict[str, Any]) -> None:
+    ready = "ready" if answer["ready"] else f"not ready ({answer['reason']})"
+    print(
+        f"instance {answer['instance']}: {ready}, epoch {answer['epoch']}, "
+        f"lease {answer['lease_left_s']:.1f} s, table revision {answer['table_revision']}, "
+        f"in force everywhere {answer['in_force_everywhere']}"
+    )
+    for condition in answer["degraded"]:
+        print(f"  degraded: {condition}")
+    for instance in answer["departed"]:
+        print(f"  departed and not known to have stopped: {instance}")
+    for item in answer["blocked"]:
+        print(f"  blocked request {item['fingerprint']} for {item['seconds_left']} s")
+    rows = [
+        [
+            member["instance"],
+            member["failure_domain"],
+            member["address"],
+            member["revisions"].get("table"),
+        ]
+        for member in answer["members"]
+    ]
+    print_rows(["member", "domain", "address", "table revision"], rows)
+
+
+def _print_searchers(answers: list[dict[str, Any]]) -> None:
+    """Print the searchers that the asked instances own, and the servers without an answer."""
+    seen = [item for answer in answers for item in answer["searchers"] if item["owned"]]
+    rows = [
+        [
+            item["searcher"],
+            item["state"],
+            item["slots_in_use"],
+            item["allowance"],
+            item["limit"],
+            item["queued"],
+            item["connections"],
+        ]
+        for item in sorted(seen, key=lambda item: item["searcher"])
+    ]
+    if rows:
+        print_rows(
+            ["searcher", "state", "in use", "allowed now", "limit", "queued", "connections"], rows
+        )
+    servers = {name: place for answer in answers for name, place in answer["servers"].items()}
+    covered = {item["server"] for item in seen}
+    for name, place in sorted(servers.items()):
+        if name not in covered:
+            where = f"owned by {place['owner']}" if place["owner"] else "without an owner"
+            print(f"server {name}: {'in' if place['in_service'] else 'out'}, {where}")
--- a/rattanrelay/errors.py
+++ b/rattanrelay/errors.py
@@ -49,8 +49,9 @@
         return CODES[self.code].status
 
     def __str__(self) -> str:
-        where = f" (step {self.step}, peer {self.peer})" if self.step or self.peer else ""
-        return f"{self.code}: {self.message}{where}"
+        parts = [("step", self.step), ("peer", self.peer)]
+        where = ", ".join(f"{name} {value}" for name, value in parts if value)
+        return f"{self.code}: {self.message}" + (f" ({where})" if where else "")
 
 
 # Requests of callers.
--- /dev/null
+++ b/tests/steps/operator_cli_steps.py
@@ -0,0 +1,209 @@
+"""Steps for the command line, run in this process against a server in a thread."""
+
+import contextlib
+import io
+import json
+import os
+import shlex
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+from functools import partial
+from pathlib import Path
+from unittest.mock import patch
+
+import trio
+from behave import given, then, when
+from operator_fakes import Lab, token_of
+from operator_samples import sample_table
+
+from rattanrelay.cli import main, show
+from rattanrelay.cli.registry import COMMANDS
+from rattanrelay.errors import RelayError
+from rattanrelay.http import Response, serve_http
+from rattanrelay.table.cells import cell_of
+
+START_LIMIT_S = 10.0
+
+FILES = {
+    "bad.csv": "#rattanrelay,services,7\nname,weight\nlogging,heavy\n",
+    "range.csv": "#rattanrelay,services,7\nname,weight\nlogging,0\n",
+    "good.csv": "#rattanrelay,services,7\nname,queue\nlogging,9\n",
+    "unknown.csv": "name,queue\nlogging,9\n",
+}
+SETTINGS = "\n".join(
+    ['instance = "entry-1"', 'failure_domain = "oviedo"']
+    + [
+        f'{name} = {{ host = "127.0.0.1", port = 0 }}'
+        for name in ("callers", "peers", "admin", "store", "instance_list")
+    ]
+)
+NO_TOKEN = '\n[[admin_tokens]]\nteam = "a"\nfile = "/nonexistent"\nscopes = ["read"]\n'
+
+
+class Server:
+    """Serves a handler on a port of 127.0.0.1 from a thread until it is closed."""
+
+    def __init__(self, handler):
+        self.handler = handler
+        self.started = threading.Event()
+        self.thread = threading.Thread(target=trio.run, args=(self.serve,))
+        self.thread.start()
+        assert self.started.wait(START_LIMIT_S)
+
+    async def serve(self):
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        self.token = trio.lowlevel.current_trio_token()
+        self.stopping = trio.Event()
+        self.started.set()
+        await serve_http(self.handler, listeners, stopping=self.stopping)
+
+    def close(self):
+        self.token.run_sync_soon(self.stopping.set)
+        self.thread.join()
+
+
+@given("a running administration API for these tokens")
+def given_running(context):
+    context.lab = Lab(sample_table(), [row.as_dict() for row in context.table])
+    context.add_cleanup(context.lab.close)
+    server = Server(context.lab.admin.handle)
+    context.add_cleanup(server.close)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = Path(folder.name)
+    context.places = {"admin": server.address, "closed": closed_address()}
+    texts = {
+        **FILES,
+        "good.toml": SETTINGS,
+        "port.toml": SETTINGS.replace("port = 0", "port = 70000", 1),
+        "token.toml": SETTINGS + NO_TOKEN,
+        "fleet": token_of("fleet"),
+        "viewer": token_of("viewer"),
+        "unknown": token_of("nobody"),
+    }
+    for name, text in texts.items():
+        (context.folder / name).write_text(text)
+
+
+def closed_address():
+    """Return an address at which nobody listens."""
+    with socket.socket() as unused:
+        unused.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{unused.getsockname()[1]}"
+
+
+def run_main(context, arguments):
+    out = io.TextIOWrapper(io.BytesIO(), "utf-8", write_through=True)
+    err = io.StringIO()
+    variables = {
+        "RATTANRELAY_ADMIN": context.places["admin"],
+        "RATTANRELAY_TOKEN_FILE": str(context.folder / "fleet"),
+        "RATTANRELAY_CALLERS": context.places.get("callers", context.places["closed"]),
+    }
+    with (
+        patch.dict(os.environ, variables),
+        patch.object(show, "WAIT_LIMIT_S", 0.0),
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(err),
+    ):
+        context.exit_code = main(arguments)
+    context.printed = out.buffer.getvalue().decode()
+    context.errors = err.getvalue()
+
+
+def filled(context, text):
+    """Put addresses and paths in place of the names in braces."""
+    for name, place in context.places.items():
+        text = text.replace(f"{{{name}}}", place)
+    for name in [*(path.name for path in context.folder.iterdir()), "out.csv"]:
+        text = text.replace(f"{{{name}}}", str(context.folder / name))
+    return text
+
+
+@when("the command line is: {command}")
+def when_command(context, command):
+    lexer = shlex.shlex(filled(context, command), posix=True, punctuation_chars=False)
+    lexer.whitespace_split, lexer.quotes, lexer.commenters = True, "'", ""
+    run_main(context, list(lexer))
+
+
+@when('the file "{name}" has "{old}" replaced by "{new}"')
+def when_file_edited(context, name, old, new):
+    path = context.folder / name
+    path.write_bytes(path.read_bytes().replace(old.encode(), new.encode()))
+
+
+@when("a command raises {error}")
+def when_raises(context, error):
+    kinds = {
+        "ValueError": ValueError("odd"),
+        "ExceptionGroup": ExceptionGroup("g", [RelayError("not_ready", "no table")]),
+        "KeyboardInterrupt": KeyboardInterrupt(),
+    }
+
+    def fail(file: str) -> None:
+        raise kinds[error]
+
+    run_main(context, ["check", str(context.folder / "good.toml")])
+    with patch.dict(COMMANDS, {("check",): fail}):
+        run_main(context, ["check", "x"])
+
+
+@then('it exits with {code:d} and one error line that says "{text}"')
+def then_error(context, code, text):
+    assert context.exit_code == code, (context.exit_code, context.errors, context.printed)
+    assert context.errors.count("\n") == 1 and text in context.errors, context.errors
+
+
+@then('it exits with {code:d} and prints "{text}"')
+@then('it exits with {code:d} and prints ""')
+def then_printed(context, code, text=""):
+    assert context.exit_code == code, (context.exit_code, context.errors)
+    assert text in context.printed, context.printed
+
+
+@then('it prints "{text}"')
+def then_also_printed(context, text):
+    assert text in context.printed, context.printed
+
+
+@then('the cell "{kind}" "{row}" "{column}" of the served table is {value}')
+def then_served(context, kind, row, column, value):
+    assert context.exit_code in (0, 1), context.errors
+    assert cell_of(context.lab.documents.table, kind, row, column) == json.loads(value)
+
+
+async def canned(received, status, text, request):
+    received.append(request)
+    return Response(status, {"content-type": "application/json"}, text.encode())
+
+
+@given("a caller interface that answers {status:d} with")
+def given_callers(context, status):
+    context.received = []
+    server = Server(partial(canned, context.received, status, context.text))
+    context.add_cleanup(server.close)
+    context.places["callers"] = server.address
+
+
+@then('the caller interface has received "{target}" with {body}')
+def then_received(context, target, body):
+    (request,) = context.received
+    assert (request.method, request.target) == ("POST", target), request
+    assert json.loads(request.body) == json.loads(body), request
+    assert request.headers["x-tenant"] == "museum"
+
+
+@then('the command "{word}" imports no other command module')
+def then_lazy(context, word):
+    code = (
+        "import sys, rattanrelay.cli as c; c.main([sys.argv[1], sys.argv[2]]);"
+        "print([m for m in sys.modules if m.startswith('rattanrelay.cli.commands.')])"
+    )
+    command = [sys.executable, "-c", code, word, str(context.folder / "good.toml")]
+    done = subprocess.run(command, capture_output=True, text=True, check=True, timeout=60)
+    assert done.stdout.splitlines()[-1] == f"['rattanrelay.cli.commands.{word}']", done
