--- a/rattanrelay/emulator/answers.py
+++ b/rattanrelay/emulator/answers.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from ..http import Response, json_response
-from .gate import GatedStream
+from .gate import WHOLE_ANSWER, GatedStream
 
 __all__ = ["ANSWER_FAULTS", "Answer", "answer_fault"]
 
@@ -29,9 +29,6 @@
 OTHER_SHARD = "another-shard"
 OTHER_SNAPSHOT = "another-snapshot"
 
-#: Bytes of a truncated answer: the head and the first bytes of its body.
-TRUNCATED_EXTRA_BYTES = 20
-
 
 def answer_fault(name: str) -> Callable[[Fault], Fault]:
     """Register a fault under a name."""
@@ -53,8 +50,7 @@
 def truncated(answer: Answer) -> Response:
     """An answer that ends, with its connection, in the middle of the body."""
     response = answer.with_body()
-    head = sum(len(name) + len(value) + 4 for name, value in response.headers.items())
-    answer.stream.send_limit = head + TRUNCATED_EXTRA_BYTES
+    answer.stream.withheld = len(response.body) // 2
     return response
 
 
@@ -114,5 +110,5 @@
 def reset(answer: Answer) -> Response:
     """The connection is reset after the work, before any byte of the answer."""
     answer.stream.reset_on_close()
-    answer.stream.send_limit = 0
+    answer.stream.withheld = WHOLE_ANSWER
     return answer.with_body()
--- a/rattanrelay/emulator/backend_control.py
+++ b/rattanrelay/emulator/backend_control.py
@@ -18,6 +18,12 @@
     select: Selection = msgspec.field(default_factory=Selection)
 
 
+class JournalOrder(Target):
+    """Runs that arrived at `since` (Unix seconds) or later."""
+
+    since: float = 0.0
+
+
 class FaultOrder(Target):
     """Faults to change (`set`); the others stay, unless `reset` puts all back to healthy."""
 
@@ -70,9 +76,10 @@
 
 @control("POST", "/control/searchers/journal")
 async def journals(emulator, request: Request) -> dict:
-    """Return the whole journals of the selected searchers by name."""
-    selected = emulator.backends.select(decode(request, Target).select)
-    return {searcher.name: searcher.journal.report() for searcher in selected}
+    """Return the journals of the selected searchers by name."""
+    order = decode(request, JournalOrder)
+    selected = emulator.backends.select(order.select)
+    return {searcher.name: searcher.journal.report(order.since) for searcher in selected}
 
 
 @control("POST", "/control/searchers/clear")
--- a/rattanrelay/emulator/gate.py
+++ b/rattanrelay/emulator/gate.py
@@ -6,7 +6,10 @@
 
 import trio
 
-__all__ = ["GatedListener", "GatedStream"]
+__all__ = ["RESET_ON_CLOSE", "WHOLE_ANSWER", "GatedListener", "GatedStream"]
+
+#: More bytes than any answer has: withholds all of it.
+WHOLE_ANSWER = 1 << 40
 
 #: SO_LINGER that makes a close send a reset, as the end of a crashed process does.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -24,24 +27,25 @@
         self.ready_at = ready_at
         self.ended = ended
         self.closed = False
-        #: Bytes of the next answer that are sent before the connection is closed.
-        self.send_limit: int | None = None
+        #: Bytes at the end of the next answer that are not sent; then the connection is closed.
+        self.withheld: int | None = None
         #: Bytes that are sent instead of the next answer.
         self.replacement: bytes | None = None
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Wait until the connection is set up, then read."""
-        await trio.sleep_until(self.ready_at)
+        if trio.current_time() < self.ready_at:
+            await trio.sleep_until(self.ready_at)
         return await self.stream.receive_some(max_bytes)
 
     async def send_all(self, data: bytes) -> None:
         """Send an answer, or what the faults leave of it."""
         if self.replacement is not None:
             data, self.replacement = self.replacement, None
-        if self.send_limit is None:
+        if self.withheld is None:
             await self.stream.send_all(data)
             return
-        await self.stream.send_all(data[: self.send_limit])
+        await self.stream.send_all(data[: max(len(data) - self.withheld, 0)])
         await self.aclose()
         raise trio.BrokenResourceError("the answer was cut")
 
--- a/rattanrelay/emulator/journal.py
+++ b/rattanrelay/emulator/journal.py
@@ -1,11 +1,13 @@
 """What a searcher records: each request, peaks of concurrent use, and violations of limits."""
 
 from collections import Counter
+from collections.abc import Iterable
+from itertools import accumulate
 from typing import NamedTuple
 
 import msgspec
 
-__all__ = ["MAX_RUNS", "Journal", "Run", "Violation", "double_runs"]
+__all__ = ["MAX_RUNS", "Journal", "Run", "Violation", "double_runs", "peak_concurrent"]
 
 #: Requests kept for each searcher; later ones are only counted in `dropped`.
 MAX_RUNS = 200_000
@@ -135,16 +137,16 @@
             "last_start": self.last_start,
         }
 
-    def report(self) -> dict:
-        """Return the whole journal as JSON values."""
+    def report(self, since: float = 0.0) -> dict:
+        """Return the journal as JSON values, with the runs that arrived at `since` or later."""
         return {
             **self.summary(),
-            "runs": [msgspec.to_builtins(run) for run in self.runs],
+            "runs": [msgspec.to_builtins(run) for run in self.runs if run.arrived >= since],
             "violations": [violation._asdict() for violation in self.violations],
         }
 
 
-def double_runs(runs: list[Run]) -> dict[str, list[Run]]:
+def double_runs(runs: Iterable[Run]) -> dict[str, list[Run]]:
     """Return the actions that may have had an effect more than once, by request id and body.
 
     Runs of all searchers must be passed together: a repeat may reach another searcher.
@@ -155,3 +157,18 @@
             groups.setdefault(f"request {run.request_id}", []).append(run)
             groups.setdefault(f"body {run.body}", []).append(run)
     return {name: group for name, group in groups.items() if len(group) > 1}
+
+
+def peak_concurrent(runs: Iterable[Run]) -> int:
+    """Return the highest number of runs that held a slot at the same time.
+
+    The runs may come from many searchers, such as those of a failure domain. A run that ends when
+    another one starts does not overlap with it.
+    """
+    changes = []
+    for run in runs:
+        if run.start is not None:
+            changes.append((run.start, 1))
+        if run.start is not None and run.end is not None:
+            changes.append((run.end, -1))
+    return max(accumulate((step for _, step in sorted(changes)), initial=0))
--- a/rattanrelay/emulator/store.py
+++ b/rattanrelay/emulator/store.py
@@ -11,6 +11,7 @@
 from ..log import event
 from .config import StoreConfig
 from .endpoint import Endpoint
+from .gate import WHOLE_ANSWER
 from .leases import Leases
 from .store_calls import CallLog, StoreCall
 from .store_data import ABSENT, Stored, StoreData
@@ -239,7 +240,7 @@
         if self.store.faults.lose_by == "silence":
             await stream.wait_client_gone()
         stream.reset_on_close()
-        stream.send_limit = 0
+        stream.withheld = WHOLE_ANSWER
         return response
 
     def _recorded(self, arrived: float, kind: str, response: Response) -> Response:
--- a/tests/emulator/searcher.feature
+++ b/tests/emulator/searcher.feature
@@ -138,3 +138,6 @@
     Given journals with a refused, a repeated and a crashed and repeated action
     When the journals are searched for double runs
     Then the repeated actions are found and the refused one is not
+
+  Scenario: The peak over many searchers agrees with a count at each moment
+    Then the peak of random runs is the highest count at any start
--- a/tests/steps/emulator_steps.py
+++ b/tests/steps/emulator_steps.py
@@ -18,7 +18,7 @@
 from rattanrelay.emulator.corpus import expected_answer, search_shard
 from rattanrelay.emulator.deployments import DEPLOYMENTS, next_snapshot, norte
 from rattanrelay.emulator.faults import SearcherFaults
-from rattanrelay.emulator.journal import Journal, Run, double_runs
+from rattanrelay.emulator.journal import Journal, Run, double_runs, peak_concurrent
 from rattanrelay.emulator.searcher import Searcher
 from rattanrelay.errors import RelayError
 from rattanrelay.http import HttpConnection, Request, Response
@@ -534,6 +534,27 @@
     check_equal(sorted(context.found), ['body {"id": "crashed"}', 'body {"id": "repeated"}'])
 
 
+@then("the peak of random runs is the highest count at any start")
+def peak_of_random_runs(context):
+    spans = st.tuples(st.integers(0, 20), st.one_of(st.none(), st.integers(1, 10)))
+
+    @settings(max_examples=60)
+    @for_all(st.lists(spans, max_size=15))
+    def agree(drawn):
+        runs = []
+        for start, length in drawn:
+            run = Run(1, "r", "search", SHARD, SNAPSHOT, "", "boot", "peer", None, start)
+            run.start, run.end = start, None if length is None else start + length
+            runs.append(run)
+        counts = [
+            sum(one.start <= run.start and (one.end is None or run.start < one.end) for one in runs)
+            for run in runs
+        ]
+        check_equal(peak_concurrent(runs), max(counts, default=0))
+
+    agree()
+
+
 @then(
     "{deployment} has {total:d} searchers of {service} with {slots:d} slots and {shards:d} shards"
 )
