--- a/rattanrelay/node/dispatch.py
+++ b/rattanrelay/node/dispatch.py
@@ -2,14 +2,14 @@
 
 import random
 import time
-from collections.abc import Awaitable, Callable
+from collections import deque
+from collections.abc import Callable
 from itertools import count
 
-import msgspec
 import trio
 
-from ..decide.limits import Limit, effective_limits
-from ..errors import CODES, RelayError
+from ..decide.canary import SharedEntry
+from ..decide.limits import Limit, settling_limits
 from ..http import HttpConnection
 from ..metrics import Metrics
 from ..table import Table, server_of
@@ -20,30 +20,23 @@
     Cancel,
     Handlers,
     RunAction,
-    ShardResult,
-    ShardResults,
     SubQuery,
-    Target,
 )
-from .pool import Connect
+from .batch import ActionRun, Batch, Emit, OpenJobs, action_result, check_json
+from .connection import Connect
+from .pool import CLOCK_MARGIN_S, MAX_SUBREQUEST_S
 from .ports import Configuration, Latest, MembersPort
 from .server import Rows, Searcher, SearcherStatus, Surroundings
-from .subrequest import Outcome, SubRequest
+from .subrequest import Outcome
+from .trials import SECOND_TRIAL, Trial, Trials
 
 __all__ = ["Dispatcher"]
 
-Emit = Callable[[ShardResults], Awaitable[None]]
-
 HOUSEKEEPING_INTERVAL_S = 0.25
-
-#: Error codes for reasons of sub-requests that are not error codes themselves.
-ACTION_CODES = {
-    "shedding": "overloaded",
-    "draining": "no_replica",
-    "out": "no_replica",
-    "snapshot_gone": "no_replica",
-    "cancelled": "deadline",
-}
+#: Time within which a table is in force on every instance.
+CONFIGURATION_SPREAD_S = 7.0
+#: Time after which no work is in progress that was sent under an earlier table.
+SETTLE_S = CONFIGURATION_SPREAD_S + MAX_SUBREQUEST_S + CLOCK_MARGIN_S
 
 
 class Dispatcher:
@@ -70,10 +63,16 @@
         self.connect = connect
         self.searchers: dict[str, Searcher] = {}
         self.limits: dict[str, Limit] = {}
-        self.open: dict[tuple[str, str, str], tuple[_Batch, SubRequest]] = {}
+        self.table: Table | None = None
+        #: Earlier tables, and until when they may be in use at another instance.
+        self.replaced_tables: deque[tuple[float, Table]] = deque()
+        #: True while a searcher with a new address waits for the end of work at the old one.
+        self.moving = False
+        self.open_jobs: OpenJobs = {}
         self.around: Surroundings | None = None
         self.seen: tuple[int, int] | None = None
         self._prefix = f"{members.instance}-{rng.getrandbits(64):016x}"
+        self.trials = Trials(self._prefix)
         self._numbers = count(1)
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -102,8 +101,9 @@
         handlers.on(RunAction)(self.act)
 
         @handlers.on(Cancel)
-        async def cancel(order: Cancel) -> Accepted:
-            return Accepted(self.cancel(order))
+        async def cancel(message: Cancel) -> Accepted:
+            await self.cancel(message)
+            return Accepted(True)
 
     async def run(self, query: SubQuery, emit: Emit) -> None:
         """Run the targets of a sub-query and emit each shard result as soon as it is there.
@@ -111,9 +111,13 @@
         Work that has not ended when this is cancelled is cancelled at the servers.
         """
         self.sync()
-        batch = _Batch(self, query)
-        try:
+        batch = self._batch(query)
+        reason = await self._admit(batch)
+        if reason:
+            batch.refuse(reason)
+        else:
             batch.start()
+        try:
             await batch.emit_all(emit)
         finally:
             batch.withdraw()
@@ -121,20 +125,25 @@
     async def act(self, order: RunAction) -> ActionResult:
         """Run a claimed non-idempotent request once; the result says `not_run` only if true."""
         self.sync()
-        _check_json(order.body)
+        check_json(order.body)
         searcher = self.searchers.get(order.searcher)
         if searcher is None:
-            return _action_result(Outcome(self.absence(order.searcher), "not_run"))
-        return await _Act(order, searcher, self.trio_time(order.deadline_ms)).run()
-
-    def cancel(self, order: Cancel) -> bool:
-        """Give up one sub-request; False if it is not in progress."""
-        entry = self.open.get((order.query_id, order.shard, order.searcher))
-        if entry is None:
-            return False
-        batch, job = entry
-        batch.cancel(job)
-        return True
+            return action_result(Outcome(self.absence(order.searcher), "not_run"))
+        deadline = self.trio_time(order.deadline_ms)
+        trial = None
+        if searcher.rows.service.canary:
+            trial = Trial(self.trials, order.svc, order.body, second=None)
+            reason = await trial.begin(deadline)
+            if reason:
+                return action_result(Outcome(reason, "not_run"))
+        return await ActionRun(order, searcher, deadline, trial).run()
+
+    async def cancel(self, message: Cancel) -> None:
+        """Give up one target of a running sub-query; it emits no result for it."""
+        entry = self.open_jobs.get((message.query_id, message.shard, message.searcher))
+        if entry is not None:
+            batch, job = entry
+            batch.cancel(job)
 
     async def release(self, server: str) -> None:
         """Take no new work for a server; return when its work and connections have ended."""
@@ -146,6 +155,7 @@
     def holding(self) -> tuple[str, ...]:
         """Return the servers that are not owned any more and whose work has not ended."""
         self.sync()
+        self._drop_ended()
         held = {one.server for one in self.searchers.values() if not one.owned}
         return tuple(sorted(held))
 
@@ -154,11 +164,14 @@
         return tuple(self.searchers[name].status() for name in sorted(self.searchers))
 
     def blocked(self) -> tuple[BlockedRequest, ...]:
-        """Return the blocked fingerprints for the heartbeat."""
-        return ()
+        """Return the blocks and losses of fingerprints for the heartbeat."""
+        entries = self.trials.canary.shared(trio.current_time())
+        return tuple(BlockedRequest(*entry) for entry in entries)
 
     def see_blocked(self, entries: tuple[BlockedRequest, ...]) -> None:
-        """Take over the blocked fingerprints of another instance."""
+        """Take over the blocks and losses that another instance shares."""
+        shared = [SharedEntry(entry.fingerprint, entry.seconds_left) for entry in entries]
+        self.trials.canary.merge(shared, trio.current_time())
 
     def absence(self, searcher: str) -> str:
         """Return why there is no searcher of this name here."""
@@ -172,6 +185,24 @@
         left = deadline_ms / 1000 - self.wall()
         return trio.current_time() + left
 
+    def _batch(self, query: SubQuery) -> Batch:
+        deadline = self.trio_time(query.deadline_ms)
+        return Batch(query, deadline, self.searchers, self.absence, self.open_jobs)
+
+    async def _admit(self, batch: Batch) -> str:
+        """Wait for the turn of a canary; return why the sub-query may not run, empty if it may."""
+        query = batch.query
+        table = self.configuration.value.table
+        service = table.services.get(query.svc) if table else None
+        if service is None or not service.canary:
+            return ""
+        trial = Trial(self.trials, query.svc, query.body, second=query.kind == SECOND_TRIAL)
+        if not query.canary:
+            return trial.blocked()
+        reason = await trial.begin(batch.deadline)
+        batch.trial = trial
+        return reason
+
     # Configuration and ownership
 
     def sync(self) -> None:
@@ -183,7 +214,7 @@
         table = self.configuration.value.table
         if table is None:
             return
-        self.limits = effective_limits(table)
+        self._set_limits(table)
         wanted = self._owned(table)
         for name in list(self.searchers):
             if name not in wanted:
@@ -192,6 +223,16 @@
             self._take(name, address, rows)
         self._drop_ended()
 
+    def _set_limits(self, table: Table) -> None:
+        """Set the limits of a table, and for a while those of the tables before it as well."""
+        now = trio.current_time()
+        if self.table is not None and self.table.revision != table.revision:
+            self.replaced_tables.append((now + SETTLE_S, self.table))
+        self.table = table
+        while self.replaced_tables and self.replaced_tables[0][0] <= now:
+            self.replaced_tables.popleft()
+        self.limits = settling_limits([old for _, old in self.replaced_tables], table)
+
     def _owned(self, table: Table) -> dict[str, tuple[str, Rows]]:
         """Return address and rows of each searcher that this instance owns."""
         wanted = {}
@@ -199,8 +240,10 @@
             owner = self.members.owner(row.name)
             if owner is None or owner.instance != self.members.instance:
                 continue
-            service = table.services[row.service]
-            domain = table.domains[row.failure_domain]
+            service = table.services.get(row.service)
+            domain = table.domains.get(row.failure_domain)
+            if service is None or domain is None:
+                continue
             out = "out" in (row.state, service.state, domain.state)
             for name, address in zip(row.searchers, row.addresses.split(), strict=True):
                 wanted[name] = address, Rows(row, service, self.limits[name], out)
@@ -210,7 +253,7 @@
         searcher = self.searchers.get(name)
         if searcher is not None and searcher.address != address:
             searcher.give_up()
-            self.seen = None
+            self.moving = True
             return
         if searcher is None:
             searcher = self.searchers[name] = Searcher(name, address, rows, self.around)
@@ -224,6 +267,7 @@
             if not searcher.owned and searcher.pool.empty:
                 searcher.polling.cancel()
                 del self.searchers[name]
+                self._set_gauges(name, 0, 0)
 
     async def _follow_configuration(self) -> None:
         version = -1
@@ -233,13 +277,20 @@
             self.sync()
 
     def _keep_house(self) -> None:
+        settled = self.replaced_tables and self.replaced_tables[0][0] <= trio.current_time()
+        if settled or self.moving:
+            self.moving = False
+            self.seen = None
         self.sync()
         self._drop_ended()
         for name, searcher in self.searchers.items():
             searcher.settle()
-            labels = {"searcher": name}
-            self.metrics.slots.set(labels, searcher.pool.slots.in_use)
-            self.metrics.slot_limit.set(labels, searcher.allowance())
+            self._set_gauges(name, searcher.pool.slots.in_use, searcher.allowance())
+
+    def _set_gauges(self, searcher: str, in_use: int, allowance: int) -> None:
+        labels = {"searcher": searcher}
+        self.metrics.slots.set(labels, in_use)
+        self.metrics.slot_limit.set(labels, allowance)
 
     def _request_id(self) -> str:
         return f"{self._prefix}-{next(self._numbers)}"
@@ -248,159 +299,3 @@
         table = self.configuration.value.table
         row = table.tenants.get(tenant) if table else None
         return float(row.weight) if row else 1.0
-
-
-class _Batch:
-    """The targets of one sub-query and the results that are ready to be emitted."""
-
-    def __init__(self, dispatcher: Dispatcher, query: SubQuery) -> None:
-        _check_json(query.body)
-        self.dispatcher = dispatcher
-        self.query = query
-        self.deadline = dispatcher.trio_time(query.deadline_ms)
-        self.labels = {"service": query.svc, "kind": query.kind}
-        self.jobs: dict[SubRequest, Target] = {}
-        self.ready: list[ShardResult] = []
-        self.wake = trio.Event()
-
-    def start(self) -> None:
-        """Submit all targets."""
-        for target in self.query.targets:
-            searcher = self.dispatcher.searchers.get(target.searcher)
-            if searcher is None:
-                reason = self.dispatcher.absence(target.searcher)
-                self._add(target, Outcome(reason, "not_run"))
-                continue
-            self._submit(target, searcher)
-
-    async def emit_all(self, emit: Emit) -> None:
-        """Emit results until each target has one, at the deadline the failures that remain."""
-        while self.jobs or self.ready:
-            if not self.ready:
-                with trio.move_on_at(self.deadline):
-                    await self.wake.wait()
-                if not self.ready:
-                    self._expire()
-            self.wake = trio.Event()
-            results, self.ready = tuple(self.ready), []
-            await emit(ShardResults(results))
-
-    def cancel(self, job: SubRequest) -> None:
-        """Give up one sub-request."""
-        searcher = self.dispatcher.searchers.get(self.jobs[job].searcher)
-        job.finish(Outcome("cancelled", "unknown"))
-        if searcher is not None:
-            searcher.pool.withdraw(job)
-
-    def withdraw(self) -> None:
-        """Give up all that has not ended."""
-        for job in list(self.jobs):
-            self.cancel(job)
-
-    def _submit(self, target: Target, searcher: Searcher) -> None:
-        query = self.query
-        job = SubRequest(
-            "search",
-            target.shard,
-            query.snapshot,
-            query.body,
-            query.tenant,
-            self.deadline,
-            query.deadline_ms,
-            self.labels,
-            self._finished,
-        )
-        self.jobs[job] = target
-        self.dispatcher.open[query.query_id, target.shard, target.searcher] = (self, job)
-        searcher.pool.submit(job)
-
-    def _finished(self, job: SubRequest, outcome: Outcome) -> None:
-        target = self.jobs.pop(job)
-        key = (self.query.query_id, target.shard, target.searcher)
-        if self.dispatcher.open.get(key, (None, None))[1] is job:
-            del self.dispatcher.open[key]
-        self._add(target, outcome)
-
-    def _add(self, target: Target, outcome: Outcome) -> None:
-        self.ready.append(_shard_result(self.query, target, outcome))
-        self.wake.set()
-
-    def _expire(self) -> None:
-        """Fail what has no answer at the deadline; the server drops its part by itself."""
-        for job, target in list(self.jobs.items()):
-            searcher = self.dispatcher.searchers.get(target.searcher)
-            if searcher is not None:
-                searcher.pool.forget(job)
-            job.finish(Outcome("deadline", "unknown"))
-
-
-class _Act:
-    """One run of a non-idempotent request."""
-
-    def __init__(self, order: RunAction, searcher: Searcher, deadline: float) -> None:
-        self.searcher = searcher
-        self.deadline = deadline
-        self.ended = trio.Event()
-        self.outcome: Outcome | None = None
-        self.job = SubRequest(
-            "action",
-            order.shard,
-            "",
-            order.body,
-            order.tenant,
-            deadline,
-            order.deadline_ms,
-            {"service": order.svc, "kind": "action"},
-            self._finished,
-        )
-
-    async def run(self) -> ActionResult:
-        """Wait for the outcome; work that was sent is waited for until its slot is free."""
-        pool = self.searcher.pool
-        pool.submit(self.job)
-        try:
-            with trio.move_on_at(self.deadline):
-                await self.ended.wait()
-        finally:
-            if pool.forget(self.job):
-                self.job.finish(Outcome("deadline", "not_run"))
-        await self.ended.wait()
-        return _action_result(self.outcome)
-
-    def _finished(self, job: SubRequest, outcome: Outcome) -> None:
-        self.outcome = outcome
-        self.ended.set()
-
-
-def _check_json(body: bytes) -> None:
-    """Raise `bad_body` unless the body is one JSON value, since it becomes part of another."""
-    try:
-        msgspec.json.decode(body, type=msgspec.Raw)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        raise RelayError("bad_body", str(error), step="check body") from error
-
-
-def _shard_result(query: SubQuery, target: Target, outcome: Outcome) -> ShardResult:
-    return ShardResult(
-        query.query_id,
-        target.shard,
-        target.searcher,
-        "failed" if outcome.reason else "ok",
-        outcome.reason,
-        "" if outcome.reason else query.snapshot,
-        outcome.payload,
-        outcome.held,
-        int(outcome.service * 1e6),
-        int(outcome.queued * 1e6),
-        outcome.in_flight,
-        outcome.limit,
-    )
-
-
-def _action_result(outcome: Outcome) -> ActionResult:
-    if not outcome.reason:
-        return ActionResult("done", payload=outcome.payload)
-    if outcome.ran == "not_run":
-        code = ACTION_CODES.get(outcome.reason, outcome.reason)
-        return ActionResult("not_run", code if code in CODES else "internal", outcome.reason)
-    return ActionResult("unknown", "outcome_unknown", outcome.reason)
