--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -144,7 +144,7 @@
     def list_instance(self, name: str, state: str = "live") -> None:
         """Put an entry instance on the platform's list, as its platform would."""
         entry = self.entries[name]
-        body = {"address": entry.callers, "failure_domain": entry.domain, "state": state}
+        body = {"address": entry.peers, "failure_domain": entry.domain, "state": state}
         data = json.dumps(body).encode()
         http_call(self.hosts["instances"], "PUT", f"/v1/instances/{name}", data)
 
