Add the property test of cells; count only non-members as idle

A departed member that had rejoined acknowledged a later epoch without listing work at servers that it owned again there. Others took this as idle and dispatched while its earlier work still ran.

--- a/rattanrelay/decide/evidence.py
+++ b/rattanrelay/decide/evidence.py
@@ -45,7 +45,10 @@
                 self.review(view, now)
 
     def heard_idle(self, identity: Identity, epoch: int) -> None:
-        """Take that a process at an epoch has no work at servers that it does not own."""
+        """Take that a process that is no member of the view of this epoch has no work left.
+
+        A member's acknowledgement does not say this: it leaves out work at servers of its own.
+        """
         self.idle[identity] = max(epoch, self.idle.get(identity, epoch))
 
     def review(self, view: View, now: float) -> None:
--- a/rattanrelay/decide/membership.py
+++ b/rattanrelay/decide/membership.py
@@ -208,13 +208,13 @@
         """Take an acknowledgement of a heartbeat of this process."""
         self.contact[sender] = now
         giving_up = frozenset(giving_up)
-        if not giving_up:
-            self.evidence.heard_idle(sender, epoch)
         effects = self._hear(sender, epoch, now, acked=True)
         if self.view is not None and epoch == self.epoch:
             self.heard[sender] = now
             self.lease.acknowledge(sender, epoch, sequence)
             self.takeover.acknowledge(sender, sequence, giving_up)
+            if not giving_up and self.view.member(sender) is None:
+                self.evidence.heard_idle(sender, epoch)
         return effects
 
     def learn(self, view: View, now: float) -> list[Effect]:
@@ -332,18 +332,20 @@
         return min(MAX_REJOIN_DELAY_S, REJOIN_DELAY_S * 2**repeats) if repeats > 0 else 0.0
 
     def _join(self, now: float) -> list[Effect]:
-        effects = self._read(now)
+        view = self._joined(now)
+        return (view is not None and self._propose(now, view)) or self._read(now)
+
+    def _joined(self, now: float) -> View | None:
+        """Return the view that adds this process, None while it has to wait."""
         if self.view is None:
-            if not self.store_empty:
-                return effects
-            return effects + self._propose(now, first_view(self.cell, self.me))
+            return first_view(self.cell, self.me) if self.store_empty else None
         same = [member for member in self.members if member.instance == self.me.instance]
         self.superseded = bool(same and self.removals and not replaced(same[0], self.me))
         if self.superseded or now < self.join_since + self._rejoin_delay():
-            return effects
+            return None
         if not self._reaches_majority(now) and now < self.join_since + self._blind_delay():
-            return effects
-        return effects + self._propose(now, with_member(self.view, self.me, self.evidence, now))
+            return None
+        return with_member(self.view, self.me, self.evidence, now)
 
     def _blind_delay(self) -> float:
         return BLIND_JOIN_S + 2 * self._rejoin_delay()
@@ -361,21 +363,28 @@
         return not others or reached >= majority(len(others))
 
     def _detect(self, now: float) -> list[Effect]:
-        suspects = self.suspects(now)
-        effects = [] if self.has_quorum(now) else self._read(now)
         rank = self.live(now).index(self.me)
-        if suspects:
-            first = min(self.heard.get(member.identity, now) for member in suspects)
-            due = first + SUSPECT_AFTER_S + rank * STAGGER_S
-            due += 0.0 if self.has_quorum(now) else MINORITY_DELAY_S
-            wavering = any(
-                SILENT_AFTER_S < self._silence(member, now) <= SUSPECT_AFTER_S
-                for member in self._others()
-            )
-            if now < due or wavering:
-                return effects
-            return effects + self._propose(now, without(self.view, suspects, self.evidence, now))
-        return effects + self._clean(now, rank)
+        suspects = self.suspects(now)
+        if not suspects:
+            return self._clean(now, rank)
+        effects = []
+        if self._removal_due(suspects, rank, now):
+            view = without(self.view, suspects, self.evidence, now)
+            effects = self._propose(now, view)
+        return effects or ([] if self.has_quorum(now) else self._read(now))
+
+    def _removal_due(self, suspects: list[Member], rank: int, now: float) -> bool:
+        """Say whether it is this process's turn to remove the suspects.
+
+        It waits for members that are silent but not yet suspect, so that the loss of a failure
+        domain is one change of the view.
+        """
+        first = min(self.heard.get(member.identity, now) for member in suspects)
+        due = first + SUSPECT_AFTER_S + rank * STAGGER_S
+        due += 0.0 if self.has_quorum(now) else MINORITY_DELAY_S
+        silences = [self._silence(member, now) for member in self._others()]
+        wavering = any(SILENT_AFTER_S < silence <= SUSPECT_AFTER_S for silence in silences)
+        return now >= due and not wavering
 
     def _clean(self, now: float, rank: int) -> list[Effect]:
         """Remove departed members that have stopped, so that later members need not prove it."""
--- /dev/null
+++ b/tests/steps/cell_steps.py
@@ -0,0 +1,436 @@
+"""Steps for whole cells: pure nodes, a compare-and-swap store and faults on simulated time."""
+
+import heapq
+import itertools
+import random
+
+from behave import then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rattanrelay.decide.lease import MAX_SUBREQUEST_S, decode_view, encode_view
+from rattanrelay.decide.membership import Beat, Fetch, Membership, Propose, ReadStore
+from rattanrelay.decide.ownership import Member
+from rattanrelay.decide.succession import with_stopped
+
+SERVERS = [f"server-{number}" for number in range(6)]
+TICK_S = 0.1
+STORE_TIMEOUT_S = 1.0
+MAX_CLOCK_DRIFT = 0.03
+SETTLE_S = 90.0
+
+
+class Process:
+    """One incarnation of an instance with a clock of its own."""
+
+    def __init__(self, world, name, number, address):
+        self.world = world
+        self.member = Member(name, f"i{number}", address, f"domain-{number % 3}")
+        self.offset = world.chance.uniform(0, 1000)
+        self.rate = 1 + world.chance.uniform(-MAX_CLOCK_DRIFT, MAX_CLOCK_DRIFT)
+        self.core = Membership(self.member, "main", self.clock())
+        self.alive = True
+        self.frozen = False
+        self.inbox = []
+        #: True start and end of the last work by server.
+        self.work = {}
+        self.store_busy_until = 0.0
+
+    def clock(self):
+        return self.offset + self.rate * self.world.now
+
+    @property
+    def deadline(self):
+        """Latest end of a sub-request that is sent now."""
+        return self.world.now + MAX_SUBREQUEST_S / self.rate
+
+    def holding(self):
+        return [server for server, (_, end) in self.work.items() if end > self.world.now]
+
+    def may_dispatch(self, server):
+        return self.core.may_dispatch(server, self.clock())
+
+    def dispatch(self):
+        """Start work wherever that is allowed; most of it is short."""
+        for server in SERVERS:
+            if self.may_dispatch(server):
+                chance = self.world.chance
+                share = 1.0 if chance.random() < 0.05 else chance.uniform(0.01, 0.15)
+                self.begin(server, self.world.now + share * (self.deadline - self.world.now))
+
+    def begin(self, server, end):
+        old = self.work.get(server, (0.0, 0.0))
+        self.work[server] = (self.world.now, max(end, old[1]))
+        self.world.check(self, server)
+
+    def suspend(self):
+        """Send what was checked just before; nothing that runs is seen to end early."""
+        for server in SERVERS:
+            if self.may_dispatch(server):
+                self.begin(server, self.deadline)
+            elif server in self.work and self.work[server][1] > self.world.now:
+                start, _ = self.work[server]
+                self.work[server] = (start, start + MAX_SUBREQUEST_S / self.rate)
+
+
+class World:
+    """Processes, network and store; events run in the order of true time."""
+
+    def __init__(self, seed):
+        self.chance = random.Random(seed)
+        self.now = 0.0
+        self.events = []
+        self.order = itertools.count()
+        self.numbers = itertools.count(1)
+        self.processes = []
+        self.stored = (0, None)
+        self.store_down = False
+        self.store_answers = 1.0
+        self.cuts = set()
+        self.loss = 0.0
+        self.max_delay = 0.01
+        self.checks = 0
+
+    # Time.
+
+    def at(self, delay, action, *args):
+        heapq.heappush(self.events, (self.now + delay, next(self.order), action, args))
+
+    def run(self, seconds):
+        end = self.now + seconds
+        while self.events and self.events[0][0] <= end:
+            self.now, _, action, args = heapq.heappop(self.events)
+            action(*args)
+        self.now = end
+
+    def delay(self):
+        return self.chance.uniform(0.001, self.max_delay)
+
+    # Processes.
+
+    def live(self):
+        return [process for process in self.processes if process.alive]
+
+    def start(self, name, address=None):
+        number = next(self.numbers)
+        process = Process(self, name, number, address or f"10.0.0.{number}:1")
+        self.processes.append(process)
+        self.tick(process)
+        return process
+
+    def tick(self, process):
+        if not process.alive:
+            return
+        self.at(TICK_S / process.rate, self.tick, process)
+        if not process.frozen:
+            self.carry_out(process, process.core.tick(process.clock()))
+            process.dispatch()
+
+    def kill(self, process):
+        if not process.frozen:
+            process.suspend()
+        process.alive = False
+
+    def freeze(self, process):
+        if not process.frozen:
+            process.suspend()
+            process.frozen = True
+
+    def thaw(self, process):
+        process.frozen = False
+        waiting, process.inbox = process.inbox, []
+        for action, args in waiting:
+            action(process, *args)
+        process.dispatch()
+
+    def check(self, process, server):
+        """Work of two processes at one server is the failure that all of this prevents."""
+        self.checks += 1
+        for other in self.processes:
+            end = other.work.get(server, (0.0, 0.0))[1]
+            assert other is process or end <= self.now, (
+                f"{server} gets work from {process.member.identity} at {self.now:.3f}, "
+                f"and has work from {other.member.identity} until {end:.3f}"
+            )
+
+    # Messages.
+
+    def carry_out(self, process, effects):
+        for effect in effects:
+            if isinstance(effect, Beat):
+                args = (process.member, effect.epoch, effect.sequence)
+                self.send(process, effect.to.address, self.on_beat, args)
+            elif isinstance(effect, Fetch):
+                self.fetch(process, effect.instance)
+            elif isinstance(effect, Propose | ReadStore):
+                self.use_store(process, effect)
+
+    def send(self, process, address, action, args):
+        copies = 0 if self.chance.random() < self.loss else 1
+        copies += self.chance.random() < 0.02
+        for _ in range(copies):
+            self.at(self.delay(), self.deliver, process.member.address, address, action, args)
+
+    def deliver(self, source, address, action, args):
+        if (source, address) in self.cuts:
+            return
+        for process in self.live():
+            if process.member.address == address:
+                self.hand_over(process, action, args)
+
+    def hand_over(self, process, action, args):
+        if not process.alive:
+            return
+        if process.frozen:
+            process.inbox.append((action, args))
+            return
+        action(process, *args)
+        process.dispatch()
+
+    def on_beat(self, process, sender, epoch, sequence):
+        core = process.core
+        giving_up = core.giving_up(process.holding())
+        effects = core.on_heartbeat(sender.identity, epoch, giving_up, process.clock())
+        self.carry_out(process, effects)
+        acked = core.ack_epoch(sender.identity, epoch)
+        giving_up = core.giving_up(process.holding())
+        args = (process.member.identity, acked, sequence, giving_up)
+        self.send(process, sender.address, self.on_ack, args)
+
+    def on_ack(self, process, identity, epoch, sequence, giving_up):
+        core = process.core
+        self.carry_out(process, core.on_ack(identity, epoch, sequence, giving_up, process.clock()))
+
+    def fetch(self, process, instance):
+        for member in [other.member for other in self.live() if other.member.instance == instance]:
+            self.send(process, member.address, self.on_fetch, (process.member.address,))
+
+    def on_fetch(self, process, address):
+        if process.core.view is not None:
+            self.send(process, address, self.on_view, (encode_view(process.core.view),))
+
+    def on_view(self, process, data):
+        self.carry_out(process, process.core.learn(decode_view(data), process.clock()))
+
+    # The store: a read, and for a proposal a swap against the version that was read.
+
+    def use_store(self, process, effect):
+        if process.store_busy_until <= self.now:
+            process.store_busy_until = self.now + STORE_TIMEOUT_S
+            self.at(self.delay(), self.read, process, effect)
+
+    def read(self, process, effect):
+        if not self.store_down:
+            self.answer(process, self.on_read, (effect, *self.stored))
+
+    def answer(self, process, action, args):
+        if self.chance.random() < self.store_answers:
+            self.at(self.delay(), self.hand_over, process, action, args)
+
+    def on_read(self, process, effect, version, data):
+        view = decode_view(data) if data is not None else None
+        process.store_busy_until = 0.0
+        if isinstance(effect, ReadStore):
+            self.carry_out(process, process.core.stored(view, process.clock()))
+        elif view is not None and view.epoch > effect.base:
+            self.carry_out(process, process.core.learn(view, process.clock()))
+        else:
+            process.store_busy_until = self.now + STORE_TIMEOUT_S
+            self.at(self.delay(), self.swap, process, version, effect.view)
+
+    def swap(self, process, version, view):
+        if self.store_down:
+            return
+        applied = self.stored[0] == version
+        if applied:
+            self.stored = (version + 1, encode_view(view))
+        self.answer(process, self.on_swapped, (self.stored[1],))
+
+    def on_swapped(self, process, data):
+        process.store_busy_until = 0.0
+        self.on_view(process, data)
+
+    def confirm_stopped(self, dead):
+        """An operator states that a killed process has stopped."""
+        name = dead.member.instance
+        if any(process.member.instance == name for process in self.live()):
+            return
+        for process in self.live():
+            core = process.core
+            if core.view is not None and not process.frozen:
+                view = with_stopped(core.view, name, core.evidence, process.clock())
+                self.use_store(process, Propose(core.epoch, view))
+                return
+
+    def confirm_all(self):
+        """The operator repeats this until no view lists a process that has ended."""
+        for process in self.processes:
+            if not process.alive and self.listed(process):
+                self.confirm_stopped(process)
+                self.run(2.0)
+
+    def listed(self, dead):
+        view = decode_view(self.stored[1])
+        departed = [entry.member for entry in view.departed if not entry.gone]
+        return dead.member in (*departed, *view.members)
+
+    # Verdicts.
+
+    def owners(self):
+        return {
+            server: [process for process in self.live() if process.may_dispatch(server)]
+            for server in SERVERS
+        }
+
+    def all_owned(self):
+        return all(len(found) == 1 for found in self.owners().values())
+
+    def seconds_until_owned(self, limit):
+        begin = self.now
+        while not self.all_owned() and self.now < begin + limit:
+            self.run(0.5)
+            self.confirm_all()
+        assert self.all_owned(), self.describe()
+        return self.now - begin
+
+    def describe(self):
+        lines = [f"{server}: {len(found)}" for server, found in self.owners().items()]
+        for process in self.live():
+            core = process.core
+            lines.append(
+                f"{process.member.identity} epoch {core.epoch} member {core.is_member} "
+                f"lease {core.lease.left(process.clock()):.2f} waiting {core.takeover.waiting} "
+                f"departed {core.view.departed if core.view else ()}"
+            )
+        return "\n".join(lines)
+
+
+# Faults.
+
+
+def _pick(items, number):
+    return items[number % len(items)] if items else None
+
+
+def _apply(world, kind, first, second):
+    """Carry out one operation of a schedule; some are void in some states."""
+    live = world.live()
+    process = _pick(live, first)
+    other = _pick(live, second)
+    if kind == "start" and len(live) < 6:
+        world.start(f"entry-{next(world.numbers)}")
+    elif process is None:
+        return
+    elif kind == "kill" and len(live) > 1:
+        world.kill(process)
+    elif kind == "restart":
+        world.kill(process)
+        world.at(second % 5, _restart, world, process)
+    elif kind == "freeze":
+        world.freeze(process)
+        world.at(0.2 + second % 9, _thaw, world, process)
+    elif kind == "leave" and len(live) > 1:
+        process.core.want(False, process.clock())
+    elif kind == "return":
+        process.core.want(True, process.clock())
+    elif kind == "cut":
+        world.cuts.add((process.member.address, other.member.address))
+    elif kind == "split":
+        _split(world, live, first, second)
+    elif kind == "heal":
+        world.cuts.clear()
+    elif kind == "loss":
+        world.loss = (first % 5) / 10
+        world.max_delay = (0.01, 0.1, 0.6, 1.5)[second % 4]
+    elif kind == "store":
+        world.store_down = first % 3 == 0
+        world.store_answers = (1.0, 0.5, 0.0)[second % 3]
+    elif kind == "confirm":
+        dead = [process for process in world.processes if not process.alive]
+        if dead:
+            world.confirm_stopped(_pick(dead, first))
+
+
+def _restart(world, process):
+    """Start the same instance at the same address unless another process has taken it."""
+    address = process.member.address
+    if all(other.member.address != address for other in world.live()):
+        world.start(process.member.instance, address)
+
+
+def _thaw(world, process):
+    if process.alive and process.frozen:
+        world.thaw(process)
+
+
+def _split(world, live, first, second):
+    groups = [process for index, process in enumerate(live) if (first + index * second) % 2]
+    for process in live:
+        for other in live:
+            if (process in groups) != (other in groups):
+                world.cuts.add((process.member.address, other.member.address))
+
+
+def _end_faults(world):
+    world.cuts.clear()
+    world.loss = 0.0
+    world.max_delay = 0.01
+    world.store_down = False
+    world.store_answers = 1.0
+    world.run(10.0)
+    for process in world.live():
+        _thaw(world, process)
+        process.core.want(True, process.clock())
+
+
+OPERATIONS = [
+    *("start", "kill", "restart", "leave", "return", "confirm"),
+    *("freeze", "cut", "split", "heal", "loss", "store") * 2,
+]
+SCHEDULES = st.lists(
+    st.tuples(
+        st.sampled_from(OPERATIONS),
+        st.integers(0, 59),
+        st.integers(0, 59),
+        st.sampled_from((0.0, 0.05, 0.3, 0.7, 1.6, 2.5, 5.0)),
+    ),
+    min_size=10,
+    max_size=40,
+)
+
+
+def _cell(seed, size):
+    world = World(seed)
+    for number in range(size):
+        world.start(f"entry-{number}")
+    world.run(5.0)
+    return world
+
+
+def _run_schedule(seed, schedule):
+    world = _cell(seed, 4)
+    for kind, first, second, gap in schedule:
+        _apply(world, kind, first, second)
+        world.run(gap)
+    _end_faults(world)
+    world.confirm_all()
+    world.seconds_until_owned(SETTLE_S)
+    return world
+
+
+@when("{count:d} random fault schedules run in simulated cells")
+def random_schedules(context, count):
+    context.checks = 0
+
+    @settings(max_examples=count)
+    @hypothesis_given(st.integers(0, 2**32), SCHEDULES)
+    def run(seed, schedule):
+        context.checks += _run_schedule(seed, schedule).checks
+
+    run()
+
+
+@then("at least {count:d} dispatches were checked for a second owner")
+def enough_checks(context, count):
+    assert context.checks >= count, context.checks
