--- a/rattanrelay/node/documents.py
+++ b/rattanrelay/node/documents.py
@@ -27,6 +27,8 @@
 #: Names of new catalogs are listed this often by the watchers.
 LIST_EVERY_S = 30.0
 PULL_TIMEOUT_S = 1.0
+#: Instances whose reported revisions are kept; a cell has up to 15 members at a time.
+MAX_REPORTS = 64
 PULL_RETRY_S = 0.5
 MAX_PULLS = 8
 PUSH_TIMEOUT_S = 1.0
@@ -128,12 +130,15 @@
             self._start_pull(name)
 
     def _note_report(self, instance: str, entries: tuple[DocumentRevision, ...]) -> None:
-        """Keep the revisions that a peer reports, and forget instances that left the view."""
-        if instance not in self.reported:
-            members = {member.instance for member in self.members.members}
-            self.reported = {name: seen for name, seen in self.reported.items() if name in members}
-        known = self.reported.setdefault(instance, {})
+        """Keep the revisions that a peer reports; the instances heard of first are dropped first.
+
+        A peer reports each revision once, possibly before the view here has it as a member.
+        """
+        known = self.reported.pop(instance, {})
         known.update({entry.name: entry.revision for entry in entries})
+        self.reported[instance] = known
+        while len(self.reported) > MAX_REPORTS:
+            del self.reported[next(iter(self.reported))]
 
     # Messages.
 
--- a/tests/node/admin.feature
+++ b/tests/node/admin.feature
@@ -191,3 +191,9 @@
     When "fleet" calls "DELETE" "/v1/table/services/logging/queue" with null
     Then the answer has status 405 and code "method_not_allowed"
     And the answer has the header "allow" with "GET, PUT"
+
+  Scenario: Revisions that instances report before they join the view are kept
+    Given a documents task that knows no members yet
+    When "entry-2" reports table revision 5 and "entry-3" reports table revision 6
+    Then the reported table revisions are 5 and 6
+    And reports of 1000 further instances do not pile up
--- a/tests/steps/operator_admin_steps.py
+++ b/tests/steps/operator_admin_steps.py
@@ -1,6 +1,7 @@
 """Steps for the administration API."""
 
 import json
+from types import SimpleNamespace
 from unittest.mock import patch
 
 from behave import given, then, when
@@ -9,9 +10,11 @@
 
 from rattanrelay.errors import RelayError
 from rattanrelay.node import admin
+from rattanrelay.node.documents import MAX_REPORTS, Documents
 from rattanrelay.node.ports import Configuration, Latest
 from rattanrelay.table import Catalog, Shard, Snapshot
 from rattanrelay.table.cells import cell_of, set_cell
+from rattanrelay.wire import DocumentRevision
 
 READABLE = (
     "/v1/table",
@@ -206,3 +209,28 @@
 @given("the store raises an unexpected error")
 def given_unexpected(context):
     context.lab.documents.failure = RuntimeError("disk on fire")
+
+
+@given("a documents task that knows no members yet")
+def given_documents(context):
+    members = SimpleNamespace(instance="entry-1", members=(), key="view")
+    context.documents = Documents(None, None, members)
+
+
+@when('"{one}" reports table revision {first:d} and "{two}" reports table revision {second:d}')
+def when_reports(context, one, first, two, second):
+    for instance, revision in ((one, first), (two, second)):
+        context.documents.see_digest(instance, (DocumentRevision("table", revision),))
+
+
+@then("the reported table revisions are {first:d} and {second:d}")
+def then_reported(context, first, second):
+    known = [seen["table"] for seen in context.documents.reported.values()]
+    assert known == [first, second], context.documents.reported
+
+
+@then("reports of {count:d} further instances do not pile up")
+def then_bounded(context, count):
+    for number in range(count):
+        context.documents.see_digest(f"other-{number}", ())
+    assert len(context.documents.reported) <= MAX_REPORTS
