Confirm only lost processes of an instance; add store cuts and replacements to the property test

A later process of the same instance at another address was taken for one of the stopped ones, and the operator could not confirm the old one while it ran.

--- a/rattanrelay/decide/succession.py
+++ b/rattanrelay/decide/succession.py
@@ -40,9 +40,15 @@
     return _next(view, members, removed, (), None, evidence, now)
 
 
-def with_stopped(view: View, instance: str, evidence: Evidence, now: float) -> View:
-    """Return the next view after an operator confirmed that an instance has stopped."""
-    gone = [member for member in view.members if member.instance == instance]
+def with_stopped(
+    view: View, instance: str, suspects: Iterable[Member], evidence: Evidence, now: float
+) -> View:
+    """Return the next view after an operator confirmed that an instance has stopped.
+
+    This concerns its departed processes, and its process in the view if that one is suspect: a
+    live process of the same instance is a later one that has replaced them.
+    """
+    gone = [member for member in suspects if member.instance == instance]
     members = [member for member in view.members if member not in gone]
     departed = tuple(
         entry._replace(gone=True) if entry.member.instance == instance else entry
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -159,12 +159,11 @@
         self.core.want(wanted, trio.current_time())
 
     async def confirm_stopped(self, instance: str) -> View:
-        """Record the operator's statement that all processes of an instance have stopped.
+        """Record the operator's statement that the lost processes of an instance have stopped.
 
-        Raises `bad_request` for this instance, `store_unavailable` or `version_conflict`.
+        It holds for departed processes and for a member that is suspect. Raises `not_ready`,
+        `store_unavailable` or `version_conflict`.
         """
-        if instance == self.instance:
-            raise RelayError("bad_request", "this instance runs", step="confirm stopped")
         for _ in range(CONFIRM_ATTEMPTS):
             entry, stored = await self._read()
             if stored is not None:
@@ -173,7 +172,8 @@
             if view is None:
                 raise RelayError("not_ready", "no view yet", step="confirm stopped")
             now = trio.current_time()
-            target = with_stopped(view, instance, self.core.evidence, now)
+            suspects = self.core.suspects(now)
+            target = with_stopped(view, instance, suspects, self.core.evidence, now)
             if await self._write(target, entry):
                 event("members.confirmed_stopped", instance=instance, epoch=target.epoch)
                 return target
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -28,7 +28,7 @@
         self.world = world
         self.member = Member(name, f"i{number}", address, f"domain-{number % 3}")
         self.offset = world.chance.uniform(0, 1000)
-        self.rate = 1 + world.chance.uniform(-MAX_CLOCK_DRIFT, MAX_CLOCK_DRIFT)
+        self.rate = 1 + world.chance.choice((-1, 0, 1)) * MAX_CLOCK_DRIFT
         self.core = Membership(self.member, "main", self.clock())
         self.alive = True
         self.frozen = False
@@ -87,6 +87,8 @@
         self.stored = (0, None)
         self.store_down = False
         self.store_answers = 1.0
+        #: Addresses of the processes that do not reach the store.
+        self.store_cuts = set()
         self.cuts = set()
         self.loss = 0.0
         self.max_delay = 0.01
@@ -221,7 +223,7 @@
             self.at(self.delay(), self.read, process, effect)
 
     def read(self, process, effect):
-        if not self.store_down:
+        if not self.store_down and process.member.address not in self.store_cuts:
             self.answer(process, self.on_read, (effect, *self.stored))
 
     def answer(self, process, action, args):
@@ -252,16 +254,20 @@
         self.on_view(process, data)
 
     def confirm_stopped(self, dead):
-        """An operator states that a killed process has stopped."""
+        """An operator states that the lost processes of an instance have stopped, if it is true."""
         name = dead.member.instance
-        if any(process.member.instance == name for process in self.live()):
-            return
         for process in self.live():
             core = process.core
-            if core.view is not None and not process.frozen:
-                view = with_stopped(core.view, name, core.evidence, process.clock())
-                self.use_store(process, Propose(core.epoch, view))
-                return
+            if core.view is None or process.frozen:
+                continue
+            suspects = core.suspects(process.clock())
+            lost = [*suspects, *(entry.member for entry in core.view.departed)]
+            lost = [member for member in lost if member.instance == name]
+            if any(other.member in lost for other in self.live()):
+                continue
+            view = with_stopped(core.view, name, suspects, core.evidence, process.clock())
+            self.use_store(process, Propose(core.epoch, view))
+            return
 
     def confirm_all(self):
         """The operator repeats this until no view lists a process that has ended."""
@@ -340,6 +346,11 @@
         _split(world, live, first, second)
     elif kind == "heal":
         world.cuts.clear()
+        world.store_cuts.clear()
+    elif kind == "replace" and len(live) < 6:
+        world.freeze(process)
+        world.at(0.2 + second % 9, _thaw, world, process)
+        world.start(process.member.instance)
     elif kind == "loss":
         world.loss = (first % 5) / 10
         world.max_delay = (0.01, 0.1, 0.6, 1.5)[second % 4]
@@ -365,15 +376,19 @@
 
 
 def _split(world, live, first, second):
-    groups = [process for index, process in enumerate(live) if (first + index * second) % 2]
-    for process in live:
-        for other in live:
-            if (process in groups) != (other in groups):
-                world.cuts.add((process.member.address, other.member.address))
+    """Cut two sides of the cell from each other, and at times one of them from the store."""
+    sides = [[], []]
+    for index, process in enumerate(live):
+        sides[first >> index & 1].append(process.member.address)
+    for one in sides[0]:
+        for other in sides[1]:
+            world.cuts |= {(one, other), (other, one)}
+    world.store_cuts = set(((), *sides)[second % 3])
 
 
 def _end_faults(world):
     world.cuts.clear()
+    world.store_cuts.clear()
     world.loss = 0.0
     world.max_delay = 0.01
     world.store_down = False
@@ -385,7 +400,7 @@
 
 
 OPERATIONS = [
-    *("start", "kill", "restart", "leave", "return", "confirm"),
+    *("start", "kill", "restart", "replace", "leave", "return", "confirm"),
     *("freeze", "cut", "split", "heal", "loss", "store") * 2,
 ]
 SCHEDULES = st.lists(
