Add features with real processes: whole path, failures, rolling replacement

Cause: the promises must be shown with processes, judged by what the searchers recorded. Change: traffic from threads with a check of each answer, a judge of non-idempotent outcomes, and features for kills, freezes, store outages and graceful stops; the status says which servers an instance may dispatch to.

--- a/rattanrelay/node/admin_fleet.py
+++ b/rattanrelay/node/admin_fleet.py
@@ -90,7 +90,11 @@
 
 def _server(admin, table: Table, name: str) -> dict:
     owner = admin.members.owner(name)
-    return {"owner": owner.instance if owner else None, "in_service": has_work(table, name)}
+    return {
+        "owner": owner.instance if owner else None,
+        "in_service": has_work(table, name),
+        "dispatching": admin.members.may_dispatch(name),
+    }
 
 
 def _lowest(members: list[dict]) -> int:
--- a/rattanrelay/node/admin_ports.py
+++ b/rattanrelay/node/admin_ports.py
@@ -63,5 +63,8 @@
     def owner(self, name: str) -> Member | None:
         """Return the member that owns a backend server, None without a view."""
 
+    def may_dispatch(self, server: str) -> bool:
+        """Say whether this instance may send work to a backend server now."""
+
     async def confirm_stopped(self, instance: str) -> object:
         """Record that all processes of an instance have stopped."""
--- a/tests/steps/operator_fakes.py
+++ b/tests/steps/operator_fakes.py
@@ -78,6 +78,10 @@
         """Return the first member as owner of all servers."""
         return self.members[0]
 
+    def may_dispatch(self, server):
+        """Say that this instance, the owner of all servers, may send work."""
+        return True
+
     async def confirm_stopped(self, instance):
         if self.failure:
             raise self.failure
--- /dev/null
+++ b/tests/steps/system_steps.py
@@ -0,0 +1,238 @@
+"""Steps of the features with real processes."""
+
+import json
+import time
+
+from behave import given, then, when
+
+from rattanrelay.emulator.corpus import expected_answer
+from tests.harness import ActionKey, Fleet, wait_until
+from tests.harness.traffic import Traffic
+
+#: Time in which traffic runs before and after a fault, in seconds; no bound depends on it.
+SETTLE_S = 1.5
+OUTAGE_S = 4.0
+
+
+def _open(context, fleet):
+    context.fleet = context.with_fleet = fleet
+    fleet.__enter__()
+    context.add_cleanup(fleet.close)
+    fleet.start_entries()
+    for name in fleet.entries:
+        fleet.list_instance(name)
+    _wait_owned(context)
+
+
+def _status(entry):
+    reply = entry.admin_client.call("GET", "/v1/status")
+    return json.loads(reply.body)
+
+
+def _dispatching(status):
+    return {name for name, server in status["servers"].items() if server["dispatching"]}
+
+
+def _wait_owned(context):
+    """Wait until each backend server has an owner that holds its lease and may dispatch."""
+    fleet = context.fleet
+    running = [one for one in fleet.entries.values() if one.process and one.process.running]
+    servers = set(fleet.deployment.table.servers)
+
+    def owned():
+        held = set()
+        for entry in running:
+            status = _status(entry)
+            if len(status["members"]) != len(running):
+                return False
+            held.update(_dispatching(status))
+        return held == servers
+
+    wait_until(owned, "each backend server has an owner that may dispatch")
+
+
+@given('a fleet of "{deployment}" with {count:d} instances and all services')
+def whole_fleet(context, deployment, count):
+    _open(context, Fleet(deployment, entries=count, backend_processes=2))
+
+
+@given('a fleet of "{deployment}" with {count:d} instances and services "{names}"')
+def some_services(context, deployment, count, names):
+    services = tuple(name.strip() for name in names.split(","))
+    options = {"services": services, "scale": 0.5, "proxied_store": True}
+    _open(context, Fleet(deployment, entries=count, backend_processes=2, **options))
+
+
+@given("callers that send queries and resend reservations through all instances")
+def callers(context):
+    _start_traffic(context, balanced=False)
+
+
+@given("callers that send through the balancer")
+def balanced_callers(context):
+    _start_traffic(context, balanced=True)
+
+
+def _start_traffic(context, balanced):
+    context.traffic = Traffic(
+        context.fleet,
+        query_services=("logging",),
+        action_services=("sample-booking",),
+        balanced=balanced,
+    )
+    context.traffic.__enter__()
+    context.add_cleanup(context.traffic.stop)
+    time.sleep(SETTLE_S)
+
+
+@when("each service is queried through each instance and through the balancer")
+def query_everything(context):
+    clients = [entry.caller_client for entry in context.fleet.entries.values()]
+    context.answers = []
+    for service in context.fleet.deployment.catalogs:
+        for client in [*clients, context.fleet.balancer]:
+            # The first queries meet cold servers and may exceed the soft deadline.
+            query = {"filter": {"term": client.address}, "limit": 5}
+            reply = wait_until(
+                lambda client=client, service=service, query=query: _complete(
+                    client, service, query
+                ),
+                f"{service} answers completely",
+            )
+            context.answers.append((service, query, reply))
+
+
+def _complete(client, service, query):
+    reply = client.query(service, query["filter"], query["limit"], timeout_ms=5000)
+    answer = reply.json()
+    if reply.status != 200 or answer["coverage"]["missing"]:
+        return None
+    return answer
+
+
+@then("each answer is complete and equals the merged results of all shards")
+def answers_equal(context):
+    assert context.answers
+    for service, query, answer in context.answers:
+        shards = context.fleet.deployment.shards(service)
+        wanted = expected_answer(shards, answer["snapshot"], query)
+        assert answer["coverage"] == {
+            "shards": len(shards),
+            "answered": len(shards),
+            "missing": [],
+        }
+        assert answer["hits"] == wanted["hits"], service
+        assert answer["count"] == wanted["count"], service
+
+
+@then("no searcher recorded more work or connections than its row allows")
+def no_violations(context):
+    assert not context.fleet.violations(), context.fleet.violations()[:3]
+
+
+@when('instance "{name}" is killed')
+def kill(context, name):
+    context.fleet.entries[name].process.kill()
+
+
+@when('instance "{name}" is started again')
+def restart(context, name):
+    context.fleet.start_entry(name)
+    context.fleet.wait_ready(name)
+
+
+@when('instance "{name}" is frozen until the others have taken over, then resumed')
+def freeze(context, name):
+    process = context.fleet.entries[name].process
+    process.pause()
+    others = [one for one in context.fleet.entries.values() if one.name != name]
+    servers = set(context.fleet.deployment.table.servers)
+
+    def taken_over():
+        held = [_dispatching(_status(entry)) for entry in others]
+        return set().union(*held) == servers
+
+    wait_until(taken_over, "the others own all servers")
+    process.resume()
+    time.sleep(SETTLE_S)
+
+
+@when("the store goes down")
+def store_down(context):
+    context.fleet.platform.set_store_faults(down="refuse")
+
+
+@when("the store returns")
+def store_returns(context):
+    context.fleet.platform.set_store_faults()
+
+
+@when("the store applies writes without answering them for a while")
+def silent_writes(context):
+    context.fleet.platform.set_store_faults(lose_answers=-1)
+    time.sleep(OUTAGE_S)
+    context.fleet.platform.set_store_faults()
+
+
+@then("each backend server gets an owner that may dispatch")
+def owned(context):
+    _wait_owned(context)
+
+
+@then("queries through the other instances still get answers")
+def answers_go_on(context):
+    start = time.time()
+    wait_until(
+        lambda: sum(one.status == 200 for one in context.traffic.since(start, "query")) >= 50,
+        "50 answers while the store is down",
+    )
+
+
+@then("a new reservation is refused as not run")
+def refused(context):
+    client = next(
+        entry.caller_client for entry in context.fleet.entries.values() if entry.process.running
+    )
+    key = ActionKey.new()
+    reply = client.act("sample-booking", key, {"reserve": key}, key)
+    answer = reply.json()
+    assert (answer["outcome"], reply.status) == ("not_run", 503), answer
+
+
+@then("every answer was true, no key ran twice and no limit was exceeded")
+def all_true(context):
+    context.traffic.stop()
+    assert not context.traffic.wrong(), context.traffic.wrong()[:3]
+    assert not context.traffic.untrue_actions(), context.traffic.untrue_actions()[:3]
+    assert not context.fleet.violations(), context.fleet.violations()[:3]
+    outcomes = [one.answer.get("outcome") for one in context.traffic.since(0, "action")]
+    assert outcomes.count("done") > 10, len(outcomes)
+
+
+@when("each instance in turn is stopped with SIGTERM and started again")
+def rolling(context):
+    context.statuses = {}
+    for name, entry in context.fleet.entries.items():
+        context.fleet.list_instance(name, "leaving")
+        context.statuses[name] = entry.process.stop()
+        context.fleet.start_entry(name)
+        context.fleet.wait_ready(name)
+        context.fleet.list_instance(name)
+        _wait_owned(context)
+        # The balancer must send to the new instance before the next one stops.
+        time.sleep(SETTLE_S)
+
+
+@then("each stop ended with status 0 and was drained in time")
+def stopped(context):
+    for name, status in context.statuses.items():
+        log = context.fleet.entries[name].process.log.read_text()
+        assert status == 0, (name, status)
+        assert '"in_time":false' not in log and '"in_time":true' in log, name
+
+
+@then("no request was cut off and every answer was true")
+def nothing_cut(context):
+    context.traffic.stop()
+    broken = [one for one in context.traffic.since(0) if not one.status]
+    assert not broken, broken[:3]
--- /dev/null
+++ b/tests/system/whole_path.feature
@@ -0,0 +1,13 @@
+Feature: A query over all shards comes back whole
+  Guards against a path that only works in one process: real daemons, emulators and a balancer.
+
+  Scenario Outline: Each service of <deployment> answers completely
+    Given a fleet of "<deployment>" with 6 instances and all services
+    When each service is queried through each instance and through the balancer
+    Then each answer is complete and equals the merged results of all shards
+    And no searcher recorded more work or connections than its row allows
+
+    Examples:
+      | deployment |
+      | norte      |
+      | nl-midden  |
