Keep an overloaded service at full goodput; test the entry against faulty owners

Cause: at twice the capacity of fake servers (2 slots, 20 ms, 100 ms soft deadline) 12% to 89% of the capacity were full answers. Four faults added up: the latency average contained the wait in the owner's queue, so the load counted twice; a full queue was punished like a failure, which moved all work to the other replica; old queue lengths were held for seconds; the admission limit rose while sub-requests already queued. Change: queue time is taken out of the latency, loads decay within 0.1 s, refusals for load carry no failure penalty, hedges skip replicas without a free slot, and the limit does not rise while the service is overloaded. Also: collectors joined the global registry of aioprometheus as well, so a second Metrics in one process failed; they now join only their own.

--- a/rattanrelay/decide/admission.py
+++ b/rattanrelay/decide/admission.py
@@ -47,18 +47,24 @@
         """Note how many queries are in flight."""
         self.peak = max(self.peak, in_flight)
 
-    def finished(self, sub_requests: int, signals: int, now: float) -> None:
-        """Take over the congestion signals of a query; adapts the limit once in a window."""
+    def finished(
+        self, sub_requests: int, signals: int, now: float, *, overloaded: bool = False
+    ) -> None:
+        """Take over the congestion signals of a query; adapts the limit once in a window.
+
+        While the service is overloaded the limit does not rise: sub-requests already wait in the
+        owners' queues, and longer queues only make them late.
+        """
         self.sub_requests += sub_requests
         self.signals += signals
         if now - self.window_start >= WINDOW_S and self.sub_requests:
-            self._adapt(now)
+            self._adapt(now, overloaded)
 
-    def _adapt(self, now: float) -> None:
+    def _adapt(self, now: float, overloaded: bool) -> None:
         share = min(1.0, self.signals / self.sub_requests)
         used = self.peak >= self.value / 2
         self.value *= 1.0 - share / 2
-        if used and share <= CONGESTED_SHARE:
+        if used and not overloaded and share <= CONGESTED_SHARE:
             self.value += INCREASE
         self.value = min(MAX_LIMIT, max(MIN_LIMIT, self.value))
         self.window_start = now
--- a/rattanrelay/decide/selection.py
+++ b/rattanrelay/decide/selection.py
@@ -11,6 +11,8 @@
 INITIAL_LATENCY_S = 0.001
 #: After this time an observation counts half, so that a replica that was slow is tried again.
 OBSERVATION_HALF_LIFE_S = 2.0
+#: A queue drains within a few service times; an old length must not keep work away.
+LOAD_HALF_LIFE_S = 0.1
 #: A failure multiplies the cost by up to this factor; repeated failures add up.
 FAILURE_COST = 8.0
 MAX_PENALTY = 64.0
@@ -25,7 +27,9 @@
 
     __slots__ = (
         "latency",
+        "limit",
         "load",
+        "load_at",
         "name",
         "observed_at",
         "outstanding",
@@ -43,21 +47,42 @@
         self.report_weight = 1.0
         self.latency = INITIAL_LATENCY_S
         self.load = 0
+        self.load_at = 0.0
+        self.limit = 0
         self.observed_at = 0.0
         self.outstanding = 0
         self.penalty = 0.0
         self.penalty_at = 0.0
 
-    def observe(self, latency: float, load: int, now: float) -> None:
-        """Take over a result: its latency, and the work in flight and queued at the owner."""
+    def observe(self, latency: float, load: int, limit: int, now: float) -> None:
+        """Take over a result: its latency, the work in flight and queued, and the slots."""
         self.latency += LATENCY_GAIN * (latency - self.latency)
-        self.load = load
         self.observed_at = now
+        self.note_load(load, limit, now)
 
     def overtaken(self, elapsed: float, now: float) -> None:
-        """Note a sub-request that had no result after `elapsed`; that is a lower bound."""
-        if elapsed > self.latency:
-            self.observe(elapsed, self.load, now)
+        """Note a sub-request that had no result after `elapsed`; that is a lower bound.
+
+        If the searcher gave other results meanwhile, the time was spent in its queue.
+        """
+        if elapsed > self.latency and self.observed_at < now - elapsed:
+            self.latency += LATENCY_GAIN * (elapsed - self.latency)
+            self.observed_at = now
+
+    def note_load(self, load: int, limit: int, now: float) -> None:
+        """Take over the work in flight and queued at the owner, and the slots allowed now."""
+        self.load = load
+        self.limit = limit
+        self.load_at = now
+
+    def current_load(self, now: float) -> float:
+        """Return the decayed load at the owner, at least this instance's own part of it."""
+        load = self.load * 0.5 ** ((now - self.load_at) / LOAD_HALF_LIFE_S)
+        return max(load, self.outstanding)
+
+    def queues(self, now: float) -> bool:
+        """Say whether one more sub-request would have to wait for a slot."""
+        return bool(self.limit) and self.current_load(now) >= self.limit
 
     def fail(self, now: float) -> None:
         """Note a failure; its penalty decays."""
@@ -77,7 +102,7 @@
     def cost(self, now: float) -> float:
         """Return the expected cost of one more sub-request; lower is better."""
         fresh = 0.5 ** ((now - self.observed_at) / OBSERVATION_HALF_LIFE_S)
-        load = max(self.load * fresh, self.outstanding)
+        load = self.current_load(now)
         latency = INITIAL_LATENCY_S + (self.latency - INITIAL_LATENCY_S) * fresh
         cost = latency * (1.0 + load) / (self.row_weight * self.report_weight)
         return cost * (1.0 + self.penalty_left(now)) if self.penalty else cost
--- a/rattanrelay/metrics.py
+++ b/rattanrelay/metrics.py
@@ -47,9 +47,9 @@
         self.degraded = self._add(Gauge, "degraded", "1 for each condition that holds, by reason")
 
     def _add(self, kind, name: str, doc: str, **options):
-        collector = kind(f"rattanrelay_{name}", doc, const_labels=self.labels, **options)
-        self.registry.register(collector)
-        return collector
+        # Without `registry` a collector joins the library's global one, which takes a name once.
+        options["registry"] = self.registry
+        return kind(f"rattanrelay_{name}", doc, const_labels=self.labels, **options)
 
     def text(self, accept: str = "text/plain") -> tuple[bytes, dict[str, str]]:
         """Return the exposition and its headers for the given `Accept` value."""
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -27,8 +27,9 @@
 
 #: Reasons that signal congestion of a service.
 CONGESTION = frozenset({"queue_full", "shedding"})
-#: Reasons that say nothing about the searcher itself.
-NO_PENALTY = frozenset({"request_blocked", "request_suspect", "snapshot_gone"})
+#: Reasons that say nothing about the searcher itself, or no more than its load does. A penalty for
+#: a full queue would move all work to the other replicas and fill their queues in turn.
+NO_PENALTY = CONGESTION | {"request_blocked", "request_suspect", "snapshot_gone"}
 #: Reasons by which a canary may have crashed its server.
 CANARY_LOST = frozenset({"connection_lost", "request_suspect"})
 
@@ -230,22 +231,32 @@
         )
 
     async def _ask(self, message: _Message, sub: SubQuery) -> None:
-        reason, ran = "bad_answer", "unknown"
+        error = None
         with message.scope:
             try:
                 if message.owner == self.ports.instance:
                     await self.ports.dispatch.run(sub, self._receive)
                 else:
-                    await self._stream(message.owner, sub)
-            except RelayError as error:
-                reason, ran = error.code, error.ran
+                    error = await self._stream(message.owner, sub)
+            except RelayError as raised:
+                error = raised
         if message.left > 0:
+            reason, ran = (error.code, error.ran) if error else ("bad_answer", "unknown")
             self._fail_rest(message, sub.targets, reason, ran)
 
-    async def _stream(self, owner: str, sub: SubQuery) -> None:
+    async def _stream(self, owner: str, sub: SubQuery) -> RelayError | None:
+        """Receive the results of a message; returns the error that ended them.
+
+        The error is caught inside the block, since a nursery in the context manager would wrap
+        it in an exception group.
+        """
         async with self.ports.peers.stream(owner, sub) as items:
-            async for batch in items:
-                await self._receive(batch)
+            try:
+                async for batch in items:
+                    await self._receive(batch)
+            except RelayError as error:
+                return error
+        return None
 
     def _fail_rest(self, message, targets: tuple[Target, ...], reason: str, ran: str) -> None:
         """Fail the targets of a message that ended without results for them."""
@@ -288,7 +299,9 @@
         if verdict != "counted":
             self._failed(shard, attempt, verdict, now)
             return
-        attempt.replica.observe(now - attempt.sent_at, result.in_flight, now)
+        # Without the wait in the owner's queue, which the load already stands for.
+        latency = max(0.0, now - attempt.sent_at - result.queue_us / 1e6)
+        attempt.replica.observe(latency, result.in_flight, result.limit, now)
         self.state.knowledge.holds(result.searcher, result.snapshot)
         self.state.latencies.add(now - shard.first_sent)
         self._end(shard, attempt)
@@ -301,7 +314,7 @@
             knowledge.lacks(result.searcher, self.plan.snapshot, result.held, now)
         elif result.reason in CONGESTION:
             self.congested += 1
-        attempt.replica.load = max(attempt.replica.load, result.in_flight)
+        attempt.replica.note_load(result.in_flight, result.limit, now)
         self._failed(shard, attempt, result.reason, now)
 
     def _end(self, shard: _Shard, attempt: _Attempt) -> None:
@@ -410,7 +423,11 @@
     # Hedges.
 
     def _send_hedges(self, now: float) -> float:
-        """Hedge the sub-requests that are due; return when the next one is due."""
+        """Hedge the sub-requests that are due; return when the next one is due.
+
+        A replica whose slots are all in use gets no hedge: it would wait there as well, and make
+        the queue of a hot shard longer.
+        """
         delay = self.state.latencies.delay()
         if delay is None or not self.row.hedge or not self.open:
             return NEVER
@@ -427,7 +444,8 @@
                 self.hedge_from = min(self.hedge_from, sent_at)
                 continue
             shard.hedged = True
-            replica = choose_replica(self._untried(shard), now, self.ports.rng)
+            idle = [replica for replica in self._untried(shard) if not replica.queues(now)]
+            replica = choose_replica(idle, now, self.ports.rng)
             if replica is not None and self._pay(FULL_PRICE, now):
                 wave.append((shard, replica))
         next_from = self.hedge_from
--- /dev/null
+++ b/tests/node/entry.feature
@@ -0,0 +1,72 @@
+Feature: The entry merges the results of one snapshot
+  Guards against wrong coverage, mixed snapshots and shards counted twice when results are lost,
+  late, repeated, crossed or malformed.
+
+  Scenario Outline: Coverage is accurate under faulty results
+    When 700 queries meet faulty results under policy "<policy>"
+    Then each answer is the exact merge of the shards that it says it covers
+    And full and partial answers of both snapshots occurred
+    And no sub-request is counted as outstanding
+
+    Examples:
+      | policy   |
+      | tail     |
+      | coverage |
+
+  Scenario: Hedges stay within the budget while replicas straggle
+    Given owners of which 5 in 100 sub-requests straggle
+    When 400 queries run one after the other under policy "tail"
+    Then there are hedges, and hedges and retries stay within 2% and a burst of 10
+    And the losers of hedged shards are cancelled
+
+  Scenario: No hedges or retries are sent into an overloaded service
+    Given owners that straggle and refuse one sub-request in ten as shedding
+    When 200 queries run one after the other under policy "tail"
+    Then at most 20 hedges and retries are sent, all of them before the overload was seen
+
+  Scenario Outline: A refusal by one replica is retried on the other
+    Given a shard whose first replica answers <reason> and whose second one answers
+    When 50 queries run one after the other under policy "<policy>"
+    Then 50 answers miss nothing
+
+    Examples:
+      | reason          | policy   |
+      | draining        | tail     |
+      | no_owner        | tail     |
+      | connection_lost | tail     |
+      | draining        | coverage |
+      | connection_lost | coverage |
+
+  Scenario: Policy coverage tries all replicas again within the deadline
+    Given a shard whose replicas refuse as draining for the first 5 times
+    When 1 queries run one after the other under policy "coverage"
+    Then 1 answers miss nothing
+
+  Scenario: Policy tail answers without a shard whose replicas all refused
+    Given a shard whose replicas refuse as draining for the first 5 times
+    When 1 queries run one after the other under policy "tail"
+    Then each answer misses only shard "h3" with reason "draining"
+
+  Scenario: A silent shard is reported as missing at the deadline
+    Given a shard whose replicas do not answer
+    When 3 queries run one after the other under policy "coverage"
+    Then each answer misses only shard "h3" with reason "deadline"
+
+  Scenario: A query restarts once with the snapshot that most shards hold
+    Guards against answers that mix snapshots, and against asking for a lost snapshot each time.
+    Given searchers that no longer hold snapshot "v2" of shard "h3"
+    When 10 queries run one after the other under policy "tail"
+    Then each answer covers all shards of snapshot "v1"
+    And at most 5 messages name snapshot "v2"
+
+  Scenario: A request that crashes servers is stopped by its canaries
+    Guards against a fan-out that crashes all servers at once.
+    Given a request that crashes each server that runs it
+    When it is sent 30 times through 3 instances, between other requests
+    Then 2 servers crash and each sending is refused as request_blocked
+    And all other requests are answered in full
+
+  Scenario: Overload does not displace a tenant within its share
+    Given servers for 2 queries at a time that refuse more than 8 waiting ones
+    When two tenants offer 1.6 and 0.4 of the capacity for 4 seconds
+    Then 95% of the capacity are full answers, and the light tenant gets 38% of it
