--- a/rattanrelay/decide/selection.py
+++ b/rattanrelay/decide/selection.py
@@ -13,9 +13,10 @@
 OBSERVATION_HALF_LIFE_S = 2.0
 #: A queue drains within a few service times; an old length must not keep work away.
 LOAD_HALF_LIFE_S = 0.1
-#: A failure multiplies the cost by up to this factor; repeated failures add up.
-FAILURE_COST = 8.0
-MAX_PENALTY = 64.0
+#: Latency that a failure adds, in seconds; repeated failures add up. A factor would not do: a
+#: replica that fails before its first result has the low initial latency.
+FAILURE_PENALTY_S = 0.25
+MAX_PENALTY_S = 2.0
 PENALTY_HALF_LIFE_S = 1.0
 #: Load reports may lower the weight to this part of the row's weight.
 MIN_REPORT_WEIGHT = 0.1
@@ -86,7 +87,7 @@
 
     def fail(self, now: float) -> None:
         """Note a failure; its penalty decays."""
-        self.penalty = min(MAX_PENALTY, self.penalty_left(now) + FAILURE_COST)
+        self.penalty = min(MAX_PENALTY_S, self.penalty_left(now) + FAILURE_PENALTY_S)
         self.penalty_at = now
 
     def report(self, weight: float) -> None:
@@ -94,7 +95,7 @@
         self.report_weight = min(1.0, max(MIN_REPORT_WEIGHT, weight))
 
     def penalty_left(self, now: float) -> float:
-        """Return what is left of the failure penalty."""
+        """Return what is left of the failure penalty, in seconds."""
         if not self.penalty:
             return 0.0
         return self.penalty * 0.5 ** ((now - self.penalty_at) / PENALTY_HALF_LIFE_S)
@@ -104,8 +105,9 @@
         fresh = 0.5 ** ((now - self.observed_at) / OBSERVATION_HALF_LIFE_S)
         load = self.current_load(now)
         latency = INITIAL_LATENCY_S + (self.latency - INITIAL_LATENCY_S) * fresh
-        cost = latency * (1.0 + load) / (self.row_weight * self.report_weight)
-        return cost * (1.0 + self.penalty_left(now)) if self.penalty else cost
+        if self.penalty:
+            latency += self.penalty_left(now)
+        return latency * (1.0 + load) / (self.row_weight * self.report_weight)
 
 
 def choose_replica(candidates: Sequence[Replica], now: float, rng: Random) -> Replica | None:
--- a/rattanrelay/errors.py
+++ b/rattanrelay/errors.py
@@ -49,8 +49,9 @@
         return CODES[self.code].status
 
     def __str__(self) -> str:
-        where = f" (step {self.step}, peer {self.peer})" if self.step or self.peer else ""
-        return f"{self.code}: {self.message}{where}"
+        parts = [("step", self.step), ("peer", self.peer)]
+        where = ", ".join(f"{name} {value}" for name, value in parts if value)
+        return f"{self.code}: {self.message}" + (f" ({where})" if where else "")
 
 
 # Requests of callers.
@@ -94,6 +95,7 @@
 register_code("request_suspect", 503, "A server was lost with the request; it is tried elsewhere")
 # Configuration.
 register_code("bad_settings", 400, "A setting is missing or has a value that is not allowed")
+register_code("bad_arguments", 400, "The command line lacks an argument or has a wrong one")
 register_code("bad_table", 400, "The table has a cell that is not allowed")
 register_code("edit_conflict", 409, "Another operator changed the same cell")
 register_code("version_conflict", 409, "The stored version is another than expected")
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -108,6 +108,7 @@
         ports: ScatterPorts,
         deadline_ms: int,
         may_restart: Callable[[float], bool] = lambda now: False,
+        may_have_run: bool = False,
     ) -> None:
         self.query = query
         self.query_id = query_id
@@ -128,7 +129,8 @@
         self.congested = 0
         self.late = 0
         self.queue_us = 0
-        self.may_have_run = False
+        #: True once a server may have run a part of the query.
+        self.may_have_run = may_have_run
         self.restart = False
         self.error: RelayError | None = None
         self.canary_failures: list[str] | None = None
@@ -359,7 +361,7 @@
         if self.canary_failures is not None:
             self.canary_failures.append(reason)
         elif reason == "request_blocked":
-            self._block("not_run" if not self.may_have_run else "unknown")
+            self._block()
         elif not shard.attempts and name in self.gather.pending:
             self._plan_retry(shard, price, now)
 
@@ -475,7 +477,7 @@
                 return True
             lost = sum(reason in CANARY_LOST for reason in failures)
             if "request_blocked" in failures or lost >= MAX_CANARIES_LOST:
-                self._block("unknown" if self.may_have_run else "not_run")
+                self._block()
                 return False
             kind = "suspect" if lost else "canary"
         await self._last_canary()
@@ -515,7 +517,8 @@
                 self.wake = trio.Event()
                 await self.wake.wait()
 
-    def _block(self, ran: str) -> None:
+    def _block(self) -> None:
+        ran = "unknown" if self.may_have_run or self.open or self.gather.answered else "not_run"
         self.error = RelayError(
             "request_blocked",
             "the request crashed backend servers and is blocked",
@@ -527,6 +530,7 @@
 
     def _close(self) -> None:
         """Settle the sub-requests that are still open; at the deadline they are late."""
+        self.may_have_run = self.may_have_run or self.gather.answered > 0
         if not self.open:
             return
         now = trio.current_time()
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -3,21 +3,17 @@
 import json
 import math
 import random
-import uuid
 from collections import Counter, defaultdict
 from contextlib import asynccontextmanager
-from functools import lru_cache
+from functools import cache
 
 import trio
-import uuid6
 from behave import given, then, when
 from trio._core import _run as scheduler
 from trio.testing import MockClock
 
 from rattanrelay.errors import RelayError
-from rattanrelay.http import Request
 from rattanrelay.metrics import Metrics
-from rattanrelay.node.callers import CallerApi
 from rattanrelay.node.entry import Entry
 from rattanrelay.node.ports import Configuration, Latest, Member
 from rattanrelay.node.query import Query
@@ -38,14 +34,14 @@
 BODY = b'{"filter":{"core":1},"limit":10}'
 
 
-@lru_cache(maxsize=None)
+@cache
 def _hits(shard, snapshot, query):
     chance = random.Random(f"{shard}/{snapshot}/{query}")
     keys = [f"{shard}:{number}" for number in range(chance.randint(0, 12))]
     return [{"key": key, "score": chance.randint(0, 9) / 10, "from": snapshot} for key in keys]
 
 
-@lru_cache(maxsize=None)
+@cache
 def _payload(shard, snapshot, query):
     hits = _hits(shard, snapshot, query)
     return json.dumps({"hits": hits, "count": len(hits)}).encode()
