--- /dev/null
+++ b/tests/decide/admission.feature
@@ -0,0 +1,19 @@
+Feature: Admission at the entry shares an adaptive limit between tenants
+  Guards against tenants above their cap, lost places, waits without an end, and a tenant that
+  takes the shares of others.
+
+  Scenario: Limits hold under any order of arrivals and departures
+    When queries of random tenants arrive, wait, leave and give up
+    Then no tenant exceeds its cap, no place is lost, and a place is free only if nobody may use it
+
+  Scenario: Backlogged tenants share by weight
+    When tenants of weight 1, 2 and 5 always have queries waiting
+    Then they are served in the ratio of their weights
+
+  Scenario: A tenant that wants less than its share gets all it wants
+    When a tenant of weight 1 wants 2 places and one of weight 1 wants all 32
+    Then the first tenant has its 2 places but for one departure, and the second one the others
+
+  Scenario: The limit rises by steps and falls with the share of refusals
+    When 20 windows of used capacity without signals are followed by one with half refused
+    Then the limit rises by 20 and then falls by a quarter
--- /dev/null
+++ b/tests/decide/hedging.feature
@@ -0,0 +1,10 @@
+Feature: A hedge waits for the 95th percentile of recent latency
+  Guards against hedges before the service is known, and against a delay that follows old figures.
+
+  Scenario: The delay is the percentile of the last 512 latencies
+    When random latencies are added to a window
+    Then no delay is known before 20 of them, and then it is their 95th percentile
+
+  Scenario: A window of slow sub-requests without results raises the delay
+    When 512 sub-requests of 10 ms are followed by 512 that have no result after 80 ms
+    Then the hedge delay is 80 ms
