--- a/rattanrelay/cli/client.py
+++ b/rattanrelay/cli/client.py
@@ -76,7 +76,7 @@
 
     def _request(self, method: str, path: str, body, headers) -> Request:
         sent = {"authorization": f"Bearer {self.token}", **(headers or {})}
-        person = getpass.getuser()
+        person = _login_name()
         if NAME_PATTERN.fullmatch(person):
             sent["x-operator"] = person
         if isinstance(body, str):
@@ -135,6 +135,14 @@
     return [_place(source, part.strip()) for part in text.split(",")]
 
 
+def _login_name() -> str:
+    """Return the login name, empty for a user without one."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError, ImportError):
+        return ""
+
+
 def _place(source: str, text: str) -> Place:
     host, _, port = text.rpartition(":")
     if not host or not port.isdecimal() or not 1 <= int(port) <= 65535:
--- a/rattanrelay/table/checks.py
+++ b/rattanrelay/table/checks.py
@@ -162,7 +162,7 @@
 
 @check("addresses")
 def check_addresses(table: Table) -> Iterator[Problem]:
-    """Each searcher has an IP address and port that no other searcher has.
+    """Each searcher has an IPv4 address and port that no other searcher has.
 
     A duplicate is reported at each of its rows, without the name of the other row, which may belong
     to another team.
@@ -182,10 +182,7 @@
     if not port.isascii() or not port.isdigit() or not 1 <= int(port) <= 65535:
         return False
     try:
-        if host.startswith("[") and host.endswith("]"):
-            ipaddress.IPv6Address(host[1:-1])
-        else:
-            ipaddress.IPv4Address(host)
+        ipaddress.IPv4Address(host)
     except ValueError:
         return False
     return True
--- a/rattanrelay/table/columns.py
+++ b/rattanrelay/table/columns.py
@@ -98,7 +98,14 @@
     "tail responds at the soft deadline with what it has; coverage retries until the timeout",
     choices=("tail", "coverage"),
 )  # fmt: skip
-_count("services", "timeout_ms", "ms", "Longest time for a query", 1, MAX_TIME_MS)
+_count(
+    "services",
+    "timeout_ms",
+    "ms",
+    "Longest time for a request; callers may ask for less",
+    1,
+    MAX_TIME_MS,
+)
 _count(
     "services", "soft_deadline_ms", "ms", "When a tail service responds with what it has",
     1, MAX_TIME_MS,
@@ -107,8 +114,9 @@
     "services", "max_in_flight", "sub-requests", "Sub-requests in flight over the fleet",
     1, MAX_COUNT,
 )  # fmt: skip
+# All work passes through the queue, so a length of 0 would refuse all of it.
 _count(
-    "services", "queue", "sub-requests", "Longest queue of one searcher at its owner", 0, MAX_COUNT
+    "services", "queue", "sub-requests", "Longest queue of one searcher at its owner", 1, MAX_COUNT
 )
 _add(
     "services", "warm_latency_ms", float, "ms", "Latency of a warm searcher",
@@ -116,24 +124,35 @@
 )  # fmt: skip
 _add("services", "hedge", bool, "", "Whether slow sub-requests are sent to a second replica")
 _add("services", "canary", bool, "", "Whether a new query first runs on one shard")
-_weight_and_state("services", "Share of the service where limits are divided")
+_weight_and_state("services", "Share of the service where the limit of a domain is divided")
 
 _name("domains", "Name of the failure domain")
 _count(
     "domains", "max_in_flight", "sub-requests", "Sub-requests in flight over the fleet",
     1, MAX_COUNT,
 )  # fmt: skip
-_weight_and_state("domains", "Preference among replicas of several domains")
+_weight_and_state(
+    "domains", "Preference among replicas in several domains, and share of service limits"
+)
 
 _name("servers", "Name of the backend server")
 _reference("servers", "service", "services", "Service that the server runs")
 _reference("servers", "failure_domain", "domains", "Failure domain of the server")
 _add(
-    "servers", "addresses", str, "", "One IP address and port for each searcher",
-    text="IP:port for each searcher, separated by one blank, each address once in the table",
+    "servers", "addresses", str, "", "One IPv4 address and port for each searcher",
+    text="IPv4:port for each searcher, separated by one blank, each address once in the table",
 )  # fmt: skip
-_count("servers", "slots", "sub-requests", "Concurrent sub-requests of a searcher", 1, MAX_SLOTS)
-_count("servers", "connections", "connections", "Connections of a searcher", 1, MAX_CONNECTIONS)
+_count(
+    "servers", "slots", "sub-requests", "Concurrent sub-requests of a warm searcher", 1, MAX_SLOTS
+)
+_count(
+    "servers",
+    "connections",
+    "connections",
+    "Connections that a searcher accepts; its owner uses a quarter",
+    1,
+    MAX_CONNECTIONS,
+)
 _add(
     "servers", "connect_ms", float, "ms", "Cost of a new connection", minimum=0, maximum=MAX_TIME_MS
 )
@@ -141,17 +160,24 @@
     "servers", "cold_slots", "sub-requests", "Concurrent sub-requests of a cold searcher",
     1, MAX_SLOTS,
 )  # fmt: skip
-_weight_and_state("servers", "Share of the server where limits are divided")
+_weight_and_state("servers", "Preference among replicas, and share where limits are divided")
 
 _name("instances", "Name of the entry instance, as in its settings")
 _reference("instances", "failure_domain", "domains", "Failure domain of the instance")
-_weight_and_state("instances", "Share of the instance")
+_weight_and_state("instances", "Has no effect at present")
 
 _name("tenants", "Name that callers send in X-Tenant")
 _add(
     "tenants", "team", str, "", "Team that the tenant belongs to", text=f"empty, or {NAME_ALLOWED}"
 )
-_count("tenants", "weight", "", "Share of the tenant under overload", 1, MAX_WEIGHT)
+_count(
+    "tenants",
+    "weight",
+    "",
+    "Share of the tenant when a service is used up, and in queues",
+    1,
+    MAX_WEIGHT,
+)
 _count("tenants", "max_in_flight", "queries", "Queries in flight over the fleet", 1, MAX_COUNT)
 
 
--- a/tests/steps/operator_table_steps.py
+++ b/tests/steps/operator_table_steps.py
@@ -1,6 +1,9 @@
 """Steps for the operators' table: checks, edits, CSV and capacity."""
 
 import json
+import re
+from pathlib import Path
+from typing import Literal, get_args, get_origin, get_type_hints
 
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -8,7 +11,8 @@
 from hypothesis import strategies as st
 from operator_samples import by_name, independent_edits, sample_table, tables
 
-from rattanrelay.errors import RelayError
+from rattanrelay.cli.show import cell_text
+from rattanrelay.errors import CODES, RelayError
 from rattanrelay.table import (
     Catalog,
     ServerRow,
@@ -315,3 +319,42 @@
         assert error.code == code
         return
     raise AssertionError("no error")
+
+
+def guide():
+    return Path(__file__).parents[2].joinpath("docs", "operators.md").read_text("utf-8")
+
+
+@then("the columns are the fields of the rows")
+def then_fields(context):
+    for kind, row_class in KINDS.items():
+        hints = get_type_hints(row_class)
+        assert list(COLUMNS[kind]) == list(row_class._fields), kind
+        for name, column in COLUMNS[kind].items():
+            hint = str if get_origin(hints[name]) is Literal else hints[name]
+            assert column.type is hint, (kind, name)
+            assert column.choices == get_args(hints[name]), (kind, name)
+            default = row_class._field_defaults.get(name)
+            if column.type in (int, float):
+                assert column.minimum <= default <= column.maximum, (kind, name)
+
+
+@then("the operators' guide lists each column with its unit and default")
+def then_guide_columns(context):
+    for kind, columns in COLUMNS.items():
+        part = guide().partition(f"### {kind}\n")[2].partition("\n#")[0]
+        lines = [line.split(" | ") for line in part.splitlines() if line.startswith("| `")]
+        listed = {line[0].strip("|` "): line for line in lines}
+        assert list(listed) == list(columns), kind
+        for name, column in columns.items():
+            assert listed[name][1] == (column.unit or "-"), (kind, name)
+            default = KINDS[kind]._field_defaults.get(name, "required")
+            shown = cell_text(default) or "empty"
+            assert listed[name][3].strip("`") == shown.removesuffix(".0"), (kind, name)
+
+
+@then("the operators' guide lists each error code")
+def then_guide_codes(context):
+    rows = [line for line in guide().splitlines() if line.startswith("| `")]
+    explained = {code for line in rows for code in re.findall(r"`(\w+)`", line.split("|")[1])}
+    assert set(CODES) <= explained, set(CODES) - explained
--- a/tests/table/checks.feature
+++ b/tests/table/checks.feature
@@ -19,15 +19,18 @@
       | services  | logging  | soft_deadline_ms | 1001                 | at most timeout_ms     |
       | services  | logging  | name             | "a b"                | 1 to 64 letters        |
       | services  | logging  | name             | "other"              | the key of the row     |
+      | services  | logging  | queue            | 0                    | from 1 to 1000000      |
       | domains   | oviedo   | state            | "off"                | in or out              |
       | domains   | oviedo   | weight           | 0                    | from 1 to 1000         |
       | servers   | log-1    | failure_domain   | "leon"               | oviedo                 |
       | servers   | log-1    | service          | "nope"               | such as booking        |
       | servers   | log-1    | cold_slots       | 3                    | at most slots, 2       |
       | servers   | log-1    | connections      | 1                    | at least slots, 2      |
-      | servers   | log-1    | addresses        | "db.example:80"      | IP:port                |
-      | servers   | log-1    | addresses        | "10.0.0.9:0"         | IP:port                |
-      | servers   | log-1    | addresses        | ""                   | IP:port                |
+      | servers   | log-1    | addresses        | "db.example:80"      | IPv4:port              |
+      | servers   | log-1    | addresses        | "10.0.0.9:0"         | IPv4:port              |
+      | servers   | log-1    | addresses        | "[::1]:9000"         | IPv4:port              |
+      | servers   | log-1    | addresses        | "10.0.0.9:9  10.0.0.8:9" | IPv4:port          |
+      | servers   | log-1    | addresses        | ""                   | IPv4:port              |
       | instances | entry-1  | failure_domain   | "leon"               | oviedo                 |
       | tenants   | museum   | max_in_flight    | 0                    | from 1 to 1000000      |
       | tenants   | museum   | team             | "a/b"                | empty, or 1 to 64      |
