--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -27,8 +27,9 @@
 
 #: Reasons that signal congestion of a service.
 CONGESTION = frozenset({"queue_full", "shedding"})
-#: Reasons that say nothing about the searcher itself.
-NO_PENALTY = frozenset({"request_blocked", "request_suspect", "snapshot_gone"})
+#: Reasons that say nothing about the searcher itself, or no more than its load does. A penalty for
+#: a full queue would move all work to the other replicas and fill their queues in turn.
+NO_PENALTY = CONGESTION | {"request_blocked", "request_suspect", "snapshot_gone"}
 #: Reasons by which a canary may have crashed its server.
 CANARY_LOST = frozenset({"connection_lost", "request_suspect"})
 
@@ -107,6 +108,7 @@
         ports: ScatterPorts,
         deadline_ms: int,
         may_restart: Callable[[float], bool] = lambda now: False,
+        may_have_run: bool = False,
     ) -> None:
         self.query = query
         self.query_id = query_id
@@ -127,7 +129,8 @@
         self.congested = 0
         self.late = 0
         self.queue_us = 0
-        self.may_have_run = False
+        #: True once a server may have run a part of the query.
+        self.may_have_run = may_have_run
         self.restart = False
         self.error: RelayError | None = None
         self.canary_failures: list[str] | None = None
@@ -230,22 +233,32 @@
         )
 
     async def _ask(self, message: _Message, sub: SubQuery) -> None:
-        reason, ran = "bad_answer", "unknown"
+        error = None
         with message.scope:
             try:
                 if message.owner == self.ports.instance:
                     await self.ports.dispatch.run(sub, self._receive)
                 else:
-                    await self._stream(message.owner, sub)
-            except RelayError as error:
-                reason, ran = error.code, error.ran
+                    error = await self._stream(message.owner, sub)
+            except RelayError as raised:
+                error = raised
         if message.left > 0:
+            reason, ran = (error.code, error.ran) if error else ("bad_answer", "unknown")
             self._fail_rest(message, sub.targets, reason, ran)
 
-    async def _stream(self, owner: str, sub: SubQuery) -> None:
+    async def _stream(self, owner: str, sub: SubQuery) -> RelayError | None:
+        """Receive the results of a message; returns the error that ended them.
+
+        The error is caught inside the block, since a nursery in the context manager would wrap
+        it in an exception group.
+        """
         async with self.ports.peers.stream(owner, sub) as items:
-            async for batch in items:
-                await self._receive(batch)
+            try:
+                async for batch in items:
+                    await self._receive(batch)
+            except RelayError as error:
+                return error
+        return None
 
     def _fail_rest(self, message, targets: tuple[Target, ...], reason: str, ran: str) -> None:
         """Fail the targets of a message that ended without results for them."""
@@ -288,7 +301,9 @@
         if verdict != "counted":
             self._failed(shard, attempt, verdict, now)
             return
-        attempt.replica.observe(now - attempt.sent_at, result.in_flight, now)
+        # Without the wait in the owner's queue, which the load already stands for.
+        latency = max(0.0, now - attempt.sent_at - result.queue_us / 1e6)
+        attempt.replica.observe(latency, result.in_flight, result.limit, now)
         self.state.knowledge.holds(result.searcher, result.snapshot)
         self.state.latencies.add(now - shard.first_sent)
         self._end(shard, attempt)
@@ -301,7 +316,7 @@
             knowledge.lacks(result.searcher, self.plan.snapshot, result.held, now)
         elif result.reason in CONGESTION:
             self.congested += 1
-        attempt.replica.load = max(attempt.replica.load, result.in_flight)
+        attempt.replica.note_load(result.in_flight, result.limit, now)
         self._failed(shard, attempt, result.reason, now)
 
     def _end(self, shard: _Shard, attempt: _Attempt) -> None:
@@ -346,7 +361,7 @@
         if self.canary_failures is not None:
             self.canary_failures.append(reason)
         elif reason == "request_blocked":
-            self._block("not_run" if not self.may_have_run else "unknown")
+            self._block()
         elif not shard.attempts and name in self.gather.pending:
             self._plan_retry(shard, price, now)
 
@@ -410,7 +425,11 @@
     # Hedges.
 
     def _send_hedges(self, now: float) -> float:
-        """Hedge the sub-requests that are due; return when the next one is due."""
+        """Hedge the sub-requests that are due; return when the next one is due.
+
+        A replica whose slots are all in use gets no hedge: it would wait there as well, and make
+        the queue of a hot shard longer.
+        """
         delay = self.state.latencies.delay()
         if delay is None or not self.row.hedge or not self.open:
             return NEVER
@@ -427,7 +446,8 @@
                 self.hedge_from = min(self.hedge_from, sent_at)
                 continue
             shard.hedged = True
-            replica = choose_replica(self._untried(shard), now, self.ports.rng)
+            idle = [replica for replica in self._untried(shard) if not replica.queues(now)]
+            replica = choose_replica(idle, now, self.ports.rng)
             if replica is not None and self._pay(FULL_PRICE, now):
                 wave.append((shard, replica))
         next_from = self.hedge_from
@@ -457,7 +477,7 @@
                 return True
             lost = sum(reason in CANARY_LOST for reason in failures)
             if "request_blocked" in failures or lost >= MAX_CANARIES_LOST:
-                self._block("unknown" if self.may_have_run else "not_run")
+                self._block()
                 return False
             kind = "suspect" if lost else "canary"
         await self._last_canary()
@@ -497,7 +517,8 @@
                 self.wake = trio.Event()
                 await self.wake.wait()
 
-    def _block(self, ran: str) -> None:
+    def _block(self) -> None:
+        ran = "unknown" if self.may_have_run or self.open or self.gather.answered else "not_run"
         self.error = RelayError(
             "request_blocked",
             "the request crashed backend servers and is blocked",
@@ -509,6 +530,7 @@
 
     def _close(self) -> None:
         """Settle the sub-requests that are still open; at the deadline they are late."""
+        self.may_have_run = self.may_have_run or self.gather.answered > 0
         if not self.open:
             return
         now = trio.current_time()
