Add charts for instances and the table revision; tighten readiness and heartbeat size

An acknowledgement without a digest counted as a comparison of digests, so an instance could be ready with an older table. Incarnations have 12 digits: with 36 the heartbeats of a cell of 10 exceed 3 KB/s for each daemon.

--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -33,6 +33,7 @@
 #: Time in which peers still get answers after this instance has left the view, in seconds.
 FAREWELL_S = 0.3
 BACKLOG = 512
+INCARNATION_DIGITS = 12
 
 
 class Addresses(NamedTuple):
@@ -49,7 +50,8 @@
     def __init__(self, settings: Settings, *, rng: random.Random | None = None) -> None:
         self.settings = settings
         self.rng = rng or random.Random()
-        self.incarnation = str(uuid6.uuid7())
+        # Each heartbeat carries it; these digits are random.
+        self.incarnation = uuid6.uuid7().hex[-INCARNATION_DIGITS:]
         self.metrics = Metrics(settings.instance)
         self.handlers = Handlers()
         self.addresses: Addresses | None = None
--- a/rattanrelay/node/documents.py
+++ b/rattanrelay/node/documents.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from ..charts.interpreter import Chart
 from ..decide.revision import Held, Readiness, Replicas, settle_write
 from ..errors import RelayError
 from ..log import event
@@ -83,6 +84,8 @@
         self.configuration: Latest[Configuration] = Latest(Configuration())
         self.replicas = Replicas()
         self.readiness = Readiness()
+        self.chart = Chart("table_revision", members.instance)
+        self.was_ready = False
         #: Newest revision seen in digests by name, with the instance that has it.
         self.wanted: dict[str, tuple[int, str]] = {}
         #: Revisions that each peer last reported, by instance and document name.
@@ -93,9 +96,14 @@
 
     @property
     def ready(self) -> bool:
-        """Say whether a table is in force that was checked against the store or the peers."""
-        has_table = self.configuration.value.table is not None
-        return self.readiness.ready(has_table, self.peers.connected())
+        """Say whether a table is in force that was checked against the store or the peers.
+
+        An instance that has become ready stays ready.
+        """
+        if not self.was_ready and not self.wanted:
+            has_table = self.configuration.value.table is not None
+            self.was_ready = self.readiness.ready(has_table, self.peers.connected())
+        return self.was_ready
 
     def register(self, handlers: Handlers) -> None:
         """Register the handlers of this task; they serve the view of the members task too."""
@@ -127,6 +135,7 @@
         for name, revision in self.replicas.lacking(entries):
             if revision >= self.wanted.get(name, (0, ""))[0]:
                 self.wanted[name] = (revision, instance)
+                self._follow_chart(name, "newer_seen")
             self._start_pull(name)
 
     def _note_report(self, instance: str, entries: tuple[DocumentRevision, ...]) -> None:
@@ -259,6 +268,7 @@
             return False
         if self.wanted.get(name, (0, ""))[0] <= decoded.revision:
             self.wanted.pop(name, None)
+            self._follow_chart(name, "taken")
         event("documents.in_force", document=name, revision=decoded.revision)
         self._publish(decoded)
         self._start_watch(name)
@@ -300,10 +310,13 @@
             self.pulling.discard(name)
 
     async def _pull_again(self) -> None:
-        """Repeat the pulls that failed."""
+        """Repeat the pulls that failed; give up what only a lost peer had."""
         while True:
             await trio.sleep(PULL_RETRY_S)
-            for name in list(self.wanted):
+            for name, (_, instance) in list(self.wanted.items()):
+                if not self.peers.knows(instance):
+                    del self.wanted[name]
+                    continue
                 self._start_pull(name)
 
     # The store.
@@ -367,13 +380,21 @@
             self._offer(name, stored.held.value)
         newer = self.replicas.newer_than_stored(name, _revision(stored))
         if newer is None:
+            self._follow_chart(name, "stored")
             return
+        self._follow_chart(name, "older_stored")
         event("documents.write_back", document=name, stored=_revision(stored), held=newer.revision)
         try:
             await self.store.put(name, newer.value, stored.version)
         except RelayError as error:
             if error.code != "version_conflict":
                 raise
+            return
+        self._follow_chart(name, "stored")
+
+    def _follow_chart(self, name: str, condition: str) -> None:
+        if name == TABLE_NAME:
+            self.chart.send(condition, cause=f"revision {self.replicas.revision(name)}")
 
     async def _read(self, name: str) -> _Stored:
         entry = await self.store.get(name)
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -6,6 +6,7 @@
 import msgspec
 import trio
 
+from ..charts.interpreter import Chart
 from ..decide.lease import View, decode_view, encode_view, view_key
 from ..decide.membership import Beat, Effect, Fetch, Membership, Propose, ReadStore
 from ..decide.ownership import Identity, Member
@@ -52,9 +53,10 @@
 class Members:
     """Membership of this instance in its cell; implements `MembersPort`.
 
-    `digest()` returns the revisions of all documents, `see_digest(instance, entries)` takes those
-    of a peer, `holding()` returns the backend servers with work or connections, `blocked()` the
-    blocked fingerprints and `see_blocked(entries)` takes those of a peer. `contacts()` returns
+    `digest()` returns the revisions of all documents, `see_digest(instance, entries)` takes what a
+    peer reports: each heartbeat holds all entries that were not acknowledged to that peer yet.
+    `holding()` returns the backend servers with work or connections, `blocked()` the blocked
+    fingerprints and `see_blocked(entries)` takes those of a peer. `contacts()` returns
     possible members from the platform's list, for an instance outside the view.
     """
 
@@ -89,6 +91,8 @@
         self.contacts = contacts
         self.core = Membership(self.me, cell, trio.current_time())
         self.feed = DigestFeed()
+        self.chart = Chart("instance", instance)
+        self.conditions: tuple[str, ...] = ()
         #: The adopted view; waiters see each change.
         self.view: Latest[View | None] = Latest(None)
         #: Messages and bytes of heartbeats and their acknowledgements by direction and kind.
@@ -122,6 +126,11 @@
         """Return for how many seconds the quorum lease still holds, 0.0 when it does not."""
         return self.core.lease.left(trio.current_time())
 
+    @property
+    def state(self) -> str:
+        """State in the chart `instance`."""
+        return self.chart.state
+
     # Use by the daemon and other tasks.
 
     def register(self, handlers: Handlers) -> None:
@@ -137,6 +146,7 @@
             task_status.started()
             while True:
                 self._carry_out(self.core.tick(trio.current_time()))
+                self._follow_chart()
                 await trio.sleep(TICK_S)
 
     async def leave(self) -> bool:
@@ -208,7 +218,9 @@
         sender = Identity(message.instance, message.incarnation)
         giving_up = self.giving_up()
         self._carry_out(self.core.on_heartbeat(sender, message.epoch, giving_up, now))
-        self._see(message.instance, message)
+        self.see_digest(message.instance, message.digest)
+        if message.blocked:
+            self.see_blocked(message.blocked)
         outside = self.core.view is None or self.core.view.member(sender) is None
         ack = HeartbeatAck(
             self.me.instance,
@@ -222,6 +234,19 @@
         self._count("out", ack)
         return ack
 
+    def _follow_chart(self) -> None:
+        """Tell the chart which conditions hold now, when one of them has changed."""
+        conditions = (
+            "wanted" if self.core.wanted else "unwanted",
+            "joined" if self.core.is_member else "removed",
+            "quorum" if self.lease_left() > 0 else "quorum_lost",
+        )
+        if conditions == self.conditions:
+            return
+        self.conditions = conditions
+        for condition in conditions:
+            self.chart.send(condition, cause=f"epoch {self.epoch}")
+
     # Effects.
 
     def _carry_out(self, effects: list[Effect]) -> None:
@@ -260,16 +285,12 @@
             return
         self._count("in", ack)
         self.feed.acknowledged(peer, ack.sequence)
-        self._see(ack.instance, ack)
+        if ack.digest:
+            self.see_digest(ack.instance, ack.digest)
         sender = Identity(ack.instance, ack.incarnation)
         now = trio.current_time()
         self._carry_out(self.core.on_ack(sender, ack.epoch, ack.sequence, ack.holding, now))
 
-    def _see(self, instance: str, message: Heartbeat | HeartbeatAck) -> None:
-        self.see_digest(instance, message.digest)
-        if isinstance(message, Heartbeat) and message.blocked:
-            self.see_blocked(message.blocked)
-
     def _start_fetch(self, instance: str) -> None:
         if instance not in self.fetching:
             self.fetching.add(instance)
--- a/rattanrelay/node/peers.py
+++ b/rattanrelay/node/peers.py
@@ -153,6 +153,10 @@
         except RelayError as error:
             event("peers.cast_dropped", peer=instance, code=error.code)
 
+    def knows(self, instance: str) -> bool:
+        """Say whether there is a link, open or not, to an instance."""
+        return instance in self.lines
+
     def connected(self) -> set[str]:
         """Return the instances to which a link is open now."""
         return {
