Keep partitioned processes from disturbing the view; test single faults in cells

A process that reached no majority added itself after 3 s, so a domain that was cut off kept changing the view of the majority, and a one-way cut changed it 103 times in 300 simulated seconds. It now waits for contact, longer after each removal, and not at all blindly while the platform lists a majority of the members.

--- a/rattanrelay/decide/evidence.py
+++ b/rattanrelay/decide/evidence.py
@@ -77,14 +77,18 @@
 
     def quiet(self, entry: Departed, view: View, now: float) -> bool:
         """Say whether a departed member can have no more work at any backend server."""
-        identity = entry.member.identity
-        if self.idle.get(identity, -1) >= entry.removed:
+        if self.is_idle(entry):
             return True
+        identity = entry.member.identity
         ended = self.ended.get(identity)
         if ended is not None and now >= ended + ENDED_WAIT_S:
             return True
         return all(self.over(past, now) for past in view.history if identity in past.members)
 
+    def is_idle(self, entry: Departed) -> bool:
+        """Say whether a departed member has said after its removal that it has no work left."""
+        return self.idle.get(entry.member.identity, -1) >= entry.removed
+
     def over(self, past: PastView, now: float) -> bool:
         """Say whether no lease under an earlier view and no work under such a lease is left."""
         retired = self.retired.get(past.epoch)
--- a/rattanrelay/decide/membership.py
+++ b/rattanrelay/decide/membership.py
@@ -36,12 +36,13 @@
 PROPOSE_RETRY_S = 1.0
 #: Time between reads of the store while this process is outside the view or without a quorum.
 READ_RETRY_S = 1.0
-#: A process that reaches no majority of the view adds itself after this time nevertheless.
-BLIND_JOIN_S = 3.0
-#: Limits of the delay before a process that was removed returns.
+#: Delays before a process outside the view adds itself, by what it reaches. They double with each
+#: recent removal of this process, so that a lasting one-way cut does not keep changing the view.
+FULL_REACH_DELAYS_S = (0.0, 30.0)
+MAJORITY_REACH_DELAYS_S = (5.0, 120.0)
+BLIND_DELAYS_S = (15.0, 300.0)
 REJOIN_DELAY_S = 1.0
-MAX_REJOIN_DELAY_S = 30.0
-REMOVALS_WINDOW_S = 60.0
+REMOVALS_WINDOW_S = 600.0
 #: A process that should leave but cannot write the view stops to dispatch after this time.
 LEAVE_GRACE_S = 1.0
 #: A fresh heartbeat goes to a member that has just reached the epoch, at most this often.
@@ -107,6 +108,8 @@
         self.next_read = now
         self.join_since = now
         self.quick: dict[Identity, float] = {}
+        #: Addresses on the platform's list of instances, None while it is not known.
+        self.listed: frozenset[str] | None = None
         self.store_empty = False
         self.quiet_since: float | None = None
 
@@ -231,7 +234,7 @@
         self.evidence.review(view, now)
         floor = now - SUSPECT_AFTER_S + SILENT_AFTER_S
         self.heard = {key: max(self.heard.get(key, now), floor) for key in identities}
-        self.contact = {key: time for key, time in self.contact.items() if key in identities}
+        self.contact = {key: time for key, time in self.contact.items() if time > floor}
         self.quick = {}
         self.told = set() if self.is_member else self.told
         self.quiet_since = None
@@ -254,6 +257,10 @@
             self.unwanted_since = math.inf if wanted else now
         self.wanted = wanted
 
+    def list_instances(self, addresses: Iterable[str]) -> None:
+        """Take the addresses on the platform's list; it lags behind."""
+        self.listed = frozenset(addresses)
+
     def has_left(self) -> bool:
         """Say whether this process is out of the view and the members know that it is idle."""
         if self.is_member:
@@ -306,7 +313,7 @@
         departed = [
             entry.member
             for entry in self.view.departed
-            if not entry.gone and entry.member.identity not in self.evidence.ended
+            if not entry.gone and not self.evidence.is_idle(entry)
         ]
         return [member for member in (*self.members, *departed) if member != self.me]
 
@@ -327,10 +334,6 @@
         self.removals = [*recent, now]
         self.join_since = now
 
-    def _rejoin_delay(self) -> float:
-        repeats = len(self.removals) - 1
-        return min(MAX_REJOIN_DELAY_S, REJOIN_DELAY_S * 2**repeats) if repeats > 0 else 0.0
-
     def _join(self, now: float) -> list[Effect]:
         view = self._joined(now)
         return (view is not None and self._propose(now, view)) or self._read(now)
@@ -341,26 +344,40 @@
             return first_view(self.cell, self.me) if self.store_empty else None
         same = [member for member in self.members if member.instance == self.me.instance]
         self.superseded = bool(same and self.removals and not replaced(same[0], self.me))
-        if self.superseded or now < self.join_since + self._rejoin_delay():
-            return None
-        if not self._reaches_majority(now) and now < self.join_since + self._blind_delay():
+        if self.superseded or now < self.join_since + self._join_delay(now):
             return None
         return with_member(self.view, self.me, self.evidence, now)
 
-    def _blind_delay(self) -> float:
-        return BLIND_JOIN_S + 2 * self._rejoin_delay()
+    def _join_delay(self, now: float) -> float:
+        others = [member for member in self.members if not self._has_ended(member, now)]
+        reached = [member for member in others if self._touched(member.identity, now)]
+        if len(reached) == len(others):
+            return self._repeated(FULL_REACH_DELAYS_S)
+        if len(reached) >= majority(len(others)):
+            return self._repeated(MAJORITY_REACH_DELAYS_S)
+        listed = [member for member in others if member.address in (self.listed or ())]
+        if len(listed) >= majority(len(others)):
+            return math.inf
+        return self._repeated(BLIND_DELAYS_S)
+
+    def _repeated(self, delays: tuple[float, float]) -> float:
+        """Return the delay after the recent removals of this process, within its limits."""
+        first, last = delays
+        repeats = len(self.removals) - 1
+        return min(last, max(first, REJOIN_DELAY_S) * 2**repeats) if repeats > 0 else first
 
-    def _reaches_majority(self, now: float) -> bool:
-        others = [
-            member
-            for member in self.members
-            if member.instance != self.me.instance and not replaced(member, self.me)
-        ]
-        reached = sum(
-            now - self.contact.get(member.identity, -math.inf) < SUSPECT_AFTER_S
-            for member in others
+    def _touched(self, identity: Identity, now: float) -> bool:
+        return now - self.contact.get(identity, -math.inf) < SUSPECT_AFTER_S
+
+    def _has_ended(self, member: Member, now: float) -> bool:
+        """Say whether another process has answered at the address of a member, or is this one."""
+        if member.instance == self.me.instance or replaced(member, self.me):
+            return True
+        return any(
+            identity.instance == member.instance and self._touched(identity, now)
+            for identity in self.contact
+            if identity != member.identity
         )
-        return not others or reached >= majority(len(others))
 
     def _detect(self, now: float) -> list[Effect]:
         rank = self.live(now).index(self.me)
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -331,7 +331,10 @@
         if trio.current_time() < self.contacted_at + CONTACT_EVERY_S:
             return
         self.contacted_at = trio.current_time()
-        contacts = [member for member in await self.contacts() if member.address != self.me.address]
+        listed = await self.contacts()
+        if listed:
+            self.core.list_instances(member.address for member in listed)
+        contacts = [member for member in listed if member.address != self.me.address]
         known = {member.instance for member in self.members}
         new = [member for member in contacts if member.instance not in known][:MAX_CONTACTS]
         self._update_peers(new)
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -4,7 +4,7 @@
 import itertools
 import random
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given as hypothesis_given
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -126,6 +126,7 @@
             return
         self.at(TICK_S / process.rate, self.tick, process)
         if not process.frozen:
+            process.core.list_instances(other.member.address for other in self.live())
             self.carry_out(process, process.core.tick(process.clock()))
             process.dispatch()
 
@@ -292,11 +293,12 @@
     def all_owned(self):
         return all(len(found) == 1 for found in self.owners().values())
 
-    def seconds_until_owned(self, limit):
+    def seconds_until_owned(self, limit, *, confirm=False):
         begin = self.now
         while not self.all_owned() and self.now < begin + limit:
-            self.run(0.5)
-            self.confirm_all()
+            self.run(0.1)
+            if confirm:
+                self.confirm_all()
         assert self.all_owned(), self.describe()
         return self.now - begin
 
@@ -429,8 +431,7 @@
         _apply(world, kind, first, second)
         world.run(gap)
     _end_faults(world)
-    world.confirm_all()
-    world.seconds_until_owned(SETTLE_S)
+    world.seconds_until_owned(SETTLE_S, confirm=True)
     return world
 
 
@@ -449,3 +450,137 @@
 @then("at least {count:d} dispatches were checked for a second owner")
 def enough_checks(context, count):
     assert context.checks >= count, context.checks
+
+
+# Single faults in a cell of processes with three domains.
+
+
+@given("a simulated cell of {count:d}")
+def simulated_cell(context, count):
+    context.world = _cell(count, count)
+    context.world.seconds_until_owned(10.0)
+    context.epoch = _epoch(context.world)
+    context.owned = context.world.owners()
+    context.killed = []
+
+
+def _epoch(world):
+    return decode_view(world.stored[1]).epoch
+
+
+def _kill(context, process):
+    context.world.kill(process)
+    context.killed.append(process)
+
+
+@when("a process is killed")
+def kill_one(context):
+    _kill(context, context.owned[SERVERS[0]][0])
+
+
+@when("a process leaves gracefully")
+def leave_one(context):
+    process = context.owned[SERVERS[0]][0]
+    process.core.want(False, process.clock())
+
+
+@when("the simulated store goes down")
+def store_down(context):
+    context.world.store_down = True
+
+
+@when("the simulated store comes back")
+def store_up(context):
+    context.world.store_down = False
+
+
+@when("{seconds:d} simulated seconds pass")
+def pass_time(context, seconds):
+    context.world.run(seconds)
+
+
+@when("two of three domains are killed")
+def kill_domains(context):
+    for process in context.world.live():
+        if process.member.failure_domain != "domain-0":
+            _kill(context, process)
+
+
+@when("the killed processes start again at their addresses")
+def restart_killed(context):
+    for process in context.killed:
+        context.world.start(process.member.instance, process.member.address)
+
+
+@when("the operator confirms that the killed processes have stopped")
+def confirm_killed(context):
+    context.world.confirm_all()
+
+
+@when("one of three domains is cut off")
+def cut_domain(context):
+    world = context.world
+    for process in world.live():
+        for other in world.live():
+            domains = {process.member.failure_domain, other.member.failure_domain}
+            if "domain-0" in domains and len(domains) == 2:
+                world.cuts.add((process.member.address, other.member.address))
+
+
+@when("one process no longer reaches another one")
+def cut_one_way(context):
+    one, other = context.world.live()[2:4]
+    context.world.cuts.add((one.member.address, other.member.address))
+
+
+@when("a process crashes and restarts {count:d} times")
+def crash_repeatedly(context, count):
+    world = context.world
+    for _ in range(count):
+        process = world.live()[0]
+        world.kill(process)
+        world.start(process.member.instance, process.member.address)
+        world.run(0.7)
+
+
+@then("each server has one owner within {limit:f} simulated seconds")
+def owned_in_time(context, limit):
+    seconds = context.world.seconds_until_owned(limit)
+    assert seconds <= limit, seconds
+
+
+@then("the epoch is as before")
+def same_epoch(context):
+    assert _epoch(context.world) == context.epoch
+
+
+@then("the live processes own the servers that they owned before")
+def still_owned(context):
+    owners = context.world.owners()
+    kept = [server for server, (process,) in context.owned.items() if process.alive]
+    assert kept and all(owners[server] == context.owned[server] for server in kept), owners
+
+
+@then("the servers of the killed processes have no owner")
+def not_owned(context):
+    owners = context.world.owners()
+    lost = [server for server, (process,) in context.owned.items() if not process.alive]
+    assert lost and not any(owners[server] for server in lost), owners
+
+
+@then("no process of the domain that is cut off may dispatch")
+def cut_off_is_silent(context):
+    dispatching = [process for found in context.world.owners().values() for process in found]
+    assert not any(process.member.failure_domain == "domain-0" for process in dispatching)
+
+
+@then("the view has changed at most {count:d} times")
+def few_changes(context, count):
+    changes = _epoch(context.world) - context.epoch
+    assert changes <= count, changes
+
+
+@then("the stored view lists at most {views:d} earlier views and {departed:d} departed members")
+def small_view(context, views, departed):
+    view = decode_view(context.world.stored[1])
+    assert len(view.history) <= views and len(view.departed) <= departed, view
