--- /dev/null
+++ b/tests/decide/lease.feature
@@ -0,0 +1,37 @@
+Feature: The quorum lease and the view document
+  Guards against a lease that outlives what a majority acknowledged.
+
+  Scenario: A lease counts from the sending of acknowledged heartbeats
+    Given a quorum lease of epoch 4 with 5 members
+    When heartbeat 1 is sent at 10.0
+    And member 1 acknowledges heartbeat 1 of epoch 4
+    Then the lease does not hold at 10.1
+    When member 2 acknowledges heartbeat 1 of epoch 4
+    Then the lease holds at 11.9
+    And the lease does not hold at 12.0
+
+  Scenario: One member cannot stand for a majority, nor can another epoch or a stranger
+    Given a quorum lease of epoch 4 with 5 members
+    When heartbeat 1 is sent at 10.0
+    And member 1 acknowledges heartbeat 1 of epoch 4
+    And member 1 acknowledges heartbeat 1 of epoch 4
+    And member 2 acknowledges heartbeat 1 of epoch 3
+    And member 9 acknowledges heartbeat 1 of epoch 4
+    And member 2 acknowledges heartbeat 7 of epoch 4
+    Then the lease does not hold at 10.1
+
+  Scenario: A lease that was kept across a change of the view ends in time
+    Given a quorum lease of epoch 4 with 1 members
+    Then the lease holds at 1000.0
+    When epoch 5 with 2 members is adopted at 1000.0 and the lease kept
+    Then the lease holds at 1001.9
+    And the lease does not hold at 1002.0
+
+  Scenario: A process outside the view has no lease
+    Given a quorum lease of epoch 4 with 1 members
+    When epoch 5 without this process is adopted at 1000.0
+    Then the lease does not hold at 1000.0
+
+  Scenario: A view survives its encoding
+    When a view with departed members and history is encoded and decoded
+    Then the decoded view is equal to it
--- /dev/null
+++ b/tests/steps/members_decide_steps.py
@@ -0,0 +1,250 @@
+"""Steps for owners, the quorum lease, the view document and revisions."""
+
+import random
+
+from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rattanrelay.decide.lease import (
+    Departed,
+    PastView,
+    QuorumLease,
+    View,
+    decode_view,
+    encode_view,
+)
+from rattanrelay.decide.ownership import Identity, Member, owner
+from rattanrelay.decide.revision import (
+    FULL_DIGEST_EVERY_S,
+    DigestFeed,
+    Held,
+    Readiness,
+    Replicas,
+    settle_write,
+)
+
+
+def _member(number):
+    return Member(f"entry-{number}", f"i{number}", f"10.0.0.{number}:1", "d")
+
+
+def _owners(members, servers):
+    return {server: owner(members, server).instance for server in servers}
+
+
+@when("the owners of {count:d} servers are computed with and without each of {size:d} members")
+def owners_without(context, count, size):
+    members = [_member(number) for number in range(size)]
+    servers = [f"server-{number}" for number in range(count)]
+    context.full = _owners(members, servers)
+    context.reduced = {
+        missing.instance: _owners([other for other in members if other != missing], servers)
+        for missing in members
+    }
+
+
+@then("only servers of the member that is missing have another owner")
+def only_missing_moved(context):
+    for missing, owners in context.reduced.items():
+        moved = {server for server in owners if owners[server] != context.full[server]}
+        assert moved == {server for server in owners if context.full[server] == missing}
+
+
+@when("the owners of {count:d} servers are computed for {size:d} members in random orders")
+def owners_in_orders(context, count, size):
+    chance = random.Random(3)
+    members = [_member(number) for number in range(size)]
+    servers = [f"server-{number}" for number in range(count)]
+    context.orders = [_owners(chance.sample(members, len(members)), servers) for _ in range(5)]
+
+
+@then("each order gives the same owners")
+def same_owners(context):
+    assert all(owners == context.orders[0] for owners in context.orders)
+
+
+@then("each member owns between {least:d} and {most:d} of them")
+def spread(context, least, most):
+    owned = list(context.orders[0].values())
+    counts = {instance: owned.count(instance) for instance in set(owned)}
+    assert len(counts) == 10 and all(least <= n <= most for n in counts.values()), counts
+
+
+# The lease.
+
+
+@given("a quorum lease of epoch {epoch:d} with {size:d} members")
+def quorum_lease(context, epoch, size):
+    context.lease = QuorumLease(_member(0).identity)
+    members = [_member(number).identity for number in range(size)]
+    context.lease.adopt(epoch, members, 0.0, keep=False)
+
+
+@when("heartbeat {sequence:d} is sent at {now:f}")
+def heartbeat_sent(context, sequence, now):
+    assert context.lease.beat(now) == sequence
+
+
+@when("member {number:d} acknowledges heartbeat {sequence:d} of epoch {epoch:d}")
+def acknowledged(context, number, sequence, epoch):
+    context.lease.acknowledge(_member(number).identity, epoch, sequence)
+
+
+@when("epoch {epoch:d} with {size:d} members is adopted at {now:f} and the lease kept")
+def adopted(context, epoch, size, now):
+    members = [_member(number).identity for number in range(size)]
+    context.lease.adopt(epoch, members, now, keep=True)
+
+
+@when("epoch {epoch:d} without this process is adopted at {now:f}")
+def adopted_without(context, epoch, now):
+    context.lease.adopt(epoch, [_member(5).identity], now, keep=True)
+
+
+@then("the lease holds at {now:f}")
+def lease_holds(context, now):
+    assert context.lease.holds(now), context.lease.until
+
+
+@then("the lease does not hold at {now:f}")
+def lease_ended(context, now):
+    assert not context.lease.holds(now), context.lease.until
+
+
+@when("a view with departed members and history is encoded and decoded")
+def encode(context):
+    one, other = Identity("entry-1", "i1"), Identity("entry-2", "i2")
+    past = PastView(6, (one, other), (other,))
+    departed = Departed(_member(2), 7, gone=True)
+    context.view = View("main", 7, (_member(0), _member(1)), (departed,), (past,))
+    context.decoded = decode_view(encode_view(context.view))
+
+
+@then("the decoded view is equal to it")
+def view_is_equal(context):
+    assert context.decoded == context.view
+    assert type(context.decoded.departed[0].member) is Member
+
+
+# Revisions.
+
+
+@when("documents arrive in any order, repeated, in {count:d} random ways")
+def random_offers(context, count):
+    context.results = []
+
+    @settings(max_examples=count)
+    @hypothesis_given(st.lists(st.integers(1, 20), min_size=1))
+    def run(revisions):
+        replicas = Replicas()
+        seen = []
+        for revision in revisions:
+            taken = replicas.offer("table", revision, b"%d" % revision)
+            seen.append((taken, replicas.held["table"]))
+        context.results.append((revisions, seen))
+
+    run()
+
+
+@then("the highest revision is in force and it never fell")
+def highest_in_force(context):
+    for revisions, seen in context.results:
+        for position, (taken, held) in enumerate(seen):
+            highest = max(revisions[: position + 1])
+            assert held == Held(highest, b"%d" % highest)
+            assert taken == (revisions[position] > max(revisions[:position], default=0))
+
+
+@when("heartbeats with digests are lost in {count:d} random ways")
+def random_losses(context, count):
+    context.results = []
+    beats = st.lists(
+        st.tuples(st.sampled_from(["table", "a", "b", ""]), st.booleans(), st.booleans()),
+        max_size=30,
+    )
+
+    @settings(max_examples=count)
+    @hypothesis_given(beats)
+    def run(schedule):
+        feed, held, known = DigestFeed(), {}, {}
+        changed_at = acked_at = 0
+        for sequence, (name, received, answered) in enumerate(schedule, start=1):
+            if name:
+                held[name] = sequence
+                changed_at = sequence
+            entries = feed.entries("peer", sequence, held, sequence * 0.5)
+            if received:
+                known.update(entries)
+            if received and answered:
+                feed.acknowledged("peer", sequence)
+                acked_at = sequence
+        context.results.append((acked_at >= changed_at, held, known))
+
+    run()
+
+
+@then("each peer that acknowledged after the last change knows all revisions")
+def peers_know(context):
+    relevant = [(held, known) for current, held, known in context.results if current and held]
+    assert len(relevant) > 20
+    assert all(held == known for held, known in relevant)
+
+
+@given("a peer that acknowledged all entries")
+def all_acknowledged(context):
+    context.feed = DigestFeed()
+    assert context.feed.entries("peer", 1, {"table": 4}, 100.0) == {"table": 4}
+    context.feed.acknowledged("peer", 1)
+
+
+@then("the next heartbeat has no entries")
+def no_entries(context):
+    assert context.feed.entries("peer", 2, {"table": 4}, 100.5) == {}
+
+
+@then("the whole digest is sent again after {seconds:d} s")
+def full_again(context, seconds):
+    assert seconds == FULL_DIGEST_EVERY_S
+    assert context.feed.entries("peer", 3, {"table": 4}, 100.0 + seconds) == {"table": 4}
+
+
+@when(
+    "revision 8 was written against version {expected:d} and the store has version {version:d} "
+    "with {content}"
+)
+def judge_write(context, expected, version, content):
+    contents = {
+        "the same value": Held(8, b"mine"),
+        "the old value": Held(7, b"old"),
+        "another value": Held(8, b"theirs"),
+        "nothing": None,
+    }
+    context.outcome = settle_write(Held(8, b"mine"), expected, version, contents[content])
+
+
+@then("the write is {outcome}")
+def write_outcome(context, outcome):
+    assert context.outcome == outcome, context.outcome
+
+
+@when(
+    'an instance with {table} reaches the peers "{reached}", compared digests with "{compared}" '
+    "and {store}"
+)
+def judge_readiness(context, table, reached, compared, store):
+    readiness = Readiness()
+    readiness.store_read = store == "read the store"
+    readiness.compared = set(_names(compared))
+    context.ready = readiness.ready(table == "a table", _names(reached))
+
+
+@then("it is {verdict}")
+def readiness_verdict(context, verdict):
+    assert context.ready == (verdict == "ready"), context.ready
+
+
+def _names(text):
+    """Return the names in a table cell; a dash stands for none."""
+    return [] if text == "-" else text.split()
