--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -427,16 +427,28 @@
             if not self.chosen("watch", WATCHERS):
                 await trio.sleep(WATCH_PAUSE_S)
                 continue
+            started = trio.current_time()
             try:
                 entry = await self.store.watch(self.key, version)
                 if entry is not None:
                     await self._check_stored(entry)
                     version = entry.version
                     continue
+                if trio.current_time() < started + WATCH_PAUSE_S:
+                    # A watch that ends early found no such key.
+                    await self._restore()
             except RelayError as error:
                 event("members.store_error", code=error.code, error=error.message)
             await trio.sleep(WATCH_PAUSE_S)
 
+    async def _restore(self) -> None:
+        """Write the view to a store that has none."""
+        entry, _ = await self._read()
+        view = self.core.view
+        if entry is None and view is not None:
+            event("members.older_view", stored=0, held=view.epoch)
+            await self._write(view, None)
+
     async def _check_stored(self, entry: Entry) -> None:
         try:
             stored = decode_view(entry.value)
--- /dev/null
+++ b/tests/node/members.feature
@@ -0,0 +1,93 @@
+Feature: Members of a cell
+  Guards against instances that dispatch without being the one owner, and against members that are
+  lost or come back unnoticed.
+
+  Scenario: Instances that start together form one view at a small cost
+    Given a running cell of 10 instances
+    Then each backend server has one owner
+    When 30 s pass in the cell
+    Then no instance has sent more than 3000 bytes of heartbeats per second
+    And the store had no reads or writes, and 2 waiting watches on the view and on the table
+
+  Scenario: The servers of a killed instance are taken over
+    Given a running cell of 5 instances
+    When instance 2 is killed
+    And 6.5 s pass in the cell
+    Then each backend server has one owner
+
+  Scenario: A server with work at its former owner waits for that work
+    Given a running cell of 3 instances
+    And the instance that owns "server-1" has work there
+    When that instance starts to leave
+    And 1.0 s pass in the cell
+    Then "server-1" has no owner, and all other servers have one
+    When the work at "server-1" ends
+    And 1.0 s pass in the cell
+    Then each backend server has one owner
+    And that instance has left
+
+  Scenario: Leaving ends in bounded time while the store is down
+    Given a running cell of 3 instances
+    When the store of the cell goes down
+    And instance 1 leaves, which takes at most 6.0 s
+    Then instance 1 has not left but dispatches nothing
+
+  Scenario: A row that is out takes its instance out of the view until it is in again
+    Given a running cell of 3 instances
+    And a table in which all rows are in
+    When the row of instance 2 is set out
+    And 1.0 s pass in the cell
+    Then instance 2 is in state "out" and each backend server has one owner
+    When the row of instance 2 is set in
+    And 3.0 s pass in the cell
+    Then instance 2 is in state "serving" and each backend server has one owner
+
+  Scenario: A failure domain that is out takes its instances out of the view
+    Given a running cell of 3 instances
+    And a table in which all rows are in
+    When the row of the domain of instance 2 is set out
+    And 1.0 s pass in the cell
+    Then instance 2 is in state "out" and each backend server has one owner
+
+  Scenario: An instance out of service dispatches nothing even if the store goes down after the edit
+    Given a running cell of 3 instances
+    And a table in which all rows are in
+    When the row of instance 2 is set out and the store goes down
+    And 3.0 s pass in the cell
+    Then instance 2 dispatches nothing
+
+  Scenario: A write of the view without an answer is settled by reading
+    Given a running cell of 3 instances
+    When the store applies the next 2 writes without an answer
+    And another instance starts
+    And 6.0 s pass in the cell
+    Then all 4 instances are in one view
+    And each backend server has one owner
+
+  Scenario: A store that returns an older view gets the newer one back
+    Given a running cell of 3 instances
+    When the store returns to its first view
+    And 3.0 s pass in the cell
+    Then the store has the view of the instances again
+    And each backend server has one owner
+
+  Scenario: An instance that starts with an empty store takes the view of the listed instances
+    Given a running cell of 3 instances
+    When the store loses its view and another instance starts
+    And 6.0 s pass in the cell
+    Then all 4 instances are in one view
+    And each backend server has one owner
+
+  Scenario: The operator confirms that lost instances have stopped
+    Given a running cell of 3 instances
+    When instance 1 is killed
+    And instance 2 is killed
+    And 20 s pass in the cell
+    Then some backend server has no owner
+    When the operator confirms the end of instance 1
+    And the operator confirms the end of instance 2
+    And 4.0 s pass in the cell
+    Then each backend server has one owner
+
+  Scenario: The charts of instances and of the table answer each event in each state
+    Then the charts "instance" and "table_revision" leave no event open
--- /dev/null
+++ b/tests/steps/members_node_steps.py
@@ -0,0 +1,653 @@
+"""Steps for the members and documents tasks: whole cells in one process on a mock clock.
+
+The cell runs in a thread of its own. Between two steps its main task waits for the next step
+without giving way to other tasks, so simulated time stands still.
+"""
+
+import queue
+import threading
+from collections import Counter
+from functools import wraps
+
+import trio
+import trio.testing
+from behave import given, then, when
+
+from rattanrelay.charts.interpreter import load_chart, unanswered
+from rattanrelay.decide.lease import decode_view
+from rattanrelay.decide.ownership import Member
+from rattanrelay.errors import RelayError
+from rattanrelay.node.documents import Documents, catalog_name
+from rattanrelay.node.members import Members
+from rattanrelay.store import Entry
+from rattanrelay.table import (
+    Catalog,
+    DomainRow,
+    InstanceRow,
+    Table,
+    TenantRow,
+    decode_table,
+    encode_document,
+)
+from rattanrelay.wire import FrameKind, FrameReader, Handlers, encode_frame
+
+SERVERS = [f"server-{number}" for number in range(12)]
+STEP_LIMIT_S = 60.0
+DELAY_S = 0.001
+STORE_TIMEOUT_S = 1.0
+WATCH_S = 25.0
+
+
+class MemoryStore:
+    """A key-value service in memory with the methods of `StoreClient`."""
+
+    def __init__(self):
+        self.entries = {}
+        self.first = {}
+        self.versions = 0
+        self.changed = trio.Event()
+        self.calls = Counter()
+        self.waiting = Counter()
+        self.down = False
+        self.down_after_write = False
+        self.lost_answers = 0
+        self.dropped = 0
+
+    async def get(self, key):
+        await self._call("read")
+        return self.entries.get(key)
+
+    async def list(self, prefix):
+        await self._call("list")
+        return [key for key in self.entries if key.startswith(prefix)]
+
+    async def put(self, key, value, expected):
+        await self._call("write")
+        if self.dropped:
+            self.dropped -= 1
+            await self._no_answer("unknown")
+        stored = self.entries.get(key)
+        if expected is not None and expected != (stored.version if stored else 0):
+            raise RelayError("version_conflict", key)
+        entry = self.write(key, value)
+        self.down = self.down or self.down_after_write
+        if self.lost_answers or self.down:
+            self.lost_answers = max(0, self.lost_answers - 1)
+            await self._no_answer("unknown")
+        return entry
+
+    async def watch(self, key, after):
+        await self._call("watch")
+        self.waiting[key] += 1
+        try:
+            with trio.move_on_after(WATCH_S):
+                while self._version(key) == after:
+                    await self.changed.wait()
+                return self.entries.get(key)
+        finally:
+            self.waiting[key] -= 1
+
+    def write(self, key, value):
+        """Write as the platform itself."""
+        self.versions += 1
+        entry = Entry(key, value, self.versions)
+        self.entries[key] = entry
+        self.first.setdefault(key, value)
+        self._wake()
+        return entry
+
+    def lose(self, key):
+        del self.entries[key]
+        self._wake()
+
+    def _version(self, key):
+        return self.entries[key].version if key in self.entries else 0
+
+    def _wake(self):
+        changed, self.changed = self.changed, trio.Event()
+        changed.set()
+
+    async def _call(self, kind):
+        self.calls[kind] += 1
+        await trio.sleep(DELAY_S)
+        if self.down:
+            await self._no_answer("not_run")
+
+    async def _no_answer(self, ran):
+        await trio.sleep(STORE_TIMEOUT_S)
+        raise RelayError("store_unavailable", "no answer", ran=ran)
+
+
+class MemoryPeers:
+    """Calls between the instances of a cell with the methods of `Peers`."""
+
+    def __init__(self, cell, instance):
+        self.cell = cell
+        self.instance = instance
+        self.lines = {}
+
+    def update(self, members):
+        self.lines = {member.instance: member.address for member in members}
+        self.lines.pop(self.instance, None)
+
+    def knows(self, instance):
+        return instance in self.lines
+
+    def connected(self):
+        return {instance for instance in self.lines if self._target(instance)}
+
+    async def call(self, instance, message, timeout):
+        with trio.move_on_after(timeout):
+            await trio.sleep(DELAY_S)
+            target = self._target(instance)
+            if target is None:
+                await trio.sleep_forever()
+            reply = await target.handlers.calls[type(message)](_over_the_wire(message))
+            await trio.sleep(DELAY_S)
+            return _over_the_wire(reply)
+        raise RelayError("peer_unavailable", "no answer", peer=instance, ran="unknown")
+
+    def _target(self, instance):
+        if (self.instance, instance) in self.cell.cuts:
+            return None
+        node = self.cell.nodes.get(instance)
+        reached = node is not None and node.address == self.lines.get(instance)
+        return node if reached else None
+
+
+def _over_the_wire(message):
+    (frame,) = FrameReader().feed(encode_frame(FrameKind.CALL, 1, message))
+    return frame.message
+
+
+class Node:
+    """One instance: its members and documents tasks."""
+
+    def __init__(self, cell, number):
+        self.cell = cell
+        self.name = f"entry-{number:02d}"
+        self.domain = f"domain-{number % 3}"
+        self.address = f"10.0.0.{number}:7000"
+        self.work = set()
+        self.handlers = Handlers()
+        self.scope = trio.CancelScope()
+        peers = MemoryPeers(cell, self.name)
+        self.members = Members(
+            self.name,
+            f"{number:012d}",
+            self.address,
+            self.domain,
+            "main",
+            cell.store,
+            peers,
+            digest=lambda: self.documents.digest(),
+            see_digest=lambda instance, entries: self.documents.see_digest(instance, entries),
+            holding=lambda: self.work,
+            contacts=cell.contacts,
+        )
+        self.documents = Documents(cell.store, peers, self.members)
+        self.members.register(self.handlers)
+        self.documents.register(self.handlers)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                await nursery.start(self.documents.serve)
+                await nursery.start(self.members.serve)
+                task_status.started()
+
+    @property
+    def table(self):
+        return self.documents.configuration.value.table
+
+    def dispatches(self):
+        return [server for server in SERVERS if self.members.may_dispatch(server)]
+
+
+class Cell:
+    """The instances of a cell and their store; `run` is the main task of its thread."""
+
+    def __init__(self):
+        self.jobs = queue.Queue()
+        self.results = queue.Queue()
+        self.nodes = {}
+        self.cuts = set()
+        self.left = None
+
+    async def run(self):
+        self.store = MemoryStore()
+        async with trio.open_nursery() as self.nursery:
+            while (job := self.jobs.get(timeout=STEP_LIMIT_S)) is not None:
+                try:
+                    self.results.put((await job(self), None))
+                except Exception as error:
+                    self.results.put((None, error))
+            self.nursery.cancel_scope.cancel()
+
+    def do(self, job):
+        """Run an async function in the cell and return its result."""
+        self.jobs.put(job)
+        result, error = self.results.get(timeout=STEP_LIMIT_S)
+        if error is not None:
+            raise error
+        return result
+
+    async def contacts(self):
+        return [Member(node.name, "", node.address, node.domain) for node in self.nodes.values()]
+
+    def node(self, number):
+        return self.nodes[f"entry-{number:02d}"]
+
+    async def start(self, number):
+        node = Node(self, number)
+        self.nodes[node.name] = node
+        await self.nursery.start(node.run)
+        return node
+
+    def kill(self, number):
+        self.nodes.pop(f"entry-{number:02d}").scope.cancel()
+
+    def owners(self):
+        found = {server: [] for server in SERVERS}
+        for node in self.nodes.values():
+            for server in node.dispatches():
+                found[server].append(node.name)
+        return found
+
+
+def in_cell(step):
+    """Run an async step function in the cell of the scenario."""
+
+    @wraps(step)
+    def run(context, **arguments):
+        async def job(cell):
+            return await step(context, cell, **arguments)
+
+        context.cell.do(job)
+
+    return run
+
+
+def _start_cell(context):
+    context.cell = Cell()
+    clock = trio.testing.MockClock(autojump_threshold=0)
+
+    def run():
+        trio.run(context.cell.run, clock=clock)
+
+    thread = threading.Thread(target=run, daemon=True)
+    thread.start()
+
+    def stop():
+        context.cell.jobs.put(None)
+        thread.join(STEP_LIMIT_S)
+
+    context.add_cleanup(stop)
+
+
+@given("a running cell of {count:d} instances")
+def running_cell(context, count):
+    _start_cell(context)
+
+    async def start(cell):
+        for number in range(count):
+            await cell.start(number)
+        await trio.sleep(5.0)
+
+    context.cell.do(start)
+
+
+@when("{seconds:g} s pass in the cell")
+@in_cell
+async def pass_time(context, cell, seconds):
+    context.sent = {node: node.members.traffic["out_bytes"] for node in cell.nodes.values()}
+    context.calls = Counter(cell.store.calls)
+    await trio.sleep(seconds)
+
+
+@when("instance {number:d} is killed")
+@in_cell
+async def kill(context, cell, number):
+    cell.kill(number)
+
+
+@when("another instance starts")
+@in_cell
+async def start_another(context, cell):
+    context.new = await cell.start(len(cell.nodes))
+
+
+@when("another instance starts that reaches no peer")
+@in_cell
+async def start_cut_off(context, cell):
+    number = len(cell.nodes)
+    name = f"entry-{number:02d}"
+    cell.cuts |= {(name, other) for other in cell.nodes} | {(other, name) for other in cell.nodes}
+    context.new = await cell.start(number)
+
+
+@then("each backend server has one owner")
+@in_cell
+async def one_owner(context, cell):
+    owners = cell.owners()
+    assert all(len(found) == 1 for found in owners.values()), owners
+
+
+@then("some backend server has no owner")
+@in_cell
+async def some_unowned(context, cell):
+    owners = cell.owners()
+    assert any(not found for found in owners.values()), owners
+
+
+@then("all {count:d} instances are in one view")
+@in_cell
+async def one_view(context, cell, count):
+    views = {(node.members.epoch, len(node.members.members)) for node in cell.nodes.values()}
+    assert len(views) == 1 and views.pop()[1] == count == len(cell.nodes), views
+
+
+@then("no instance has sent more than {limit:d} bytes of heartbeats per second")
+@in_cell
+async def heartbeat_bytes(context, cell, limit):
+    for node, before in context.sent.items():
+        rate = (node.members.traffic["out_bytes"] - before) / 30
+        assert 0 < rate <= limit, rate
+
+
+@then("the store had no reads or writes, and 2 waiting watches on the view and on the table")
+@in_cell
+async def few_store_calls(context, cell):
+    calls = cell.store.calls - context.calls
+    assert calls["read"] == calls["write"] == 0, calls
+    assert cell.store.waiting["view/main"] == cell.store.waiting["table"] == 2
+
+
+@given('the instance that owns "{server}" has work there')
+@in_cell
+async def owner_works(context, cell, server):
+    (name,) = cell.owners()[server]
+    context.node = cell.nodes[name]
+    context.node.work.add(server)
+
+
+@when("that instance starts to leave")
+@in_cell
+async def starts_to_leave(context, cell):
+    async def leave():
+        cell.left = await context.node.members.leave()
+
+    cell.nursery.start_soon(leave)
+
+
+@then('"{server}" has no owner, and all other servers have one')
+@in_cell
+async def only_one_unowned(context, cell, server):
+    owners = cell.owners()
+    assert owners.pop(server) == [] and all(len(found) == 1 for found in owners.values()), owners
+
+
+@when('the work at "{server}" ends')
+@in_cell
+async def work_ends(context, cell, server):
+    assert cell.left is None
+    context.node.work.discard(server)
+
+
+@then("that instance has left")
+@in_cell
+async def has_left(context, cell):
+    assert cell.left is True
+
+
+@when("instance {number:d} leaves, which takes at most {limit:g} s")
+@in_cell
+async def leaves_in_time(context, cell, number, limit):
+    with trio.fail_after(limit):
+        cell.left = await cell.node(number).members.leave()
+
+
+@then("instance {number:d} has not left but dispatches nothing")
+@in_cell
+async def not_left(context, cell, number):
+    assert cell.left is False
+    assert cell.node(number).dispatches() == []
+
+
+@then("instance {number:d} dispatches nothing")
+@in_cell
+async def dispatches_nothing(context, cell, number):
+    assert cell.node(number).members.state == "leaving"
+    assert cell.node(number).dispatches() == []
+
+
+@then('instance {number:d} is in state "{state}" and each backend server has one owner')
+@in_cell
+async def in_state(context, cell, number, state):
+    assert cell.node(number).members.state == state, cell.node(number).members.state
+    owners = cell.owners()
+    assert all(len(found) == 1 for found in owners.values()), owners
+
+
+# The store and the operators.
+
+
+@when("the store of the cell goes down")
+@in_cell
+async def store_down(context, cell):
+    cell.store.down = True
+
+
+@when("the store applies the next {count:d} writes without an answer")
+@in_cell
+async def lose_answers(context, cell, count):
+    cell.store.lost_answers = count
+
+
+@when("the store drops the next {count:d} writes without an answer")
+@in_cell
+async def drop_writes(context, cell, count):
+    cell.store.dropped = count
+
+
+@when("the store returns to its first view")
+@in_cell
+async def first_view(context, cell):
+    cell.store.write("view/main", cell.store.first["view/main"])
+
+
+@then("the store has the view of the instances again")
+@in_cell
+async def view_restored(context, cell):
+    stored = decode_view(cell.store.entries["view/main"].value)
+    assert {node.members.epoch for node in cell.nodes.values()} == {stored.epoch}
+    assert stored.epoch > 1
+
+
+@when("the store loses its view and another instance starts")
+@in_cell
+async def lose_view(context, cell):
+    cell.store.lose("view/main")
+    context.new = await cell.start(len(cell.nodes))
+
+
+@when("the operator confirms the end of instance {number:d}")
+@in_cell
+async def confirm(context, cell, number):
+    await cell.node(0).members.confirm_stopped(f"entry-{number:02d}")
+
+
+@given("a table in which all rows are in")
+@in_cell
+async def table_in(context, cell):
+    instances = {node.name: InstanceRow(node.name, node.domain) for node in cell.nodes.values()}
+    domains = {node.domain: DomainRow(node.domain) for node in cell.nodes.values()}
+    table = Table(1, domains=domains, instances=instances)
+    await cell.node(0).documents.edit("table", lambda _: encode_document(table))
+
+
+async def _set_row(cell, kind, name, state):
+    def change(value):
+        table = decode_table(value)
+        rows = getattr(table, kind)
+        changed = {**rows, name: rows[name]._replace(state=state)}
+        table = table._replace(revision=table.revision + 1, **{kind: changed})
+        return encode_document(table)
+
+    await cell.node(0).documents.edit("table", change)
+
+
+@when("the row of instance {number:d} is set {state:w}")
+@in_cell
+async def set_instance(context, cell, number, state):
+    await _set_row(cell, "instances", f"entry-{number:02d}", state)
+
+
+@when("the row of the domain of instance {number:d} is set {state:w}")
+@in_cell
+async def set_domain(context, cell, number, state):
+    await _set_row(cell, "domains", cell.node(number).domain, state)
+
+
+@when("the row of instance {number:d} is set out and the store goes down")
+@in_cell
+async def set_out_and_down(context, cell, number):
+    await _set_row(cell, "instances", f"entry-{number:02d}", "out")
+    cell.store.down = True
+
+
+@then('the charts "{one}" and "{other}" leave no event open')
+def charts_are_complete(context, one, other):
+    assert unanswered(load_chart(one)) == unanswered(load_chart(other)) == ()
+
+
+# Documents.
+
+
+async def _edit(cell, number):
+    """Add a tenant with the name of the instance."""
+    node = cell.node(number)
+
+    def change(value):
+        table = decode_table(value) if value else Table(0)
+        tenants = {**table.tenants, node.name: TenantRow(node.name)}
+        return encode_document(table._replace(revision=table.revision + 1, tenants=tenants))
+
+    await node.documents.edit("table", change)
+
+
+@when("instance {number:d} edits the table")
+@in_cell
+async def edit(context, cell, number):
+    await _edit(cell, number)
+
+
+@when("instance {number:d} edits the table {count:d} times")
+@in_cell
+async def edit_often(context, cell, number, count):
+    for _ in range(count):
+        await _edit(cell, number)
+
+
+@when("instance {number:d} edits the table while it does not reach instance {other:d}")
+@in_cell
+async def edit_cut(context, cell, number, other):
+    cell.cuts.add((cell.node(number).name, cell.node(other).name))
+    await _edit(cell, number)
+
+
+@when("all instances edit the table at the same time")
+@in_cell
+async def edit_together(context, cell):
+    async with trio.open_nursery() as nursery:
+        for number in range(len(cell.nodes)):
+            nursery.start_soon(_edit, cell, number)
+
+
+@when("instance {number:d} tries to edit the table")
+@in_cell
+async def try_edit(context, cell, number):
+    try:
+        await _edit(cell, number)
+    except RelayError as error:
+        context.error = error
+
+
+@when("the store goes down during the write of an edit")
+@in_cell
+async def down_during_write(context, cell):
+    cell.store.down_after_write = True
+    try:
+        await _edit(cell, 0)
+    except RelayError as error:
+        context.error = error
+
+
+@then('the edit fails with code "{code}" and ran "{ran}"')
+def edit_failed(context, code, ran):
+    assert (context.error.code, context.error.ran) == (code, ran), context.error
+
+
+@then("the table has revision {revision:d} on all instances")
+@in_cell
+async def on_all(context, cell, revision):
+    found = {node.name: node.table and node.table.revision for node in cell.nodes.values()}
+    assert set(found.values()) == {revision}, found
+
+
+@then("the table has revision {revision:d} on all instances and in the store")
+@in_cell
+async def on_all_and_stored(context, cell, revision):
+    found = {node.name: node.table and node.table.revision for node in cell.nodes.values()}
+    assert set(found.values()) == {revision}, found
+    assert decode_table(cell.store.entries["table"].value).revision == revision
+
+
+@then("it has the change of each instance")
+@in_cell
+async def has_changes(context, cell):
+    assert set(cell.node(0).table.tenants) == set(cell.nodes)
+
+
+@when("revision {revision:d} of the table and a catalog are written to the store")
+@in_cell
+async def write_to_store(context, cell, revision):
+    cell.store.write("table", encode_document(Table(revision)))
+    cell.store.write(catalog_name("logging"), encode_document(Catalog("logging", 1, ())))
+
+
+@then("all instances have the catalog")
+@in_cell
+async def have_catalog(context, cell):
+    for node in cell.nodes.values():
+        assert set(node.documents.configuration.value.catalogs) == {"logging"}, node.name
+
+
+@when("the store returns to the first revision of the table")
+@in_cell
+async def first_table(context, cell):
+    cell.store.write("table", cell.store.first["table"])
+
+
+@when("the store loses the table")
+@in_cell
+async def lose_table(context, cell):
+    cell.store.lose("table")
+
+
+@when("the table in the store becomes malformed")
+@in_cell
+async def malformed(context, cell):
+    cell.store.write("table", b"[8, {")
+
+
+@then("the new instance is ready")
+@in_cell
+async def is_ready(context, cell):
+    assert context.new.documents.ready
+
+
+@then("the new instance is not ready")
+@in_cell
+async def is_not_ready(context, cell):
+    assert not context.new.documents.ready
