--- a/tests/harness/traffic.py
+++ b/tests/harness/traffic.py
@@ -115,7 +115,7 @@
         """Compare the outcomes of non-idempotent requests with what the searchers recorded."""
         runs: Counter[str] = Counter()
         for service in self.action_services:
-            for journal in self.fleet.journals(service=service).values():
+            for journal in self.fleet.journals(services=[service]).values():
                 for run in journal["runs"]:
                     if run["kind"] == "action" and run["ran"]:
                         runs[run["body"]] += 1
