Say truly whether an edit was applied when the store loses answers

A write without an answer can be stored and then replaced by another operator's edit. The next attempt then reported edit_conflict, or store_unavailable with outcome not_run if its read failed, although the edit was in the history. Each edit now has an id in its history entry, by which a later attempt finds it; without a read after such a write the outcome is unknown.

A feature races two operators over two documents tasks and a store that loses answers: it failed on the old code (503 not_run for an applied edit).

--- a/rattanrelay/node/admin.py
+++ b/rattanrelay/node/admin.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+import uuid6
 
 from ..errors import CODES, RelayError
 from ..http import Request, Response, json_response
@@ -28,6 +29,14 @@
 TABLE_NAME = "table"
 
 
+class _AppliedError(Exception):
+    """Ends an edit that is found in the history of a newer table."""
+
+    def __init__(self, table: Table) -> None:
+        super().__init__(table.revision)
+        self.table = table
+
+
 class Admin:
     """Answers administration requests; `handle` never raises."""
 
@@ -89,21 +98,31 @@
         The changes are applied again to the newer table after a lost swap.
         """
         call.access.check(self.table, changes)
+        table = await self._write(call, changes)
+        self.log("admin.edit", call, revision=table.revision, change=table.change)
+        return self.edited(status, table, table.history[-1].changes, capacity)
+
+    async def _write(self, call: Call, changes: tuple[CellChange, ...]) -> Table:
+        """Swap the stored table for the next revision and return that revision."""
+        edit = str(uuid6.uuid7())
         done: list[Table] = []
 
         def change(value: bytes | None) -> bytes:
-            done[:] = [self._next(call, changes, value)]
+            table = self._decode(value)
+            _stop_if_applied(table, edit)
+            done[:] = [self._next(call, changes, table, edit)]
             return encode_document(done[0])
 
-        await self.documents.edit(TABLE_NAME, change)
-        table = done[0]
-        self.log("admin.edit", call, revision=table.revision, change=table.change)
-        return self.edited(status, table, table.history[-1].changes, capacity)
+        try:
+            await self.documents.edit(TABLE_NAME, change)
+        except _AppliedError as applied:
+            return applied.table
+        return done[0]
 
     def preview(self, call: Call, changes: tuple[CellChange, ...]) -> Response:
         """Return what an edit would change, checked against the table in force here."""
         call.access.check(self.table, changes)
-        self._commit(call, changes, self.table)
+        self._commit(call, changes, self.table, "")
         return self.edited(200, self.table, changes)
 
     def edited(
@@ -146,19 +165,26 @@
         """Log who did what; the token never reaches the log."""
         event(name, author=call.author, peer=call.request.peer, **fields)
 
-    def _next(self, call: Call, changes: tuple[CellChange, ...], value: bytes | None) -> Table:
-        table = self._decode(value)
+    def _next(self, call: Call, changes: tuple[CellChange, ...], table: Table, edit: str) -> Table:
         self._check_if_match(call, table)
         call.access.check(table, changes)
-        return self._commit(call, changes, table)
+        return self._commit(call, changes, table, edit)
 
-    def _commit(self, call: Call, changes: tuple[CellChange, ...], table: Table) -> Table:
+    def _commit(
+        self, call: Call, changes: tuple[CellChange, ...], table: Table, edit: str
+    ) -> Table:
         def visible(kind: str, name: str) -> bool:
             row = rows_of(table, kind).get(name) if hasattr(table, kind) else None
             return row is None or call.access.sees(kind, row)
 
         return commit(
-            table, changes, author=call.author, now=self.clock(), note=call.note, visible=visible
+            table,
+            changes,
+            author=call.author,
+            now=self.clock(),
+            note=call.note,
+            edit=edit,
+            visible=visible,
         )
 
     @staticmethod
@@ -205,3 +231,18 @@
         if error.code == "method_not_allowed":
             headers["allow"] = ", ".join(methods_of(request.path))
         return Response(error.status, headers, msgspec.json.encode(body))
+
+
+def _stop_if_applied(table: Table, edit: str) -> None:
+    """Raise `_AppliedError` with the revision that an earlier attempt of an edit has made.
+
+    A write without an answer can take effect and be followed by another operator's edit. A second
+    attempt would then report a conflict although the edit was applied.
+    """
+    for index, entry in enumerate(table.history):
+        if entry.edit == edit:
+            history = table.history[: index + 1]
+            found = table._replace(
+                revision=entry.revision, change=describe(entry.changes), history=history
+            )
+            raise _AppliedError(found)
--- a/rattanrelay/node/documents.py
+++ b/rattanrelay/node/documents.py
@@ -1,7 +1,7 @@
 """The documents task: table and catalogs, their propagation, and edits in the store."""
 
 from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from typing import Literal, NamedTuple
 
 import msgspec
 import trio
@@ -41,6 +41,10 @@
 
 Change = Callable[[bytes | None], bytes]
 
+#: `lost`: another write came first. `replaced`: the write had no answer, and another one is stored
+#: now; this one may have been stored in between.
+_SwapOutcome = Literal["applied", "lost", "replaced"]
+
 
 class _Stored(NamedTuple):
     """What the store returned: its version and the document, None when there is none."""
@@ -165,39 +169,55 @@
         """Apply `change` to the newest value in the store and push the result to the peers.
 
         `change` takes the old value (None without one) and returns the new one, with a higher
-        revision; it is called again after a lost swap, and what it raises ends the edit. Raises
-        `version_conflict` after too many lost swaps, `store_unavailable` (not run) or
-        `outcome_unknown` when a write without an answer could not be settled.
+        revision; it is called again after a lost swap, and what it raises ends the edit. A write
+        without an answer can have taken effect before another one replaced it, so `change` must
+        recognise its own result in the old value. Raises `version_conflict` after too many lost
+        swaps, `store_unavailable` (not run) or `outcome_unknown` when a write without an answer
+        could not be settled.
         """
+        outcome: _SwapOutcome = "lost"
         for attempt in range(EDIT_ATTEMPTS):
-            stored = await self._read(name)
+            stored = await self._read_again(name, outcome)
             base = self._base(name, stored)
             value = change(base.value if base else None)
             written = Held(revision_of(name, value), value)
             if written.revision <= (base.revision if base else 0):
                 raise RelayError("internal", f"{name}: the revision did not rise", step="edit")
-            if await self._swap(name, written, stored.version):
+            outcome = await self._swap(name, written, stored.version)
+            if outcome == "applied":
                 self._offer(name, value)
                 await self._push(Document(name, written.revision, value))
                 return Document(name, written.revision, value)
             await trio.sleep(EDIT_RETRY_S * (attempt + 1))
+        if outcome == "replaced":
+            raise _unknown(name, "the store answered too seldom")
         raise RelayError("version_conflict", f"{name} changes too often", step="edit")
 
+    async def _read_again(self, name: str, outcome: _SwapOutcome) -> _Stored:
+        """Read for the next attempt; without an answer, a replaced write stays unknown."""
+        try:
+            return await self._read(name)
+        except RelayError as error:
+            if outcome == "replaced":
+                raise _unknown(name, error.message) from error
+            raise
+
     def _base(self, name: str, stored: _Stored) -> Held | None:
         """Return the newer one of the stored and the held document."""
         return self.replicas.newer_than_stored(name, _revision(stored)) or stored.held
 
-    async def _swap(self, name: str, written: Held, expected: int) -> bool:
-        """Write against a store version; False if another write came first."""
+    async def _swap(self, name: str, written: Held, expected: int) -> _SwapOutcome:
+        """Write against a store version."""
         try:
             await self.store.put(name, written.value, expected)
         except RelayError as error:
             if error.code == "version_conflict":
-                return False
+                return "lost"
             if error.code == "store_unavailable" and error.ran == "unknown":
-                return await self._settle(name, written, expected)
+                applied = await self._settle(name, written, expected)
+                return "applied" if applied else "replaced"
             raise
-        return True
+        return "applied"
 
     async def _settle(self, name: str, written: Held, expected: int) -> bool:
         """Find out by reading back whether an unanswered write took effect.
@@ -215,9 +235,7 @@
                 if outcome == "pending" and await self._repeat(name, written, expected):
                     return True
                 await trio.sleep(SETTLE_RETRY_S)
-        raise RelayError(
-            "outcome_unknown", f"{name}: the store did not answer", step="edit", ran="unknown"
-        )
+        raise _unknown(name, "the store did not answer")
 
     async def _read_outcome(self, name: str, written: Held, expected: int) -> str:
         try:
@@ -391,3 +409,7 @@
     except RelayError as error:
         event("documents.refused", document=name, error=error.message)
         return _Stored(entry.version, None)
+
+
+def _unknown(name: str, reason: str) -> RelayError:
+    return RelayError("outcome_unknown", f"{name}: {reason}", step="edit", ran="unknown")
--- a/rattanrelay/table/cells.py
+++ b/rattanrelay/table/cells.py
@@ -113,18 +113,19 @@
     author: str,
     now: float,
     note: str = "",
+    edit: str = "",
     visible: Callable[[str, str], bool] = lambda kind, name: True,
 ) -> Table:
     """Return the next revision with the changes, checked as a whole, and its history entry.
 
-    `now` is Unix time in seconds; `visible` says which rows an error may name. Raises
-    `edit_conflict` or `bad_table`.
+    `now` is Unix time in seconds, `edit` identifies the request, `visible` says which rows an
+    error may name. Raises `edit_conflict` or `bad_table`.
     """
     if len(changes) > MAX_CHANGES:
         text = f"an edit has at most {MAX_CHANGES} cell changes, this one has {len(changes)}"
         raise RelayError("bad_table", text, step="apply edit")
     edited, done = _apply(table, changes)
-    entry = HistoryEntry(table.revision + 1, author, now, note, done)
+    entry = HistoryEntry(table.revision + 1, author, now, note, done, edit)
     edited = edited._replace(
         revision=entry.revision,
         author=author,
--- a/rattanrelay/table/model.py
+++ b/rattanrelay/table/model.py
@@ -116,13 +116,17 @@
 
 
 class HistoryEntry(NamedTuple):
-    """Who made a revision, when (Unix time in seconds), why and what changed."""
+    """Who made a revision, when (Unix time in seconds), why and what changed.
+
+    `edit` identifies the request, so that its author finds out whether it was applied.
+    """
 
     revision: int
     author: str
     time: float
     note: str
     changes: tuple[CellChange, ...]
+    edit: str = ""
 
 
 class Table(NamedTuple):
--- a/tests/node/admin.feature
+++ b/tests/node/admin.feature
@@ -197,3 +197,6 @@
     When "entry-2" reports table revision 5 and "entry-3" reports table revision 6
     Then the reported table revisions are 5 and 6
     And reports of 1000 further instances do not pile up
+
+  Scenario: Random edits of two operators over an unreliable store
+    Then in 200 random races over two instances each answer says truly whether the edit was applied
