Test the callers' interface and rows that are out

A malformed request target raised ValueError and was answered as 500 internal; it is now bad_request. HEAD is refused, since its answer must not have a body.

--- a/rattanrelay/node/callers.py
+++ b/rattanrelay/node/callers.py
@@ -103,10 +103,10 @@
         self.metrics.answers.inc({"service": known, "outcome": outcome})
 
     def _probe(self, request: Request) -> Response | None:
-        path = request.path
+        path = _path(request)
         if path not in ("/healthz", "/readyz", "/metrics"):
             return None
-        if request.method not in ("GET", "HEAD"):
+        if request.method != "GET":
             raise RelayError("method_not_allowed", f"{path} takes GET", step="route")
         if path == "/healthz":
             return json_response(200, {"status": "ok"})
@@ -168,8 +168,16 @@
         return name
 
 
+def _path(request: Request) -> str:
+    try:
+        return request.path
+    except ValueError as error:
+        text = "the request target is malformed"
+        raise RelayError("bad_request", text, step="route") from error
+
+
 def _route(request: Request) -> tuple[str, str]:
-    match = SERVICE_PATH.fullmatch(request.path)
+    match = SERVICE_PATH.fullmatch(_path(request))
     if match is None or not NAME.fullmatch(match[1]):
         raise RelayError("not_found", "no such path", step="route")
     if request.method != "POST":
--- a/tests/node/entry.feature
+++ b/tests/node/entry.feature
@@ -70,3 +70,14 @@
     Given servers for 2 queries at a time that refuse more than 8 waiting ones
     When two tenants offer 1.6 and 0.4 of the capacity for 4 seconds
     Then 95% of the capacity are full answers, and of the light tenant's queries 90%
+
+  Scenario Outline: Rows that are out get no work from the next query on
+    Guards against new work for a server, failure domain or owner that operators took out.
+    When row "<name>" of <kind> is taken out between 30 and 30 queries
+    Then servers with number <rest> modulo <divisor> get work before and none after it
+
+    Examples:
+      | kind      | name | rest | divisor |
+      | servers   | s4   | 4    | 20      |
+      | domains   | east | 2    | 3       |
+      | instances | b    | 1    | 3       |
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -2,181 +2,25 @@
 
 import itertools
 import json
-import math
 import random
 from collections import Counter, defaultdict
-from contextlib import asynccontextmanager
-from functools import cache
 
 import trio
 from behave import given, then, when
-from trio._core import _run as scheduler
-from trio.testing import MockClock
-
-from rattanrelay.errors import RelayError
-from rattanrelay.metrics import Metrics
-from rattanrelay.node.entry import Entry
-from rattanrelay.node.ports import Configuration, Latest, Member
-from rattanrelay.node.query import Query
-from rattanrelay.table import (
-    Catalog,
-    DomainRow,
-    ServerRow,
-    ServiceRow,
-    Shard,
-    Snapshot,
-    Table,
-    TenantRow,
+from entry_fakes import (
+    BODY,
+    SHARDS,
+    fake_hits,
+    fake_payload,
+    make_entry,
+    make_query,
+    ok_result,
+    refused_result,
+    run_entry,
+    take_out,
 )
-from rattanrelay.wire import ActionResult, ShardResult, ShardResults
-
-SHARDS = 20
-INSTANCES = ("a", "b", "c")
-BODY = b'{"filter":{"core":1},"limit":10}'
-
-
-@cache
-def _hits(shard, snapshot, query):
-    chance = random.Random(f"{shard}/{snapshot}/{query}")
-    keys = [f"{shard}:{number}" for number in range(chance.randint(0, 12))]
-    return [{"key": key, "score": chance.randint(0, 9) / 10, "from": snapshot} for key in keys]
-
-
-@cache
-def _payload(shard, snapshot, query):
-    hits = _hits(shard, snapshot, query)
-    return json.dumps({"hits": hits, "count": len(hits)}).encode()
-
-
-class Members:
-    """Three instances; each server has one owner."""
-
-    epoch = 1
-    members = tuple(Member(name, "1", "127.0.0.1:1", "north") for name in INSTANCES)
-
-    def owner(self, name):
-        return self.members[int(name[1:]) % len(self.members)]
-
-
-class Owners:
-    """Fake owners: `answer(target, sub)` returns (seconds, results) or raises `RelayError`."""
-
-    def __init__(self, answer):
-        self.answer = answer
-        self.subs = []
-        self.cancels = []
-
-    async def run(self, sub, emit):
-        self.subs.append(sub)
-        start = trio.current_time()
-        answers = [self.answer(target, sub) for target in sub.targets]
-        for seconds, results in sorted(answers, key=lambda answer: answer[0]):
-            await trio.sleep_until(start + seconds)
-            if callable(results):
-                results = results()
-            if results:
-                await emit(ShardResults(tuple(results)))
-
-    async def cancel(self, message):
-        self.cancels.append(message)
-
-    async def cast(self, instance, message):
-        self.cancels.append(message)
-
-    @asynccontextmanager
-    async def stream(self, instance, sub):
-        send, receive = trio.open_memory_channel(math.inf)
-        errors = []
-
-        async def serve():
-            async with send:
-                try:
-                    await self.run(sub, send.send)
-                except RelayError as error:
-                    errors.append(error)
-
-        async def items():
-            async for item in receive:
-                yield item
-            if errors:
-                raise errors[0]
-
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(serve)
-            yield items()
-            nursery.cancel_scope.cancel()
-
-
-class Claims:
-    """Fake coordinator that runs everything once."""
-
-    def __init__(self):
-        self.actions = []
-
-    async def submit(self, action):
-        self.actions.append(action)
-        return ActionResult("done", payload=b'{"receipt":1}')
-
-
-def _ok(target, sub, **changes):
-    fields = {
-        "query_id": sub.query_id,
-        "shard": target.shard,
-        "searcher": target.searcher,
-        "status": "ok",
-        "snapshot": sub.snapshot,
-        "payload": _payload(target.shard, sub.snapshot, sub.body),
-        "in_flight": 1,
-        "limit": 2,
-    }
-    return ShardResult(**{**fields, **changes})
-
-
-def _refused(target, sub, reason, **changes):
-    return _ok(target, sub, status="failed", reason=reason, payload=b"", **changes)
-
-
-def _catalog():
-    shards = tuple(Shard(f"h{n}", (f"s{n}/0", f"s{(n + 7) % SHARDS}/1")) for n in range(SHARDS))
-    return Catalog("log", 1, (Snapshot("v2", shards), Snapshot("v1", shards)))
-
-
-def _configuration(**service):
-    servers = {
-        f"s{n}": ServerRow(f"s{n}", "log", "north", "127.0.0.1:1 127.0.0.1:2")
-        for n in range(SHARDS)
-    }
-    tenants = {name: TenantRow(name, max_in_flight=3000) for name in ("hog", "light")}
-    services = {"log": ServiceRow("log", **{"canary": False, **service})}
-    table = Table(1, services, {"north": DomainRow("north")}, servers, {}, tenants)
-    return Latest(Configuration(table, {"log": _catalog()}))
-
-
-def _make_entry(answer, **service):
-    owners = Owners(answer)
-    entry = Entry(
-        _configuration(**service),
-        Members(),
-        owners,
-        owners,
-        Claims(),
-        Metrics("a"),
-        instance="a",
-        wall=lambda: 1_000_000.0 + trio.current_time(),
-        rng=random.Random(5),
-    )
-    return entry, owners
-
-
-def _query(number=0, tenant="hog", seconds=1.0, body=BODY):
-    return Query(f"r{number}", "log", tenant, body, 10, trio.current_time() + seconds)
 
-
-def _run(main):
-    # Without this the scheduler shuffles ready tasks with a random seed of its own.
-    scheduler._ALLOW_DETERMINISTIC_SCHEDULING = True
-    scheduler._r.seed(0)
-    return trio.run(main, clock=MockClock(autojump_threshold=0))
+from rattanrelay.errors import RelayError
 
 
 def _check_answer(answer, shards=SHARDS):
@@ -188,7 +32,7 @@
     )
     assert all(reason for _, reason in answer.coverage.missing), answer.coverage
     covered = [f"h{n}" for n in range(shards) if f"h{n}" not in missing]
-    hits = [hit for shard in covered for hit in _hits(shard, answer.snapshot, BODY)]
+    hits = [hit for shard in covered for hit in fake_hits(shard, answer.snapshot, BODY)]
     assert answer.count == len(hits), (answer.count, len(hits))
     best = sorted(hits, key=lambda hit: (-hit["score"], hit["key"]))[:10]
     assert answer.hits == best, answer.hits
@@ -204,33 +48,36 @@
         return 60.0, []
 
     def late(target, sub):
-        return chance.uniform(0.08, 0.4), [_ok(target, sub)]
+        return chance.uniform(0.08, 0.4), [ok_result(target, sub)]
 
     def repeated(target, sub):
-        return 0.01, [_ok(target, sub)] * 2
+        return 0.01, [ok_result(target, sub)] * 2
 
     def crossed(target, sub):
         other = target._replace(shard=f"h{chance.randrange(SHARDS)}")
-        return 0.005, [_ok(other, sub, searcher=target.searcher), _ok(target, sub, query_id="x/1")]
+        return 0.005, [
+            ok_result(other, sub, searcher=target.searcher),
+            ok_result(target, sub, query_id="x/1"),
+        ]
 
     def mixed(target, sub):
         other = "v1" if sub.snapshot == "v2" else "v2"
-        payload = _payload(target.shard, other, sub.body)
-        return 0.01, [_ok(target, sub, snapshot=other, payload=payload)]
+        payload = fake_payload(target.shard, other, sub.body)
+        return 0.01, [ok_result(target, sub, snapshot=other, payload=payload)]
 
     def mixed_payload(target, sub):
         payload = json.dumps({"hits": [], "count": 5, "snapshot": "v0"}).encode()
-        return 0.01, [_ok(target, sub, payload=payload)]
+        return 0.01, [ok_result(target, sub, payload=payload)]
 
     def broken(target, sub):
-        return 0.01, [_ok(target, sub, payload=chance.choice([b"", b"{}", b"[1", b"null"]))]
+        return 0.01, [ok_result(target, sub, payload=chance.choice([b"", b"{}", b"[1", b"null"]))]
 
     def gone(target, sub):
-        return 0.002, [_refused(target, sub, "snapshot_gone", held=("v1",))]
+        return 0.002, [refused_result(target, sub, "snapshot_gone", held=("v1",))]
 
     def refused(target, sub):
         reason = chance.choice(["shedding", "draining", "no_owner", "connection_lost", "deadline"])
-        return 0.002, [_refused(target, sub, reason)]
+        return 0.002, [refused_result(target, sub, reason)]
 
     def disconnected(target, sub):
         raise RelayError("peer_unavailable", "closed", ran=chance.choice(["not_run", "unknown"]))
@@ -240,7 +87,7 @@
 
     def answer(target, sub):
         if chance.random() >= share:
-            return chance.uniform(0.002, 0.02), [_ok(target, sub)]
+            return chance.uniform(0.002, 0.02), [ok_result(target, sub)]
         fault = disconnected if chance.random() < 0.02 else chance.choice(faults)
         return fault(target, sub)
 
@@ -258,11 +105,11 @@
     context.answers, context.refusals = [], []
 
     async def main():
-        entry, context.owners = _make_entry(answer, policy=policy, timeout_ms=300)
+        entry, context.owners = make_entry(answer, policy=policy, timeout_ms=300)
         for number in range(count):
             set_share(chance.choice([0.0, 0.05, 0.2, 0.6, 0.95]))
             try:
-                context.answers.append(await entry.query(_query(number, seconds=0.3)))
+                context.answers.append(await entry.query(make_query(number, seconds=0.3)))
             except RelayError as error:
                 context.refusals.append(error)
             entry.services["log"].knowledge.lacking.clear()
@@ -270,7 +117,7 @@
         replicas = entry.services["log"].replicas.values()
         context.outstanding = sum(replica.outstanding for replica in replicas)
 
-    _run(main)
+    run_entry(main)
 
 
 @then("each answer is the exact merge of the shards that it says it covers")
@@ -303,7 +150,7 @@
     def answer(target, sub):
         slow = chance.random() * 100 < percent
         return chance.uniform(0.08, 0.2) if slow else chance.uniform(0.005, 0.01), [
-            _ok(target, sub)
+            ok_result(target, sub)
         ]
 
     context.answer = answer
@@ -315,9 +162,9 @@
 
     def answer(target, sub):
         if chance.random() < 0.1:
-            return 0.002, [_refused(target, sub, "shedding")]
+            return 0.002, [refused_result(target, sub, "shedding")]
         slow = chance.random() < 0.1
-        return 0.1 if slow else 0.005, [_ok(target, sub)]
+        return 0.1 if slow else 0.005, [ok_result(target, sub)]
 
     context.answer = answer
 
@@ -327,11 +174,11 @@
     context.answers = []
 
     async def main():
-        entry, context.owners = _make_entry(context.answer, policy=policy, soft_deadline_ms=250)
+        entry, context.owners = make_entry(context.answer, policy=policy, soft_deadline_ms=250)
         for number in range(count):
-            context.answers.append(await entry.query(_query(number)))
+            context.answers.append(await entry.query(make_query(number)))
 
-    _run(main)
+    run_entry(main)
     kinds = Counter()
     for sub in context.owners.subs:
         kinds[sub.kind] += len(sub.targets)
@@ -376,8 +223,8 @@
 def entry_one_bad_replica(context, reason):
     def answer(target, sub):
         if target.searcher == "s3/0":
-            return 0.002, [_refused(target, sub, reason)]
-        return 0.01, [_ok(target, sub)]
+            return 0.002, [refused_result(target, sub, reason)]
+        return 0.01, [ok_result(target, sub)]
 
     context.answer = answer
 
@@ -389,8 +236,8 @@
     def answer(target, sub):
         if target.shard == "h3" and left[0]:
             left[0] -= 1
-            return 0.002, [_refused(target, sub, "draining")]
-        return 0.01, [_ok(target, sub)]
+            return 0.002, [refused_result(target, sub, "draining")]
+        return 0.01, [ok_result(target, sub)]
 
     context.answer = answer
 
@@ -398,7 +245,7 @@
 @given("a shard whose replicas do not answer")
 def entry_silent_shard(context):
     def answer(target, sub):
-        return (60.0, []) if target.shard == "h3" else (0.01, [_ok(target, sub)])
+        return (60.0, []) if target.shard == "h3" else (0.01, [ok_result(target, sub)])
 
     context.answer = answer
 
@@ -422,8 +269,8 @@
 def entry_snapshot_gone(context, snapshot, shard):
     def answer(target, sub):
         if sub.snapshot == snapshot and target.shard == shard:
-            return 0.002, [_refused(target, sub, "snapshot_gone", held=("v1",))]
-        return 0.01, [_ok(target, sub)]
+            return 0.002, [refused_result(target, sub, "snapshot_gone", held=("v1",))]
+        return 0.01, [ok_result(target, sub)]
 
     context.answer = answer
 
@@ -451,16 +298,16 @@
 
     def answer(target, sub):
         if sub.body != BODY:
-            return 0.01, [_ok(target, sub)]
+            return 0.01, [ok_result(target, sub)]
         if not sub.canary:
             context.crashed.append(target.searcher)
-            return 0.02, [_refused(target, sub, "connection_lost")]
+            return 0.02, [refused_result(target, sub, "connection_lost")]
         if sub.body in context.blocked:
-            return 0.001, [_refused(target, sub, "request_blocked")]
+            return 0.001, [refused_result(target, sub, "request_blocked")]
         context.crashed.append(target.searcher)
         if sub.kind == "suspect":
             context.blocked.add(sub.body)
-        return 0.02, [_refused(target, sub, "connection_lost")]
+        return 0.02, [refused_result(target, sub, "connection_lost")]
 
     context.answer = answer
 
@@ -472,17 +319,17 @@
 
     async def main():
         chance = random.Random(1)
-        made = [_make_entry(context.answer, canary=True)[0] for _ in range(entries)]
+        made = [make_entry(context.answer, canary=True)[0] for _ in range(entries)]
         for number in range(count):
             entry = chance.choice(made)
-            other = _query(number, body=b'{"filter":{},"limit":%d}' % (1 + number % 3))
+            other = make_query(number, body=b'{"filter":{},"limit":%d}' % (1 + number % 3))
             context.answers.append(await entry.query(other))
             try:
-                await entry.query(_query(number))
+                await entry.query(make_query(number))
             except RelayError as error:
                 context.errors.append(error)
 
-    _run(main)
+    run_entry(main)
 
 
 @then("{count:d} servers crash and each sending is refused as request_blocked")
@@ -518,14 +365,14 @@
             return {"in_flight": left, "limit": capacity}
 
         if len(ends) >= capacity + queue:
-            return 0.001, [_refused(target, sub, "queue_full", **load())]
+            return 0.001, [refused_result(target, sub, "queue_full", **load())]
         start = sorted(ends)[-capacity] if len(ends) >= capacity else now
         left = sub.deadline_ms / 1000 - 1_000_000.0 - now
         if start - now >= left:
-            return left, lambda: [_refused(target, sub, "deadline", **load())]
+            return left, lambda: [refused_result(target, sub, "deadline", **load())]
         ends.append(start + 0.02)
         queue_us = int((start - now) * 1e6)
-        return start - now + 0.02, lambda: [_ok(target, sub, queue_us=queue_us, **load())]
+        return start - now + 0.02, lambda: [ok_result(target, sub, queue_us=queue_us, **load())]
 
     context.answer = answer
 
@@ -538,14 +385,14 @@
     async def main():
         # Each replica of a shard runs `capacity` queries of 20 ms; a query uses one of the two.
         rate = 2 * context.capacity / 0.02
-        entry, context.owners = _make_entry(
+        entry, context.owners = make_entry(
             context.answer, policy="tail", soft_deadline_ms=100, hedge=True
         )
         chance = random.Random(2)
 
         async def one(tenant, number):
             try:
-                answer = await entry.query(_query(number, tenant, seconds=0.5))
+                answer = await entry.query(make_query(number, tenant, seconds=0.5))
                 full = not answer.coverage.missing
                 context.done[tenant] += full and number >= 0
             except RelayError as error:
@@ -567,7 +414,7 @@
             nursery.start_soon(offer, "light", light)
         context.possible = rate * seconds
 
-    _run(main)
+    run_entry(main)
 
 
 @then("{percent:d}% of the capacity are full answers, and of the light tenant's queries {light:d}%")
@@ -575,3 +422,35 @@
     figures = context.done, context.offered, context.possible
     assert sum(context.done.values()) >= context.possible * percent / 100, figures
     assert context.done["light"] >= context.offered["light"] * light / 100, figures
+
+
+# Rows that are out.
+
+
+@when('row "{name}" of {kind} is taken out between {count:d} and {more:d} queries')
+def entry_row_out(context, name, kind, count, more):
+    def answer(target, sub):
+        return 0.01, [ok_result(target, sub)]
+
+    async def main():
+        entry, owners = make_entry(answer, canary=True)
+        for number in range(count):
+            await entry.query(make_query(number))
+        seen = len(owners.subs)
+        take_out(entry, kind, name)
+        context.answers = [await entry.query(make_query(number)) for number in range(more)]
+        context.before, context.after = owners.subs[:seen], owners.subs[seen:]
+
+    run_entry(main)
+
+
+def _servers_of(subs):
+    return {target.searcher.split("/")[0] for sub in subs for target in sub.targets}
+
+
+@then("servers with number {rest:d} modulo {divisor:d} get work before and none after it")
+def entry_no_work(context, rest, divisor):
+    barred = {f"s{n}" for n in range(SHARDS) if n % divisor == rest}
+    assert barred <= _servers_of(context.before)
+    assert not barred & _servers_of(context.after)
+    assert all(not answer.coverage.missing for answer in context.answers)
