--- a/rattanrelay/decide/selection.py
+++ b/rattanrelay/decide/selection.py
@@ -11,9 +11,12 @@
 INITIAL_LATENCY_S = 0.001
 #: After this time an observation counts half, so that a replica that was slow is tried again.
 OBSERVATION_HALF_LIFE_S = 2.0
-#: A failure multiplies the cost by up to this factor; repeated failures add up.
-FAILURE_COST = 8.0
-MAX_PENALTY = 64.0
+#: A queue drains within a few service times; an old length must not keep work away.
+LOAD_HALF_LIFE_S = 0.1
+#: Latency that a failure adds, in seconds; repeated failures add up. A factor would not do: a
+#: replica that fails before its first result has the low initial latency.
+FAILURE_PENALTY_S = 0.25
+MAX_PENALTY_S = 2.0
 PENALTY_HALF_LIFE_S = 1.0
 #: Load reports may lower the weight to this part of the row's weight.
 MIN_REPORT_WEIGHT = 0.1
@@ -25,7 +28,9 @@
 
     __slots__ = (
         "latency",
+        "limit",
         "load",
+        "load_at",
         "name",
         "observed_at",
         "outstanding",
@@ -43,25 +48,46 @@
         self.report_weight = 1.0
         self.latency = INITIAL_LATENCY_S
         self.load = 0
+        self.load_at = 0.0
+        self.limit = 0
         self.observed_at = 0.0
         self.outstanding = 0
         self.penalty = 0.0
         self.penalty_at = 0.0
 
-    def observe(self, latency: float, load: int, now: float) -> None:
-        """Take over a result: its latency, and the work in flight and queued at the owner."""
+    def observe(self, latency: float, load: int, limit: int, now: float) -> None:
+        """Take over a result: its latency, the work in flight and queued, and the slots."""
         self.latency += LATENCY_GAIN * (latency - self.latency)
-        self.load = load
         self.observed_at = now
+        self.note_load(load, limit, now)
 
     def overtaken(self, elapsed: float, now: float) -> None:
-        """Note a sub-request that had no result after `elapsed`; that is a lower bound."""
-        if elapsed > self.latency:
-            self.observe(elapsed, self.load, now)
+        """Note a sub-request that had no result after `elapsed`; that is a lower bound.
+
+        If the searcher gave other results meanwhile, the time was spent in its queue.
+        """
+        if elapsed > self.latency and self.observed_at < now - elapsed:
+            self.latency += LATENCY_GAIN * (elapsed - self.latency)
+            self.observed_at = now
+
+    def note_load(self, load: int, limit: int, now: float) -> None:
+        """Take over the work in flight and queued at the owner, and the slots allowed now."""
+        self.load = load
+        self.limit = limit
+        self.load_at = now
+
+    def current_load(self, now: float) -> float:
+        """Return the decayed load at the owner, at least this instance's own part of it."""
+        load = self.load * 0.5 ** ((now - self.load_at) / LOAD_HALF_LIFE_S)
+        return max(load, self.outstanding)
+
+    def queues(self, now: float) -> bool:
+        """Say whether one more sub-request would have to wait for a slot."""
+        return bool(self.limit) and self.current_load(now) >= self.limit
 
     def fail(self, now: float) -> None:
         """Note a failure; its penalty decays."""
-        self.penalty = min(MAX_PENALTY, self.penalty_left(now) + FAILURE_COST)
+        self.penalty = min(MAX_PENALTY_S, self.penalty_left(now) + FAILURE_PENALTY_S)
         self.penalty_at = now
 
     def report(self, weight: float) -> None:
@@ -69,7 +95,7 @@
         self.report_weight = min(1.0, max(MIN_REPORT_WEIGHT, weight))
 
     def penalty_left(self, now: float) -> float:
-        """Return what is left of the failure penalty."""
+        """Return what is left of the failure penalty, in seconds."""
         if not self.penalty:
             return 0.0
         return self.penalty * 0.5 ** ((now - self.penalty_at) / PENALTY_HALF_LIFE_S)
@@ -77,10 +103,11 @@
     def cost(self, now: float) -> float:
         """Return the expected cost of one more sub-request; lower is better."""
         fresh = 0.5 ** ((now - self.observed_at) / OBSERVATION_HALF_LIFE_S)
-        load = max(self.load * fresh, self.outstanding)
+        load = self.current_load(now)
         latency = INITIAL_LATENCY_S + (self.latency - INITIAL_LATENCY_S) * fresh
-        cost = latency * (1.0 + load) / (self.row_weight * self.report_weight)
-        return cost * (1.0 + self.penalty_left(now)) if self.penalty else cost
+        if self.penalty:
+            latency += self.penalty_left(now)
+        return latency * (1.0 + load) / (self.row_weight * self.report_weight)
 
 
 def choose_replica(candidates: Sequence[Replica], now: float, rng: Random) -> Replica | None:
--- a/rattanrelay/node/documents.py
+++ b/rattanrelay/node/documents.py
@@ -27,6 +27,8 @@
 #: Names of new catalogs are listed this often by the watchers.
 LIST_EVERY_S = 30.0
 PULL_TIMEOUT_S = 1.0
+#: Instances whose reported revisions are kept; a cell has up to 15 members at a time.
+MAX_REPORTS = 64
 PULL_RETRY_S = 0.5
 MAX_PULLS = 8
 PUSH_TIMEOUT_S = 1.0
@@ -83,6 +85,8 @@
         self.readiness = Readiness()
         #: Newest revision seen in digests by name, with the instance that has it.
         self.wanted: dict[str, tuple[int, str]] = {}
+        #: Revisions that each peer last reported, by instance and document name.
+        self.reported: dict[str, dict[str, int]] = {}
         self.pulling: set[str] = set()
         self.watching: set[str] = set()
         self._nursery: trio.Nursery | None = None
@@ -118,11 +122,24 @@
     def see_digest(self, instance: str, entries: Iterable[DocumentRevision]) -> None:
         """Take the digest of a peer and pull what is newer there."""
         self.readiness.compared.add(instance)
+        entries = tuple(entries)
+        self._note_report(instance, entries)
         for name, revision in self.replicas.lacking(entries):
             if revision >= self.wanted.get(name, (0, ""))[0]:
                 self.wanted[name] = (revision, instance)
             self._start_pull(name)
 
+    def _note_report(self, instance: str, entries: tuple[DocumentRevision, ...]) -> None:
+        """Keep the revisions that a peer reports; the instances heard of first are dropped first.
+
+        A peer reports each revision once, possibly before the view here has it as a member.
+        """
+        known = self.reported.pop(instance, {})
+        known.update({entry.name: entry.revision for entry in entries})
+        self.reported[instance] = known
+        while len(self.reported) > MAX_REPORTS:
+            del self.reported[next(iter(self.reported))]
+
     # Messages.
 
     async def on_pull(self, message: Pull) -> Document:
