Keep the end of a process apart by its removal; wait after restoring the view

A process that returned and was removed again counted as ended since its first removal, so a joiner dropped it from the departed members while its work ran. Found by the property test with a store that reverts, as were two different views of one epoch: a view was written over the older data before the holder of a newer one had restored it. Views that were written back are marked, and are not changed for 3 s.

--- a/rattanrelay/decide/evidence.py
+++ b/rattanrelay/decide/evidence.py
@@ -32,8 +32,9 @@
         self.adopted: dict[Identity, int] = {}
         #: Departed processes without work, each with the highest epoch at which it said so.
         self.idle: dict[Identity, int] = {}
-        #: When a process became known to have ended or to have adopted its own removal.
-        self.ended: dict[Identity, float] = {}
+        #: Processes known to have ended or to have adopted their own removal: the epoch of that
+        #: removal, since a process may return and be removed again, and when it became known.
+        self.ended: dict[Identity, tuple[int, float]] = {}
         #: When a majority of an earlier view became known to have left it.
         self.retired: dict[int, float] = {}
 
@@ -54,11 +55,15 @@
     def review(self, view: View, now: float) -> None:
         """Derive what the adopted view and the known epochs imply; drop what is irrelevant."""
         departed = {entry.member.identity: entry for entry in view.departed}
+        self.ended = {
+            key: known
+            for key, known in self.ended.items()
+            if key in departed and known[0] == departed[key].removed
+        }
         for identity, entry in departed.items():
             left = self.adopted.get(identity, -1) >= entry.removed
             if entry.gone or left or any(replaced(entry.member, by) for by in view.members):
-                self.ended.setdefault(identity, now)
-        self.ended = {key: time for key, time in self.ended.items() if key in departed}
+                self.ended.setdefault(identity, (entry.removed, now))
         epochs = {past.epoch for past in view.history}
         self.retired = {key: time for key, time in self.retired.items() if key in epochs}
         for past in view.history:
@@ -81,7 +86,7 @@
             return True
         identity = entry.member.identity
         ended = self.ended.get(identity)
-        if ended is not None and now >= ended + ENDED_WAIT_S:
+        if ended is not None and now >= ended[1] + ENDED_WAIT_S:
             return True
         return all(self.over(past, now) for past in view.history if identity in past.members)
 
--- a/rattanrelay/decide/lease.py
+++ b/rattanrelay/decide/lease.py
@@ -12,9 +12,11 @@
     "CLOCK_MARGIN_S",
     "LEASE_S",
     "MAX_SUBREQUEST_S",
+    "RESTORE_WAIT_S",
     "Departed",
     "PastView",
     "QuorumLease",
+    "RestoreWait",
     "View",
     "decode_view",
     "encode_view",
@@ -30,6 +32,10 @@
 CLOCK_MARGIN_S = 0.25
 
 
+#: In this time after a view was written back, holders of a newer one write that back.
+RESTORE_WAIT_S = 3.0
+
+
 class Departed(NamedTuple):
     """A former member that is not yet known to have stopped.
 
@@ -54,13 +60,18 @@
 
 
 class View(NamedTuple):
-    """The view document of a cell; `members` is sorted by instance name."""
+    """The view document of a cell; `members` is sorted by instance name.
+
+    `restored` marks a view that was written back to a store with older data. The store may have
+    lost a still newer view then, so a change of it waits for `RESTORE_WAIT_S`.
+    """
 
     cell: str
     epoch: int
     members: tuple[Member, ...]
     departed: tuple[Departed, ...] = ()
     history: tuple[PastView, ...] = ()
+    restored: bool = False
 
     def member(self, identity: Identity) -> Member | None:
         """Return the member that is this process, None when it is not in the view."""
@@ -90,6 +101,21 @@
     return size // 2 + 1
 
 
+class RestoreWait:
+    """Says when the stored view may be changed, after it was written back."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.since = -math.inf
+
+    def over(self, view: View, version: int, now: float) -> bool:
+        """Say whether a view with this store version may be changed now."""
+        if version != self.version:
+            self.version = version
+            self.since = now
+        return not view.restored or now >= self.since + RESTORE_WAIT_S
+
+
 class QuorumLease:
     """The lease of one process; times in seconds on its own monotonic clock."""
 
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -7,7 +7,7 @@
 import trio
 
 from ..charts.interpreter import Chart
-from ..decide.lease import View, decode_view, encode_view, view_key
+from ..decide.lease import RestoreWait, View, decode_view, encode_view, view_key
 from ..decide.membership import Beat, Effect, Fetch, Membership, Propose, ReadStore
 from ..decide.ownership import Identity, Member
 from ..decide.revision import DigestFeed
@@ -42,8 +42,8 @@
 CONTACT_EVERY_S = 2.0
 MAX_CONTACTS = 16
 #: Attempts of an operator's change of the view against concurrent changes.
-CONFIRM_ATTEMPTS = 8
-CONFIRM_RETRY_S = 0.2
+CONFIRM_ATTEMPTS = 10
+CONFIRM_RETRY_S = 0.5
 
 
 async def _no_contacts() -> list[Member]:
@@ -91,6 +91,7 @@
         self.contacts = contacts
         self.core = Membership(self.me, cell, trio.current_time())
         self.feed = DigestFeed()
+        self.restore_wait = RestoreWait()
         self.chart = Chart("instance", instance)
         self.conditions: tuple[str, ...] = ()
         #: The adopted view; waiters see each change.
@@ -181,6 +182,11 @@
             view = self.core.view
             if view is None:
                 raise RelayError("not_ready", "no view yet", step="confirm stopped")
+            if stored is None or stored.epoch < view.epoch:
+                await self._write_back(entry, stored)
+            if stored is None or stored.epoch < view.epoch or not self._may_change(entry, stored):
+                await trio.sleep(CONFIRM_RETRY_S)
+                continue
             now = trio.current_time()
             suspects = self.core.suspects(now)
             target = with_stopped(view, instance, suspects, self.core.evidence, now)
@@ -351,10 +357,22 @@
         entry, stored = await self._read()
         if stored is not None and stored.epoch > order.base:
             self._learn(stored)
-            return
-        if order.view.epoch > self.epoch:
+        elif order.base > (stored.epoch if stored else 0):
+            await self._write_back(entry, stored)
+        elif order.view.epoch > self.epoch and self._may_change(entry, stored):
             await self._write(order.view, entry)
 
+    def _may_change(self, entry: Entry | None, stored: View | None) -> bool:
+        if stored is None:
+            return True
+        return self.restore_wait.over(stored, entry.version, trio.current_time())
+
+    async def _write_back(self, entry: Entry | None, stored: View | None) -> None:
+        """Put the adopted view into a store that has an older one or none."""
+        view = self.core.view
+        event("members.older_view", stored=stored.epoch if stored else 0, held=view.epoch)
+        await self._write(view._replace(restored=True), entry)
+
     async def _write(self, view: View, entry: Entry | None) -> bool:
         """Swap the stored view for `view`; False when another write came first."""
         expected = entry.version if entry else ABSENT
@@ -444,10 +462,8 @@
     async def _restore(self) -> None:
         """Write the view to a store that has none."""
         entry, _ = await self._read()
-        view = self.core.view
-        if entry is None and view is not None:
-            event("members.older_view", stored=0, held=view.epoch)
-            await self._write(view, None)
+        if entry is None and self.core.view is not None:
+            await self._write_back(None, None)
 
     async def _check_stored(self, entry: Entry) -> None:
         try:
@@ -457,8 +473,7 @@
             return
         view = self.core.view
         if view is not None and stored.epoch < view.epoch:
-            event("members.older_view", stored=stored.epoch, held=view.epoch)
-            await self._write(view, entry)
+            await self._write_back(entry, stored)
         else:
             self._learn(stored)
 
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -9,7 +9,7 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from rattanrelay.decide.lease import MAX_SUBREQUEST_S, decode_view, encode_view
+from rattanrelay.decide.lease import MAX_SUBREQUEST_S, RestoreWait, decode_view, encode_view
 from rattanrelay.decide.membership import Beat, Fetch, Membership, Propose, ReadStore
 from rattanrelay.decide.ownership import Member
 from rattanrelay.decide.succession import with_stopped
@@ -36,6 +36,7 @@
         #: True start and end of the last work by server.
         self.work = {}
         self.store_busy_until = 0.0
+        self.restore_wait = RestoreWait()
 
     def clock(self):
         return self.offset + self.rate * self.world.now
@@ -85,6 +86,8 @@
         self.numbers = itertools.count(1)
         self.processes = []
         self.stored = (0, None)
+        #: All values that the store had.
+        self.values = []
         self.store_down = False
         self.store_answers = 1.0
         #: Addresses of the processes that do not reach the store.
@@ -128,6 +131,8 @@
         if not process.frozen:
             process.core.list_instances(other.member.address for other in self.live())
             self.carry_out(process, process.core.tick(process.clock()))
+            if self.stored[1] and process.core.chosen("watch", 2, process.clock()):
+                self.at(self.delay(), self.hand_over, process, self.write_back, ())
             process.dispatch()
 
     def kill(self, process):
@@ -238,7 +243,9 @@
             self.carry_out(process, process.core.stored(view, process.clock()))
         elif view is not None and view.epoch > effect.base:
             self.carry_out(process, process.core.learn(view, process.clock()))
-        else:
+        elif effect.base > (view.epoch if view else 0):
+            self.write_back(process)
+        elif view is None or process.restore_wait.over(view, version, process.clock()):
             process.store_busy_until = self.now + STORE_TIMEOUT_S
             self.at(self.delay(), self.swap, process, version, effect.view)
 
@@ -248,12 +255,27 @@
         applied = self.stored[0] == version
         if applied:
             self.stored = (version + 1, encode_view(view))
+            self.values.append(self.stored[1])
         self.answer(process, self.on_swapped, (self.stored[1],))
 
     def on_swapped(self, process, data):
         process.store_busy_until = 0.0
         self.on_view(process, data)
 
+    def revert(self, steps):
+        """Restore a backup of the store; members that watch it write their view back."""
+        if self.values:
+            self.stored = (self.stored[0] + 1, self.values[-1 - steps % len(self.values)])
+
+    def write_back(self, process):
+        version, data = self.stored
+        view = process.core.view
+        cut = self.store_down or process.member.address in self.store_cuts
+        if view is None or cut:
+            return
+        if decode_view(data).epoch < view.epoch:
+            self.stored = (version + 1, encode_view(view._replace(restored=True)))
+
     def confirm_stopped(self, dead):
         """An operator states that the lost processes of an instance have stopped, if it is true."""
         name = dead.member.instance
@@ -359,6 +381,8 @@
     elif kind == "store":
         world.store_down = first % 3 == 0
         world.store_answers = (1.0, 0.5, 0.0)[second % 3]
+    elif kind == "revert":
+        world.revert(first % 8)
     elif kind == "confirm":
         dead = [process for process in world.processes if not process.alive]
         if dead:
@@ -402,7 +426,7 @@
 
 
 OPERATIONS = [
-    *("start", "kill", "restart", "replace", "leave", "return", "confirm"),
+    *("start", "kill", "restart", "replace", "leave", "return", "confirm", "revert"),
     *("freeze", "cut", "split", "heal", "loss", "store") * 2,
 ]
 SCHEDULES = st.lists(
