--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -54,8 +54,11 @@
 
     def dispatch(self):
         """Start work wherever that is allowed; most of it is short."""
+        now = self.clock()
+        if not self.core.lease.holds(now):
+            return
         for server in SERVERS:
-            if self.may_dispatch(server):
+            if self.core.may_dispatch(server, now):
                 chance = self.world.chance
                 share = 1.0 if chance.random() < 0.05 else chance.uniform(0.01, 0.15)
                 self.begin(server, self.world.now + share * (self.deadline - self.world.now))
@@ -129,12 +132,19 @@
             return
         self.at(TICK_S / process.rate, self.tick, process)
         if not process.frozen:
-            process.core.list_instances(other.member.address for other in self.live())
+            if not process.core.is_member:
+                process.core.list_instances(other.member.address for other in self.live())
             self.carry_out(process, process.core.tick(process.clock()))
-            if self.stored[1] and process.core.chosen("watch", 2, process.clock()):
-                self.at(self.delay(), self.hand_over, process, self.write_back, ())
+            self.watch(process)
             process.dispatch()
 
+    def watch(self, process):
+        """Look at the store about once a second if this is one of the two watchers."""
+        if self.stored[1] is None or self.chance.random() > TICK_S:
+            return
+        if process.core.chosen("watch", 2, process.clock()):
+            self.at(self.delay(), self.hand_over, process, self.write_back, ())
+
     def kill(self, process):
         if not process.frozen:
             process.suspend()
--- a/tests/steps/members_decide_steps.py
+++ b/tests/steps/members_decide_steps.py
@@ -1,4 +1,4 @@
-"""Steps for owners, the quorum lease, the view document and revisions."""
+"""Steps for owners, the quorum lease, the view document, proofs of end and revisions."""
 
 import random
 
@@ -7,10 +7,12 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from rattanrelay.decide.evidence import Evidence
 from rattanrelay.decide.lease import (
     Departed,
     PastView,
     QuorumLease,
+    RestoreWait,
     View,
     decode_view,
     encode_view,
@@ -248,3 +250,74 @@
 def _names(text):
     """Return the names in a table cell; a dash stands for none."""
     return [] if text == "-" else text.split()
+
+
+# Proof that departed members have stopped.
+
+
+def _removed_view(epoch, size, removed, past):
+    members = tuple(_member(number) for number in range(size) if number != 1)
+    identities = tuple(_member(number).identity for number in range(size))
+    history = (PastView(past, identities, identities),)
+    return View("main", epoch, members, (Departed(_member(1), removed),), history)
+
+
+@given("that member 1 of view 4 with {size:d} members was removed in view 5 at {now:f}")
+def removed(context, size, now):
+    context.size = size
+    context.view = _removed_view(5, size, 5, 4)
+    context.evidence = Evidence()
+    context.evidence.review(context.view, now)
+
+
+@when("another incarnation of member 1 at its address is in view 6 at {now:f}")
+def replaced_at_address(context, now):
+    later = _member(1)._replace(incarnation="later")
+    context.view = context.view._replace(epoch=6, members=(*context.view.members, later))
+    context.evidence.review(context.view, now)
+
+
+@when("member {number:d} is heard at epoch {epoch:d} at {now:f}")
+def heard(context, number, epoch, now):
+    context.evidence.heard(_member(number).identity, epoch, context.view, now)
+
+
+@when("member 1 says without work that it has adopted epoch {epoch:d}")
+def idle(context, epoch):
+    context.evidence.heard_idle(_member(1).identity, epoch)
+
+
+@when("view 9 says that member 1 was removed in view 8 again at {now:f}")
+def removed_again(context, now):
+    context.view = _removed_view(9, context.size, 8, 7)
+    context.evidence.review(context.view, now)
+
+
+def _quiet(context, now):
+    (entry,) = context.view.departed
+    return context.evidence.quiet(entry, context.view, now)
+
+
+@then("member 1 may still have work at {now:f}")
+def not_stopped(context, now):
+    assert not _quiet(context, now)
+
+
+@then("member 1 has stopped at {now:f}")
+def stopped(context, now):
+    assert _quiet(context, now)
+
+
+@given("a stored view that was written back")
+def restored_view(context):
+    context.restored = View("main", 5, (), restored=True)
+
+
+@then("it may not be changed before {seconds:f} s have passed since it was seen")
+def not_changed_before(context, seconds):
+    wait = RestoreWait()
+    assert not wait.over(context.restored, 12, 50.0)
+    assert not wait.over(context.restored, 12, 50.0 + seconds - 0.01)
+    assert wait.over(context.restored, 12, 50.0 + seconds)
+    assert not wait.over(context.restored, 13, 50.0 + seconds)
+    assert wait.over(context.restored._replace(restored=False), 14, 50.0 + seconds)
