--- a/tests/node/documents.feature
+++ b/tests/node/documents.feature
@@ -9,10 +9,18 @@
 
   Scenario: An instance that the push does not reach learns of the edit from the others
     Given a running cell of 5 instances
-    When instance 0 edits the table while it does not reach instance 3
+    When an edit is made while its push does not reach an instance that does not watch the store
     And 1.0 s pass in the cell
     Then the table has revision 1 on all instances and in the store
 
+  Scenario: An instance that cannot pull at first repeats it
+    Given a running cell of 5 instances
+    When an edit is made while an instance that does not watch the store cannot pull either
+    And 0.8 s pass in the cell
+    And all links work again
+    And 1.5 s pass in the cell
+    Then the table has revision 1 on all instances and in the store
+
   Scenario: Two operators that edit at the same time both succeed
     Given a running cell of 5 instances
     When all instances edit the table at the same time
--- a/tests/steps/members_node_steps.py
+++ b/tests/steps/members_node_steps.py
@@ -525,8 +525,11 @@
 
 
 async def _edit(cell, number):
+    await _edit_at(cell.node(number))
+
+
+async def _edit_at(node):
     """Add a tenant with the name of the instance."""
-    node = cell.node(number)
 
     def change(value):
         table = decode_table(value) if value else Table(0)
@@ -549,11 +552,35 @@
         await _edit(cell, number)
 
 
-@when("instance {number:d} edits the table while it does not reach instance {other:d}")
+def _pair(cell):
+    """Return an editor and an instance that does not watch the store."""
+    passive = [node for node in cell.nodes.values() if not node.members.chosen("watch", 2)]
+    target = passive[0]
+    editor = next(node for node in cell.nodes.values() if node is not target)
+    return editor, target
+
+
+@when("an edit is made while its push does not reach an instance that does not watch the store")
 @in_cell
-async def edit_cut(context, cell, number, other):
-    cell.cuts.add((cell.node(number).name, cell.node(other).name))
-    await _edit(cell, number)
+async def edit_without_push(context, cell):
+    editor, target = _pair(cell)
+    cell.cuts.add((editor.name, target.name))
+    await _edit_at(editor)
+
+
+@when("an edit is made while an instance that does not watch the store cannot pull either")
+@in_cell
+async def edit_without_pull(context, cell):
+    editor, target = _pair(cell)
+    cell.cuts.add((editor.name, target.name))
+    cell.cuts |= {(target.name, other) for other in cell.nodes}
+    await _edit_at(editor)
+
+
+@when("all links work again")
+@in_cell
+async def heal(context, cell):
+    cell.cuts.clear()
 
 
 @when("all instances edit the table at the same time")
