--- a/rattanrelay/node/connection.py
+++ b/rattanrelay/node/connection.py
@@ -28,6 +28,9 @@
 
     def __init__(self, connection: HttpConnection) -> None:
         self.connection = connection
+        #: Whether the server has answered on it.
+        self.served = False
+        #: Whether it was told to close.
         self.leaving = False
         self.sender, self.receiver = trio.open_memory_channel[SubRequest | Control](1)
 
--- a/rattanrelay/node/dispatch.py
+++ b/rattanrelay/node/dispatch.py
@@ -11,6 +11,7 @@
 from ..decide.canary import SharedEntry
 from ..decide.limits import Limit, settling_limits
 from ..http import HttpConnection
+from ..log import event
 from ..metrics import Metrics
 from ..table import Table, server_of
 from ..wire import (
@@ -217,7 +218,7 @@
         self._set_limits(table)
         wanted = self._owned(table)
         for name in list(self.searchers):
-            if name not in wanted:
+            if name not in wanted and self.searchers[name].owned:
                 self.searchers[name].give_up()
         for name, (address, rows) in wanted.items():
             self._take(name, address, rows)
@@ -258,6 +259,7 @@
         if searcher is None:
             searcher = self.searchers[name] = Searcher(name, address, rows, self.around)
             self.around.nursery.start_soon(searcher.poll)
+            event("searcher_taken", searcher=name, address=address, epoch=self.members.epoch)
             return
         searcher.take_up()
         searcher.update(rows)
@@ -268,6 +270,7 @@
                 searcher.polling.cancel()
                 del self.searchers[name]
                 self._set_gauges(name, 0, 0)
+                event("searcher_given_up", searcher=name, epoch=self.members.epoch)
 
     async def _follow_configuration(self) -> None:
         version = -1
--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -318,10 +318,17 @@
                 response = await worker.connection.request(control.request)
             except RelayError:
                 self.supervisor.dropped()
+        worker.served = worker.served or response is not None
         control.done(response)
 
     def _drop(self, worker: Worker) -> None:
+        """Note a connection that the server closed; one that it never used is not replaced at once.
+
+        A server that accepts and closes connections would otherwise be asked without a pause.
+        """
         worker.connection.usable = False
+        if not worker.served:
+            self.next_connect = max(self.next_connect, trio.current_time() + RECONNECT_S)
         self.supervisor.dropped()
 
     async def _run(self, worker: Worker, job: SubRequest) -> None:
@@ -361,6 +368,7 @@
             self._enqueue(job)
 
     def _answered(self, worker: Worker, job: SubRequest, response: Response) -> None:
+        worker.served = True
         outcome = judge(job, response)
         if outcome.reason == "bad_answer":
             worker.connection.usable = False
