--- a/rattanrelay/metrics.py
+++ b/rattanrelay/metrics.py
@@ -47,6 +47,7 @@
         self.degraded = self._add(Gauge, "degraded", "1 for each condition that holds, by reason")
 
     def _add(self, kind, name: str, doc: str, **options):
+        # Without `registry` a collector joins the library's global one, which takes a name once.
         options["registry"] = self.registry
         return kind(f"rattanrelay_{name}", doc, const_labels=self.labels, **options)
 
--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -164,7 +164,7 @@
         if first.restart:
             proven = proven or first.gather.answered > 0
             canary = "" if proven else fingerprint
-            second = await self._scatter(query, row, state, deadline, canary, last=True)
+            second = await self._scatter(query, row, state, deadline, canary, first)
             best = max(second, first, key=lambda scatter: scatter.gather.answered)
         if row.canary and best.gather.answered:
             state.proven.note(fingerprint, started)
@@ -177,15 +177,15 @@
         state: ServiceState,
         deadline: float,
         canary: str,
-        *,
-        last: bool = False,
+        earlier: Scatter | None = None,
     ) -> Scatter:
+        """Run the query against one snapshot; `earlier` was given up for another one."""
         now = trio.current_time()
         plan = self._plan(query.service, state, now)
         left = min(deadline - now, MAX_SUBREQUEST_S)
 
         def may_restart(at: float) -> bool:
-            return not last and self._may_restart(query.service, state, plan, deadline - at)
+            return earlier is None and self._may_restart(query.service, state, plan, deadline - at)
 
         scatter = Scatter(
             query,
@@ -197,9 +197,13 @@
             ports=self.ports,
             deadline_ms=int((self.wall() + left) * 1000),
             may_restart=may_restart,
+            may_have_run=earlier is not None and earlier.may_have_run,
         )
         try:
             await scatter.run(deadline, canary)
+        except RelayError:
+            state.proven.forget(request_fingerprint(query.service, query.body))
+            raise
         finally:
             self._observe(query, row, state, scatter)
         return scatter
@@ -249,7 +253,8 @@
         total = scatter.sent.total()
         state.overload.note(total, scatter.congested, scatter.queue_us / 1e6, now)
         signals = scatter.congested + scatter.late
-        state.admission.limit.finished(total, signals, now)
+        overloaded = state.overload.holds(row.warm_latency_ms / 1000, now)
+        state.admission.limit.finished(total, signals, now, overloaded=overloaded)
         for kind, count in scatter.sent.items():
             if count:
                 self.metrics.subrequests.add({"service": query.service, "kind": kind}, count)
