Let an instance that has left the view follow later views

Cause: an instance taken out of service got no heartbeats, kept the view with which it left and answered its callers with no_owner for servers that had moved since.

--- a/rattanrelay/decide/membership.py
+++ b/rattanrelay/decide/membership.py
@@ -106,7 +106,10 @@
         self.next_beat = now
         self.next_propose = now
         self.next_read = now
+        self.next_follow = now
         self.join_since = now
+        #: Number of members asked for their view after this process has left.
+        self.followed = 0
         self.quick: dict[Identity, float] = {}
         #: Addresses on the platform's list of instances, None while it is not known.
         self.listed: frozenset[str] | None = None
@@ -179,8 +182,7 @@
         self.last_tick = now
         effects = self._beats_due(now)
         if not self.is_member:
-            if self.wanted:
-                effects += self._join(now)
+            effects += self._join(now) if self.wanted else self._follow(now)
         elif not self.wanted:
             effects += self._propose(now, without(self.view, [self.me], self.evidence, now))
         else:
@@ -338,6 +340,17 @@
         view = self._joined(now)
         return (view is not None and self._propose(now, view)) or self._read(now)
 
+    def _follow(self, now: float) -> list[Effect]:
+        """Ask one member after another for its view.
+
+        A process that has left gets no heartbeats, but its callers still need the owners.
+        """
+        if now < self.next_follow or not self.members:
+            return []
+        self.next_follow = now + HEARTBEAT_S
+        self.followed += 1
+        return [Fetch(self.members[self.followed % len(self.members)].instance)]
+
     def _joined(self, now: float) -> View | None:
         """Return the view that adds this process, None while it has to wait."""
         if self.view is None:
