--- a/tests/node/entry.feature
+++ b/tests/node/entry.feature
@@ -13,6 +13,24 @@
       | tail     |
       | coverage |
 
+  Scenario: Stray results change nothing
+    Guards against results of other queries, shards or searchers that end or replace a sub-request.
+    Given owners that send stray results before each right one
+    When 20 queries run one after the other under policy "coverage"
+    Then each answer is whole and nothing is retried
+
+  Scenario Outline: A query without any result says truly whether it may have run
+    Guards against not_run for a query that servers may have run.
+    When a query gets <reason> from all shards
+    Then the query fails with "<code>" and outcome "<ran>"
+
+    Examples:
+      | reason          | code            | ran     |
+      | nothing         | deadline        | unknown |
+      | connection_lost | connection_lost | unknown |
+      | draining        | draining        | not_run |
+      | no_quorum       | no_quorum       | not_run |
+
   Scenario: Hedges stay within the budget while replicas straggle
     Given owners of which 5 in 100 sub-requests straggle
     When 400 queries run one after the other under policy "tail"
@@ -59,13 +77,18 @@
     Then each answer covers all shards of snapshot "v1"
     And at most 5 messages name snapshot "v2"
 
-  Scenario: A request that crashes servers is stopped by its canaries
+  Scenario Outline: A request that crashes servers is stopped by its canaries
     Guards against a fan-out that crashes all servers at once.
-    Given a request that crashes each server that runs it
-    When it is sent 30 times through 3 instances, between other requests
+    Given a request that crashes each server that runs it, and owners that <memory> it
+    When it is sent <count> times through 3 instances, between other requests
     Then 2 servers crash and each sending is refused as request_blocked
     And all other requests are answered in full
 
+    Examples:
+      | memory | count |
+      | block  | 30    |
+      | forget | 1     |
+
   Scenario: Overload does not displace a tenant within its share
     Given servers for 2 queries at a time that refuse more than 8 waiting ones
     When two tenants offer 1.6 and 0.4 of the capacity for 4 seconds
--- a/tests/steps/entry_decide_steps.py
+++ b/tests/steps/entry_decide_steps.py
@@ -102,8 +102,8 @@
     snapshots = []
     for name in names:
         shards = [
-            Shard(f"h{n}", tuple(f"s{r}" for r in chance.sample(range(6), chance.randint(1, 3))))
-            for n in range(chance.randint(1, 5))
+            Shard(f"h{n}", tuple(f"s{r}" for r in chance.sample(range(3), chance.randint(1, 2))))
+            for n in range(chance.randint(1, 3))
         ]
         snapshots.append(Snapshot(name, tuple(shards)))
     return Catalog("log", 1, tuple(snapshots))
@@ -119,8 +119,8 @@
         catalog = _random_catalog(chance)
         knowledge = SnapshotKnowledge()
         lacking = set()
-        for _ in range(chance.randrange(20)):
-            searcher = f"s{chance.randrange(6)}"
+        for _ in range(chance.choice([0, 5, 20, 60])):
+            searcher = f"s{chance.randrange(3)}"
             name = chance.choice(catalog.snapshots).name
             held = chance.sample([s.name for s in catalog.snapshots], 1)
             knowledge.lacks(searcher, name, held, 0.0)
@@ -133,7 +133,7 @@
 
 @then("each choice is the newest whole snapshot or the one most shards hold")
 def entry_snapshot_choice(context):
-    fallbacks = 0
+    fallbacks = ties = 0
     for catalog, lacking, choice in context.choices:
         shares = [
             sum(any((r, one.name) not in lacking for r in shard.searchers) for shard in one.shards)
@@ -141,8 +141,9 @@
             for one in catalog.snapshots
         ]
         fallbacks += max(shares) < 1.0
+        ties += max(shares) < 1.0 and shares.count(max(shares)) > 1
         assert choice == catalog.snapshots[shares.index(max(shares))]
-    assert fallbacks
+    assert fallbacks and ties, (fallbacks, ties)
 
 
 @when("a searcher lacks the newest snapshot and time passes")
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -140,6 +140,49 @@
     assert context.outstanding == 0, context.outstanding
 
 
+@given("owners that send stray results before each right one")
+def entry_strays(context):
+    strays = [{"query_id": "other/1"}, {"searcher": "s99/0"}, {"shard": "h99"}]
+    payload = b'{"hits":[],"count":1000}'
+
+    def answer(target, sub):
+        wrong = [ok_result(target, sub, payload=payload, **stray) for stray in strays]
+        wrong.append(refused_result(target, sub, "shedding", query_id="other/2"))
+        return 0.01, [*wrong, ok_result(target, sub)]
+
+    context.answer = answer
+
+
+@then("each answer is whole and nothing is retried")
+def entry_whole(context):
+    for answer in context.answers:
+        _check_answer(answer)
+        assert not answer.coverage.missing
+    assert "retry" not in context.kinds, context.kinds
+
+
+@when("a query gets {reason} from all shards")
+def entry_no_shard(context, reason):
+    def answer(target, sub):
+        if reason == "nothing":
+            return 60.0, []
+        return 0.01, [refused_result(target, sub, reason)]
+
+    async def main():
+        entry, _ = make_entry(answer)
+        try:
+            await entry.query(make_query())
+        except RelayError as error:
+            context.error = error
+
+    run_entry(main)
+
+
+@then('the query fails with "{code}" and outcome "{ran}"')
+def entry_query_fails(context, code, ran):
+    assert (context.error.code, context.error.ran) == (code, ran), context.error
+
+
 # Hedges and their budget.
 
 
@@ -291,8 +334,8 @@
 # Canaries.
 
 
-@given("a request that crashes each server that runs it")
-def entry_poison(context):
+@given("a request that crashes each server that runs it, and owners that {memory} it")
+def entry_poison(context, memory):
     context.crashed = []
     context.blocked = set()
 
@@ -305,7 +348,7 @@
         if sub.body in context.blocked:
             return 0.001, [refused_result(target, sub, "request_blocked")]
         context.crashed.append(target.searcher)
-        if sub.kind == "suspect":
+        if sub.kind == "suspect" and memory == "block":
             context.blocked.add(sub.body)
         return 0.02, [refused_result(target, sub, "connection_lost")]
 
