Give each wave a deadline of its own, at most 2 s ahead; weigh replicas by their slots

Retries of a query longer than 2 s carried the deadline of its first wave, which had passed, and a silent owner held its shards until the end of the query. A server with fewer slots than its row, as reported with each result, gets less work.

--- a/rattanrelay/decide/selection.py
+++ b/rattanrelay/decide/selection.py
@@ -39,12 +39,15 @@
         "report_weight",
         "row_weight",
         "server",
+        "slots",
     )
 
     def __init__(self, name: str, server: str, row_weight: float = 1.0) -> None:
         self.name = name
         self.server = server
         self.row_weight = row_weight
+        #: Slots of the row.
+        self.slots = 1
         self.report_weight = 1.0
         self.latency = INITIAL_LATENCY_S
         self.load = 0
@@ -71,10 +74,15 @@
             self.observed_at = now
 
     def note_load(self, load: int, limit: int, now: float) -> None:
-        """Take over the work in flight and queued at the owner, and the slots allowed now."""
+        """Take over the work in flight and queued at the owner, and the slots allowed now.
+
+        Fewer slots than the row's, as of a cold or shedding server, lower the weight.
+        """
         self.load = load
         self.limit = limit
         self.load_at = now
+        if limit:
+            self.report(limit / self.slots)
 
     def current_load(self, now: float) -> float:
         """Return the decayed load at the owner, at least this instance's own part of it."""
--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -21,8 +21,6 @@
 
 __all__ = ["Entry"]
 
-#: Longest time a sub-request may run, in seconds; takeovers wait for it (design 2.1).
-MAX_SUBREQUEST_S = 2.0
 #: A query restarts only if this many hedge delays are left until its deadline.
 RESTART_DELAYS = 2.0
 #: Assumed hedge delay before enough latencies are known, in seconds.
@@ -182,7 +180,6 @@
         """Run the query against one snapshot; `earlier` was given up for another one."""
         now = trio.current_time()
         plan = self._plan(query.service, state, now)
-        left = min(deadline - now, MAX_SUBREQUEST_S)
 
         def may_restart(at: float) -> bool:
             return earlier is None and self._may_restart(query.service, state, plan, deadline - at)
@@ -195,7 +192,7 @@
             row=row,
             state=state,
             ports=self.ports,
-            deadline_ms=int((self.wall() + left) * 1000),
+            unix_offset=self.wall() - now,
             may_restart=may_restart,
             may_have_run=earlier is not None and earlier.may_have_run,
         )
--- a/rattanrelay/node/plan.py
+++ b/rattanrelay/node/plan.py
@@ -78,4 +78,5 @@
     row = table.servers[server]
     domain = table.domains.get(row.failure_domain)
     replica.row_weight = max(1, row.weight) * max(1, domain.weight if domain else 1)
+    replica.slots = max(1, row.slots)
     return replica
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -34,6 +34,10 @@
 CANARY_LOST = frozenset({"connection_lost", "request_suspect"})
 
 NEVER = float("inf")
+#: Longest time a sub-request may run, in seconds; takeovers wait for it (design 2.1).
+MAX_SUBREQUEST_S = 2.0
+#: Time after the deadline of a sub-request in which its owner's answer may still arrive.
+EXPIRE_MARGIN_S = 0.05
 #: First wait before all replicas of a shard are tried again; it doubles with each round.
 BACKOFF_S = 0.02
 MAX_BACKOFF_S = 0.5
@@ -60,10 +64,12 @@
 class _Message:
     """A message to an owner; `left` counts the targets that are still wanted."""
 
-    __slots__ = ("left", "owner", "scope")
+    __slots__ = ("deadline", "left", "owner", "scope", "targets")
 
-    def __init__(self, owner: str) -> None:
+    def __init__(self, owner: str, deadline: float) -> None:
         self.owner = owner
+        self.deadline = deadline
+        self.targets: list[Target] = []
         self.left = 0
         self.scope = trio.CancelScope()
 
@@ -106,7 +112,7 @@
         row: ServiceRow,
         state: ServiceState,
         ports: ScatterPorts,
-        deadline_ms: int,
+        unix_offset: float,
         may_restart: Callable[[float], bool] = lambda now: False,
         may_have_run: bool = False,
     ) -> None:
@@ -117,7 +123,11 @@
         self.row = row
         self.state = state
         self.ports = ports
-        self.deadline_ms = deadline_ms
+        #: Unix time minus trio time, in seconds.
+        self.unix_offset = unix_offset
+        self.deadline = 0.0
+        #: Messages whose sub-requests must end before the query does.
+        self.limited: list[_Message] = []
         self.may_restart = may_restart
         self.shards = {planned.name: _Shard(planned) for planned in plan.shards}
         self.gather = Gather(query_id, plan.snapshot, self.shards, query.limit)
@@ -143,6 +153,7 @@
         `canary` is the fingerprint of a query that must be proven on one shard first. Raises
         `request_blocked`, or the reason for which no canary could run.
         """
+        self.deadline = deadline
         with trio.move_on_at(deadline):
             async with trio.open_nursery() as self.nursery:
                 if not canary or await self._prove(canary):
@@ -176,9 +187,10 @@
         """Wait until all shards are settled; send hedges and retries when they are due."""
         while not self._settled():
             now = trio.current_time()
+            expire_at = self._expire(now)
             self._send_retries(now)
             hedge_at = self._send_hedges(now)
-            wake_at = min([hedge_at, *(due for due, _ in self.retries)])
+            wake_at = min([hedge_at, expire_at, *(due for due, _ in self.retries)])
             if self._settled():
                 return
             self.wake = trio.Event()
@@ -195,16 +207,17 @@
     def _launch(
         self, wave: Iterable[tuple[_Shard, Replica]], kind: str, now: float, canary: bool = False
     ) -> None:
-        groups: dict[str, tuple[_Message, list[Target]]] = {}
+        messages: dict[str, _Message] = {}
+        deadline = min(self.deadline, now + MAX_SUBREQUEST_S)
         owners = self.plan.owners
         count = 0
         for shard, replica in wave:
             owner = owners[replica.server].instance
-            group = groups.get(owner)
-            if group is None:
-                group = groups[owner] = (_Message(owner), [])
-            group[1].append(Target(shard.planned.name, replica.name))
-            shard.attempts.append(_Attempt(replica, group[0], now))
+            message = messages.get(owner)
+            if message is None:
+                message = messages[owner] = _Message(owner, deadline)
+            message.targets.append(Target(shard.planned.name, replica.name))
+            shard.attempts.append(_Attempt(replica, message, now))
             shard.tried.append(replica)
             shard.first_sent = shard.first_sent or now
             replica.outstanding += 1
@@ -213,21 +226,22 @@
             self.hedge_from = min(self.hedge_from, now)
         self.open += count
         self.sent[kind] += count
-        for message, targets in groups.values():
-            message.left = len(targets)
-            sub = self._sub_query(tuple(targets), kind, canary)
-            self.nursery.start_soon(self._ask, message, sub)
+        for message in messages.values():
+            message.left = len(message.targets)
+            self.nursery.start_soon(self._ask, message, self._sub_query(message, kind, canary))
+        if deadline < self.deadline:
+            self.limited += messages.values()
 
-    def _sub_query(self, targets: tuple[Target, ...], kind: str, canary: bool) -> SubQuery:
+    def _sub_query(self, message: _Message, kind: str, canary: bool) -> SubQuery:
         return SubQuery(
             self.query_id,
             self.query.service,
             self.plan.snapshot,
             self.query.tenant,
             self.query.body,
-            self.deadline_ms,
+            int((self.unix_offset + message.deadline) * 1000),
             self.epoch,
-            targets,
+            tuple(message.targets),
             kind,
             canary,
         )
@@ -244,7 +258,7 @@
                 error = raised
         if message.left > 0:
             reason, ran = (error.code, error.ran) if error else ("bad_answer", "unknown")
-            self._fail_rest(message, sub.targets, reason, ran)
+            self._fail_rest(message, reason, ran)
 
     async def _stream(self, owner: str, sub: SubQuery) -> RelayError | None:
         """Receive the results of a message; returns the error that ended them.
@@ -260,10 +274,10 @@
                 return error
         return None
 
-    def _fail_rest(self, message, targets: tuple[Target, ...], reason: str, ran: str) -> None:
+    def _fail_rest(self, message: _Message, reason: str, ran: str) -> None:
         """Fail the targets of a message that ended without results for them."""
         now = trio.current_time()
-        for target in targets:
+        for target in message.targets:
             shard = self.shards[target.shard]
             for attempt in shard.attempts:
                 if attempt.message is message:
@@ -271,6 +285,15 @@
                     break
         self._wake_if_due()
 
+    def _expire(self, now: float) -> float:
+        """Fail sub-requests whose owner is silent after their deadline; return the next time."""
+        for message in self.limited:
+            if message.left and message.deadline + EXPIRE_MARGIN_S <= now:
+                self._fail_rest(message, "deadline", "unknown")
+                message.scope.cancel()
+        self.limited = [message for message in self.limited if message.left]
+        return min((one.deadline + EXPIRE_MARGIN_S for one in self.limited), default=NEVER)
+
     # Results.
 
     async def _receive(self, batch: ShardResults) -> None:
--- a/tests/node/entry.feature
+++ b/tests/node/entry.feature
@@ -70,6 +70,14 @@
     When 3 queries run one after the other under policy "coverage"
     Then each answer misses only shard "h3" with reason "deadline"
 
+  Scenario: A long query asks again when its sub-requests have expired
+    Guards against sub-requests that outlive a takeover, and against a silent owner that holds a
+    shard until the end of the query.
+    Given owners of shard h3 that are silent until a query has waited 1 s
+    When a query of 5 s runs under policy coverage
+    Then 1 answers miss nothing
+    And no sub-request has more than 2 s
+
   Scenario: A query restarts once with the snapshot that most shards hold
     Guards against answers that mix snapshots, and against asking for a lost snapshot each time.
     Given searchers that no longer hold snapshot "v2" of shard "h3"
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -183,6 +183,37 @@
     assert (context.error.code, context.error.ran) == (code, ran), context.error
 
 
+@given("owners of shard {shard} that are silent until a query has waited {seconds:g} s")
+def entry_silent_owner(context, shard, seconds):
+    context.sent = []
+
+    def answer(target, sub):
+        now = trio.current_time()
+        context.sent.append((now, sub.deadline_ms / 1000 - 1_000_000.0))
+        return (
+            (60.0, [])
+            if target.shard == shard and now < seconds
+            else (0.01, [ok_result(target, sub)])
+        )
+
+    context.answer = answer
+
+
+@when("a query of {seconds:g} s runs under policy coverage")
+def entry_long_query(context, seconds):
+    async def main():
+        entry, _ = make_entry(context.answer, policy="coverage", hedge=False)
+        context.answers = [await entry.query(make_query(seconds=seconds))]
+
+    run_entry(main)
+
+
+@then("no sub-request has more than {seconds:g} s")
+def entry_short_sub_requests(context, seconds):
+    assert max(sent for sent, _ in context.sent) > seconds
+    assert all(deadline - sent <= seconds + 1e-6 for sent, deadline in context.sent), context.sent
+
+
 # Hedges and their budget.
 
 
