--- a/tests/emulator/processes.feature
+++ b/tests/emulator/processes.feature
@@ -18,3 +18,11 @@
   Scenario: A fleet is cleaned up when its test fails
     When a test with a paused process in its fleet fails
     Then none of its processes runs and its directory is gone
+
+  Scenario: A fleet changes snapshots in its searchers and in its store
+    When a fleet without entry instances gets a snapshot of 3 shards and drops the old one
+    Then the searchers hold only the new snapshot as the stored catalog says
+
+  Scenario: A fleet reaches its searchers through proxy routes
+    When a searcher behind a route is called before, during and after a cut
+    Then the calls end as 200, broken, 200 and the searcher recorded all three
--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -15,11 +15,11 @@
     ServerConfig,
     StoreConfig,
 )
-from rattanrelay.emulator.deployments import DEPLOYMENTS, Deployment, located
+from rattanrelay.emulator.deployments import DEPLOYMENTS, Deployment, located, next_snapshot
 from rattanrelay.emulator.journal import Run
 
 from .client import AdminClient, CallerClient, ControlClient, http_call
-from .processes import Process, Processes, free_ports
+from .processes import HarnessError, Process, Processes, free_ports
 
 __all__ = ["ADMIN_TOKEN", "Entry", "Fleet"]
 
@@ -65,7 +65,8 @@
 
     `platform` controls the process with store, instance list, balancer and proxies; `backends`
     controls the processes with the backend servers, which are spread over `backend_processes`.
-    With `proxied_store`, entries reach the store through the proxy route `store`.
+    With `proxied_store`, entries reach the store through the proxy route `store`. With
+    `proxied_servers`, they reach each searcher through the proxy route of its name.
     """
 
     def __init__(
@@ -77,6 +78,7 @@
         instance_lag_ms: float = 500.0,
         balancer_lag_ms: float = 500.0,
         proxied_store: bool = False,
+        proxied_servers: bool = False,
         **options,
     ) -> None:
         self.processes = Processes()
@@ -86,6 +88,8 @@
         self.instance_lag_ms = instance_lag_ms
         self.balancer_lag_ms = balancer_lag_ms
         self.proxied_store = proxied_store
+        self.proxied_servers = proxied_servers
+        self.searcher_addresses: dict[str, str] = {}
         self.platform: ControlClient | None = None
         self.backends: list[ControlClient] = []
         self.hosts: dict = {}
@@ -162,11 +166,18 @@
         journals = self.journals(since, **select).values()
         return [msgspec.convert(run, Run) for journal in journals for run in journal["runs"]]
 
-    def select(self, path: str, **select) -> None:
-        """Post a selection to a control route of each process that hosts a selected searcher."""
+    def post(self, path: str, select: dict, **body) -> list[str]:
+        """Post to a control route of each process that hosts selected searchers.
+
+        Returns the searchers' names; `select` as in `emulator.backend.Selection`.
+        """
+        done: list[str] = []
         for control in self.backends:
             if control.journals(AFTER_ALL_RUNS_S, **select):
-                control.post(path, select=select)
+                done += control.post(path, select=select, **body)
+        if not done:
+            raise HarnessError(f"no searcher is selected by {select}")
+        return done
 
     def violations(self) -> list[tuple[str, dict]]:
         """Return all violations with their searcher."""
@@ -176,6 +187,22 @@
             for violation in journal["violations"]
         ]
 
+    def add_snapshot(self, service: str, name: str, shards: int = 0) -> None:
+        """Let the searchers hold a newer snapshot, then put it into the service's catalog.
+
+        Another number of `shards` is a repartitioning; 0 keeps the number.
+        """
+        self.deployment, holdings = next_snapshot(self.deployment, service, name, shards)
+        for control in self.backends:
+            own = control.searchers().keys() & holdings.keys()
+            control.post("searchers/hold", holdings={one: holdings[one] for one in sorted(own)})
+        key = f"catalog/{service}"
+        self.platform.post("store/write", values={key: self.deployment.store_values()[key]})
+
+    def drop_snapshot(self, service: str, name: str) -> None:
+        """Let the searchers of a service drop a snapshot; the catalog still lists it."""
+        self.post("searchers/drop", {"services": [service]}, snapshots=[name])
+
     def control_of(self, searcher: str) -> ControlClient:
         """Return the control client of the process that hosts a searcher."""
         return next(control for control in self.backends if searcher in control.searchers())
@@ -189,18 +216,20 @@
         }
 
     def _start_backends(self) -> None:
-        addresses: dict[str, str] = {}
         for number in range(self.backend_processes):
             servers: list[ServerConfig] = list(
                 self.deployment.servers[number :: self.backend_processes]
             )
             control = self._start_emulator(f"backends-{number}", EmulatorConfig(servers=servers))
             self.backends.append(control)
-            addresses.update(control.get("hosts")["searchers"])
-        self.deployment = located(self.deployment, addresses)
+            self.searcher_addresses.update(control.get("hosts")["searchers"])
+        self.deployment = located(self.deployment, self.searcher_addresses)
 
     def _start_platform(self) -> None:
-        store_port, *_ = free_ports(1)
+        [store_port] = free_ports(1)
+        routes = [ProxyConfig(name="store", target=f"{HOST}:{store_port}")]
+        if self.proxied_servers:
+            routes += self._server_routes()
         config = EmulatorConfig(
             store=StoreConfig(port=store_port, values=self.deployment.store_values()),
             instance_list=InstanceListConfig(lag_ms=self.instance_lag_ms),
@@ -210,11 +239,22 @@
                     lag_ms=self.balancer_lag_ms,
                 )
             ],
-            proxies=[ProxyConfig(name="store", target=f"{HOST}:{store_port}")],
+            proxies=routes,
         )
         self.platform = self._start_emulator("platform", config)
         self.hosts = self.platform.get("hosts")
 
+    def _server_routes(self) -> list[ProxyConfig]:
+        """Make a route for each searcher and put its address into the table."""
+        targets = self.searcher_addresses.items()
+        routes = [
+            ProxyConfig(name=name, target=target, port=port)
+            for (name, target), port in zip(targets, free_ports(len(targets)), strict=True)
+        ]
+        proxied = {route.name: f"{HOST}:{route.port}" for route in routes}
+        self.deployment = located(self.deployment, proxied)
+        return routes
+
     def _start_emulator(self, name: str, config: EmulatorConfig) -> ControlClient:
         [port] = free_ports(1)
         config.control.port = port
--- a/tests/steps/emulator_platform_steps.py
+++ b/tests/steps/emulator_platform_steps.py
@@ -26,6 +26,7 @@
 from rattanrelay.errors import RelayError
 from rattanrelay.http import HttpConnection, Request, Response
 from rattanrelay.store import StoreClient
+from rattanrelay.table import decode_catalog
 from tests.harness import Fleet, HarnessError, Processes, free_ports, wait_until
 from tests.harness.client import ControlClient, http_call
 
@@ -711,3 +712,50 @@
     check_equal(len(processes.processes), 2)
     wait_until(lambda: not any(one.running for one in processes.processes.values()), "the end")
     assert not processes.directory.exists()
+
+
+@when("a fleet without entry instances gets a snapshot of 3 shards and drops the old one")
+def flip_snapshot(context):
+    with Fleet("norte", scale=0.2, services=("logging",), backend_processes=2) as fleet:
+        fleet.add_snapshot("logging", "logging-2", 3)
+        fleet.drop_snapshot("logging", "logging-1")
+        context.searchers = fleet.searchers()
+        context.stored = http_call(fleet.store_address, "GET", "/v1/kv/catalog%2Flogging").body
+
+
+@then("the searchers hold only the new snapshot as the stored catalog says")
+def flipped(context):
+    snapshot = decode_catalog(context.stored).snapshots[0]
+    check_equal((snapshot.name, len(snapshot.shards)), ("logging-2", 3))
+    check_equal(len(context.searchers), 8)
+    for name, searcher in context.searchers.items():
+        named = [shard.name for shard in snapshot.shards if name in shard.searchers]
+        check_equal(searcher["holdings"], {"logging-2": named} if named else {})
+
+
+@when("a searcher behind a route is called before, during and after a cut")
+def call_through_route(context):
+    with Fleet("norte", scale=0.1, services=("logging",), proxied_servers=True) as fleet:
+        name = "logging-01/0"
+        address = fleet.deployment.table.servers["logging-01"].addresses.split()[0]
+        shard = fleet.searchers()[name]["holdings"]["logging-1"][0]
+        body = json.dumps({"shard": shard, "snapshot": "logging-1", "query": None}).encode()
+
+        def call():
+            try:
+                return http_call(address, "POST", "/search", body).status
+            except OSError:
+                return "broken"
+
+        context.statuses = [call()]
+        fleet.platform.set_proxy_faults(name, cut_after_to_client=50)
+        context.statuses.append(call())
+        fleet.platform.post("proxies/heal")
+        context.statuses.append(call())
+        context.outcomes = [run.outcome for run in fleet.runs(searchers=[name])]
+
+
+@then("the calls end as 200, broken, 200 and the searcher recorded all three")
+def called_through_route(context):
+    check_equal(context.statuses, [200, "broken", 200])
+    check_equal(context.outcomes, ["done"] * 3)
