Serve requests on connections that no longer count

Cause: a request whose client had closed its connection ended the emulator with KeyError when the connection had already been dropped from the count. Change: a connection stays known until this side has closed it. The new scenario fails without the change and passes with it.

--- a/rattanrelay/emulator/endpoint.py
+++ b/rattanrelay/emulator/endpoint.py
@@ -93,13 +93,12 @@
 
     def _admit(self, stream: trio.SocketStream) -> GatedStream | None:
         ready_at = trio.current_time() + self.connect_ms / 1000
-        gated = GatedStream(stream, ready_at, self._ended)
+        gated = GatedStream(stream, ready_at, self.observer.ended, self._closed)
         if not self.observer.admit():
             return None
         self.streams[gated.peer] = gated
         return gated
 
-    def _ended(self, stream: GatedStream) -> None:
-        self.observer.ended()
+    def _closed(self, stream: GatedStream) -> None:
         if self.streams.get(stream.peer) is stream:
             del self.streams[stream.peer]
--- a/rattanrelay/emulator/gate.py
+++ b/rattanrelay/emulator/gate.py
@@ -20,14 +20,21 @@
     """An accepted connection; the first bytes are read only once its cost has been paid."""
 
     def __init__(
-        self, stream: trio.SocketStream, ready_at: float, ended: Callable[["GatedStream"], None]
+        self,
+        stream: trio.SocketStream,
+        ready_at: float,
+        ended: Callable[[], None],
+        closed: Callable[["GatedStream"], None],
     ) -> None:
         self.stream = stream
         self.socket = stream.socket
         self.peer = "{}:{}".format(*stream.socket.getpeername()[:2])
         self.ready_at = ready_at
-        self.ended = ended
-        self.closed = False
+        #: Called once, when the connection no longer counts.
+        self.on_ended = ended
+        #: Called when this side is closed.
+        self.on_closed = closed
+        self.ended = False
         #: Bytes at the end of the next answer that are not sent; then the connection is closed.
         self.withheld: int | None = None
         #: Bytes that are sent instead of the next answer.
@@ -74,9 +81,9 @@
 
     def leave(self) -> None:
         """Count the connection as ended, once."""
-        if not self.closed:
-            self.closed = True
-            self.ended(self)
+        if not self.ended:
+            self.ended = True
+            self.on_ended()
 
     def reset_on_close(self) -> None:
         """Make the close send a reset instead of an orderly end."""
@@ -88,6 +95,7 @@
     async def aclose(self) -> None:
         """Close the connection."""
         self.leave()
+        self.on_closed(self)
         await self.stream.aclose()
 
 
--- a/tests/emulator/searcher.feature
+++ b/tests/emulator/searcher.feature
@@ -96,6 +96,11 @@
     Then it is accepted
     And it has no violations
 
+  Scenario: A request whose client closes at once is run and recorded
+    Given an emulated searcher with {}
+    When a request arrives whose connection is dropped before its task runs
+    Then the runs end as done
+
   Scenario: A client that goes away leaves its connection but not its slot
     Given an emulated searcher with {"slots": 1, "connections": 1, "service_ms": 100}
     When a client closes its connection during a search and another searches at once
--- a/tests/steps/emulator_steps.py
+++ b/tests/steps/emulator_steps.py
@@ -1,6 +1,7 @@
 """Steps for the emulated searchers and deployments."""
 
 import json
+import os
 import random
 from collections import Counter
 from typing import NamedTuple
@@ -404,6 +405,23 @@
     run_bench(context, flow)
 
 
+@when("a request arrives whose connection is dropped before its task runs")
+def request_and_close(context):
+    body = json.dumps({"shard": SHARD, "snapshot": SNAPSHOT, "query": QUERY}).encode()
+
+    async def flow(bench):
+        connection = await bench.open()
+        await trio.sleep(0.01)
+        client = connection.stream.socket
+        # A plain write, since the searcher's tasks must not run before the connection is dropped.
+        os.write(client.fileno(), connection._encode(Request("POST", "/search", {}, body)))
+        client.close()
+        bench.searcher.endpoint.drop_closed()
+        await trio.sleep(0.1)
+
+    run_bench(context, flow)
+
+
 @then("it is accepted")
 def is_accepted(context):
     check_equal(context.seen, True)
