--- a/benchmarks/fanout.py
+++ b/benchmarks/fanout.py
@@ -49,6 +49,12 @@
 class Owners:
     """Answers each sub-query in one message that passes through the codec."""
 
+    cancelled = 0
+
+    async def cast(self, instance: str, message) -> None:
+        """Drop a cancellation; nothing is under way here."""
+        self.cancelled += 1
+
     @asynccontextmanager
     async def stream(self, instance: str, query):
         """Yield the answers of one owner."""
@@ -95,11 +101,7 @@
         placed.append(Shard(f"shard-{number}", tuple(names)))
     table = Table(
         1,
-        {
-            "logging": ServiceRow(
-                "logging", canary=False, soft_deadline_ms=60_000, timeout_ms=60_000
-            )
-        },
+        {"logging": _service()},
         {"domain-0": DomainRow("domain-0"), "domain-1": DomainRow("domain-1")},
         rows,
         {},
