--- a/rattanrelay/decide/selection.py
+++ b/rattanrelay/decide/selection.py
@@ -18,6 +18,8 @@
 FAILURE_PENALTY_S = 0.25
 MAX_PENALTY_S = 2.0
 PENALTY_HALF_LIFE_S = 1.0
+#: A failure is recent while at least this penalty is left of it, in seconds.
+RECENT_FAILURE_S = 0.05
 #: Load reports may lower the weight to this part of the row's weight.
 MIN_REPORT_WEIGHT = 0.1
 CHOICES = 2
@@ -108,6 +110,10 @@
             return 0.0
         return self.penalty * 0.5 ** ((now - self.penalty_at) / PENALTY_HALF_LIFE_S)
 
+    def suits_hedge(self, now: float) -> bool:
+        """Say whether a hedge may help: a slot is free and no failure is recent."""
+        return not self.queues(now) and self.penalty_left(now) < RECENT_FAILURE_S
+
     def cost(self, now: float) -> float:
         """Return the expected cost of one more sub-request; lower is better."""
         fresh = 0.5 ** ((now - self.observed_at) / OBSERVATION_HALF_LIFE_S)
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -30,6 +30,8 @@
 #: Reasons that say nothing about the searcher itself, or no more than its load does. A penalty for
 #: a full queue would move all work to the other replicas and fill their queues in turn.
 NO_PENALTY = CONGESTION | {"request_blocked", "request_suspect", "snapshot_gone"}
+#: Errors of a whole message that hold for each replica of its owner.
+OWNER_FAILURES = frozenset({"connect_failed", "no_quorum", "peer_unavailable", "stopping"})
 #: Reasons by which a canary may have crashed its server.
 CANARY_LOST = frozenset({"connection_lost", "request_suspect"})
 
@@ -154,12 +156,12 @@
         `request_blocked`, or the reason for which no canary could run.
         """
         self.deadline = deadline
-        with trio.move_on_at(deadline):
-            async with trio.open_nursery() as self.nursery:
-                if not canary or await self._prove(canary):
-                    self._launch_first()
-                    await self._drive()
-                self.nursery.cancel_scope.cancel()
+        async with trio.open_nursery() as self.nursery:
+            self.nursery.cancel_scope.deadline = deadline
+            if not canary or await self._prove(canary):
+                self._launch_first()
+                await self._drive()
+            self.nursery.cancel_scope.cancel()
         self._close()
         if self.error is not None:
             raise self.error
@@ -194,6 +196,9 @@
             if self._settled():
                 return
             self.wake = trio.Event()
+            if wake_at == NEVER:
+                await self.wake.wait()
+                continue
             with trio.move_on_at(wake_at):
                 await self.wake.wait()
 
@@ -256,6 +261,8 @@
                     error = await self._stream(message.owner, sub)
             except RelayError as raised:
                 error = raised
+        if error is not None and error.code in OWNER_FAILURES:
+            self._avoid_owner(message.owner)
         if message.left > 0:
             reason, ran = (error.code, error.ran) if error else ("bad_answer", "unknown")
             self._fail_rest(message, reason, ran)
@@ -274,6 +281,14 @@
                 return error
         return None
 
+    def _avoid_owner(self, owner: str) -> None:
+        """Give each replica of an owner a failure, so that not every one has to fail first."""
+        now = trio.current_time()
+        servers = {server for server, one in self.plan.owners.items() if one.instance == owner}
+        for replica in self.state.replicas.values():
+            if replica.server in servers:
+                replica.fail(now)
+
     def _fail_rest(self, message: _Message, reason: str, ran: str) -> None:
         """Fail the targets of a message that ended without results for them."""
         now = trio.current_time()
@@ -451,7 +466,7 @@
         """Hedge the sub-requests that are due; return when the next one is due.
 
         A replica whose slots are all in use gets no hedge: it would wait there as well, and make
-        the queue of a hot shard longer.
+        the queue of a hot shard longer. Nor does one that failed recently.
         """
         delay = self.state.latencies.delay()
         if delay is None or not self.row.hedge or not self.open:
@@ -469,8 +484,8 @@
                 self.hedge_from = min(self.hedge_from, sent_at)
                 continue
             shard.hedged = True
-            idle = [replica for replica in self._untried(shard) if not replica.queues(now)]
-            replica = choose_replica(idle, now, self.ports.rng)
+            suited = [replica for replica in self._untried(shard) if replica.suits_hedge(now)]
+            replica = choose_replica(suited, now, self.ports.rng)
             if replica is not None and self._pay(FULL_PRICE, now):
                 wave.append((shard, replica))
         next_from = self.hedge_from
--- a/tests/node/entry.feature
+++ b/tests/node/entry.feature
@@ -70,6 +70,13 @@
     When 3 queries run one after the other under policy "coverage"
     Then each answer misses only shard "h3" with reason "deadline"
 
+  Scenario: An owner that cannot be reached is avoided from the next query on
+    Guards against a failed instance that costs each query one try for each of its servers.
+    Given an owner "b" that cannot be reached
+    When 15 queries run one after the other under policy "tail"
+    Then 15 answers miss nothing
+    And only the first query asks owner "b"
+
   Scenario: A long query asks again when its sub-requests have expired
     Guards against sub-requests that outlive a takeover, and against a silent owner that holds a
     shard until the end of the query.
--- a/tests/steps/entry_fakes.py
+++ b/tests/steps/entry_fakes.py
@@ -31,6 +31,7 @@
 __all__ = [
     "BODY",
     "SHARDS",
+    "Members",
     "fake_hits",
     "fake_payload",
     "make_entry",
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -10,6 +10,7 @@
 from entry_fakes import (
     BODY,
     SHARDS,
+    Members,
     fake_hits,
     fake_payload,
     make_entry,
@@ -183,6 +184,28 @@
     assert (context.error.code, context.error.ran) == (code, ran), context.error
 
 
+@given('an owner "{name}" that cannot be reached')
+def entry_lost_owner(context, name):
+    def answer(target, sub):
+        if Members().owner(target.searcher.split("/")[0]).instance == name:
+            raise RelayError("peer_unavailable", "closed", ran="not_run")
+        return 0.01, [ok_result(target, sub)]
+
+    context.answer = answer
+
+
+@then('only the first query asks owner "{name}"')
+def entry_owner_avoided(context, name):
+    askers = [
+        sub.query_id.split("/")[0]
+        for sub in context.owners.subs
+        for target in sub.targets
+        if Members().owner(target.searcher.split("/")[0]).instance == name
+    ]
+    assert set(askers) == {"r0"}, askers
+    assert len(askers) < SHARDS
+
+
 @given("owners of shard {shard} that are silent until a query has waited {seconds:g} s")
 def entry_silent_owner(context, shard, seconds):
     context.sent = []
