--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -4,12 +4,12 @@
 import itertools
 import random
 
-from behave import then, when
+from behave import given, then, when
 from hypothesis import given as hypothesis_given
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from rattanrelay.decide.lease import MAX_SUBREQUEST_S, decode_view, encode_view
+from rattanrelay.decide.lease import MAX_SUBREQUEST_S, RestoreWait, decode_view, encode_view
 from rattanrelay.decide.membership import Beat, Fetch, Membership, Propose, ReadStore
 from rattanrelay.decide.ownership import Member
 from rattanrelay.decide.succession import with_stopped
@@ -36,6 +36,7 @@
         #: True start and end of the last work by server.
         self.work = {}
         self.store_busy_until = 0.0
+        self.restore_wait = RestoreWait()
 
     def clock(self):
         return self.offset + self.rate * self.world.now
@@ -85,6 +86,8 @@
         self.numbers = itertools.count(1)
         self.processes = []
         self.stored = (0, None)
+        #: All values that the store had.
+        self.values = []
         self.store_down = False
         self.store_answers = 1.0
         #: Addresses of the processes that do not reach the store.
@@ -126,7 +129,10 @@
             return
         self.at(TICK_S / process.rate, self.tick, process)
         if not process.frozen:
+            process.core.list_instances(other.member.address for other in self.live())
             self.carry_out(process, process.core.tick(process.clock()))
+            if self.stored[1] and process.core.chosen("watch", 2, process.clock()):
+                self.at(self.delay(), self.hand_over, process, self.write_back, ())
             process.dispatch()
 
     def kill(self, process):
@@ -237,7 +243,9 @@
             self.carry_out(process, process.core.stored(view, process.clock()))
         elif view is not None and view.epoch > effect.base:
             self.carry_out(process, process.core.learn(view, process.clock()))
-        else:
+        elif effect.base > (view.epoch if view else 0):
+            self.write_back(process)
+        elif view is None or process.restore_wait.over(view, version, process.clock()):
             process.store_busy_until = self.now + STORE_TIMEOUT_S
             self.at(self.delay(), self.swap, process, version, effect.view)
 
@@ -247,12 +255,27 @@
         applied = self.stored[0] == version
         if applied:
             self.stored = (version + 1, encode_view(view))
+            self.values.append(self.stored[1])
         self.answer(process, self.on_swapped, (self.stored[1],))
 
     def on_swapped(self, process, data):
         process.store_busy_until = 0.0
         self.on_view(process, data)
 
+    def revert(self, steps):
+        """Restore a backup of the store; members that watch it write their view back."""
+        if self.values:
+            self.stored = (self.stored[0] + 1, self.values[-1 - steps % len(self.values)])
+
+    def write_back(self, process):
+        version, data = self.stored
+        view = process.core.view
+        cut = self.store_down or process.member.address in self.store_cuts
+        if view is None or cut:
+            return
+        if decode_view(data).epoch < view.epoch:
+            self.stored = (version + 1, encode_view(view._replace(restored=True)))
+
     def confirm_stopped(self, dead):
         """An operator states that the lost processes of an instance have stopped, if it is true."""
         name = dead.member.instance
@@ -292,11 +315,12 @@
     def all_owned(self):
         return all(len(found) == 1 for found in self.owners().values())
 
-    def seconds_until_owned(self, limit):
+    def seconds_until_owned(self, limit, *, confirm=False):
         begin = self.now
         while not self.all_owned() and self.now < begin + limit:
-            self.run(0.5)
-            self.confirm_all()
+            self.run(0.1)
+            if confirm:
+                self.confirm_all()
         assert self.all_owned(), self.describe()
         return self.now - begin
 
@@ -357,6 +381,8 @@
     elif kind == "store":
         world.store_down = first % 3 == 0
         world.store_answers = (1.0, 0.5, 0.0)[second % 3]
+    elif kind == "revert":
+        world.revert(first % 8)
     elif kind == "confirm":
         dead = [process for process in world.processes if not process.alive]
         if dead:
@@ -400,7 +426,7 @@
 
 
 OPERATIONS = [
-    *("start", "kill", "restart", "replace", "leave", "return", "confirm"),
+    *("start", "kill", "restart", "replace", "leave", "return", "confirm", "revert"),
     *("freeze", "cut", "split", "heal", "loss", "store") * 2,
 ]
 SCHEDULES = st.lists(
@@ -429,8 +455,7 @@
         _apply(world, kind, first, second)
         world.run(gap)
     _end_faults(world)
-    world.confirm_all()
-    world.seconds_until_owned(SETTLE_S)
+    world.seconds_until_owned(SETTLE_S, confirm=True)
     return world
 
 
@@ -449,3 +474,137 @@
 @then("at least {count:d} dispatches were checked for a second owner")
 def enough_checks(context, count):
     assert context.checks >= count, context.checks
+
+
+# Single faults in a cell of processes with three domains.
+
+
+@given("a simulated cell of {count:d}")
+def simulated_cell(context, count):
+    context.world = _cell(count, count)
+    context.world.seconds_until_owned(10.0)
+    context.epoch = _epoch(context.world)
+    context.owned = context.world.owners()
+    context.killed = []
+
+
+def _epoch(world):
+    return decode_view(world.stored[1]).epoch
+
+
+def _kill(context, process):
+    context.world.kill(process)
+    context.killed.append(process)
+
+
+@when("a process is killed")
+def kill_one(context):
+    _kill(context, context.owned[SERVERS[0]][0])
+
+
+@when("a process leaves gracefully")
+def leave_one(context):
+    process = context.owned[SERVERS[0]][0]
+    process.core.want(False, process.clock())
+
+
+@when("the simulated store goes down")
+def store_down(context):
+    context.world.store_down = True
+
+
+@when("the simulated store comes back")
+def store_up(context):
+    context.world.store_down = False
+
+
+@when("{seconds:d} simulated seconds pass")
+def pass_time(context, seconds):
+    context.world.run(seconds)
+
+
+@when("two of three domains are killed")
+def kill_domains(context):
+    for process in context.world.live():
+        if process.member.failure_domain != "domain-0":
+            _kill(context, process)
+
+
+@when("the killed processes start again at their addresses")
+def restart_killed(context):
+    for process in context.killed:
+        context.world.start(process.member.instance, process.member.address)
+
+
+@when("the operator confirms that the killed processes have stopped")
+def confirm_killed(context):
+    context.world.confirm_all()
+
+
+@when("one of three domains is cut off")
+def cut_domain(context):
+    world = context.world
+    for process in world.live():
+        for other in world.live():
+            domains = {process.member.failure_domain, other.member.failure_domain}
+            if "domain-0" in domains and len(domains) == 2:
+                world.cuts.add((process.member.address, other.member.address))
+
+
+@when("one process no longer reaches another one")
+def cut_one_way(context):
+    one, other = context.world.live()[2:4]
+    context.world.cuts.add((one.member.address, other.member.address))
+
+
+@when("a process crashes and restarts {count:d} times")
+def crash_repeatedly(context, count):
+    world = context.world
+    for _ in range(count):
+        process = world.live()[0]
+        world.kill(process)
+        world.start(process.member.instance, process.member.address)
+        world.run(0.7)
+
+
+@then("each server has one owner within {limit:f} simulated seconds")
+def owned_in_time(context, limit):
+    seconds = context.world.seconds_until_owned(limit)
+    assert seconds <= limit, seconds
+
+
+@then("the epoch is as before")
+def same_epoch(context):
+    assert _epoch(context.world) == context.epoch
+
+
+@then("the live processes own the servers that they owned before")
+def still_owned(context):
+    owners = context.world.owners()
+    kept = [server for server, (process,) in context.owned.items() if process.alive]
+    assert kept and all(owners[server] == context.owned[server] for server in kept), owners
+
+
+@then("the servers of the killed processes have no owner")
+def not_owned(context):
+    owners = context.world.owners()
+    lost = [server for server, (process,) in context.owned.items() if not process.alive]
+    assert lost and not any(owners[server] for server in lost), owners
+
+
+@then("no process of the domain that is cut off may dispatch")
+def cut_off_is_silent(context):
+    dispatching = [process for found in context.world.owners().values() for process in found]
+    assert not any(process.member.failure_domain == "domain-0" for process in dispatching)
+
+
+@then("the view has changed at most {count:d} times")
+def few_changes(context, count):
+    changes = _epoch(context.world) - context.epoch
+    assert changes <= count, changes
+
+
+@then("the stored view lists at most {views:d} earlier views and {departed:d} departed members")
+def small_view(context, views, departed):
+    view = decode_view(context.world.stored[1])
+    assert len(view.history) <= views and len(view.departed) <= departed, view
