--- a/rattanrelay/load/runner.py
+++ b/rattanrelay/load/runner.py
@@ -12,7 +12,7 @@
 from .arrivals import Arrival, Phase, arrivals
 from .recorder import Recorder
 
-__all__ = ["LoadPlan", "run_load"]
+__all__ = ["Clients", "LoadPlan", "run_load"]
 
 #: Time beyond the request's own timeout after which the client gives up, in seconds.
 ANSWER_GRACE_S = 5.0
@@ -33,13 +33,14 @@
     distinct: int = 50
 
 
-class _Clients:
-    """Idle connections by target."""
+class Clients:
+    """Sends requests over connections that are kept by target."""
 
     def __init__(self) -> None:
         self.idle: dict[str, list[HttpConnection]] = {}
 
     async def send(self, target: str, request: Request) -> Response:
+        """Send one request; raises `RelayError`."""
         waiting = self.idle.setdefault(target, [])
         connection = waiting.pop() if waiting else await self._open(target)
         try:
@@ -58,14 +59,15 @@
         return await HttpConnection.open(host, int(port))
 
     async def aclose(self) -> None:
+        """Close all idle connections."""
         for connection in itertools.chain(*self.idle.values()):
             await connection.aclose()
 
 
-async def run_load(plan: LoadPlan) -> Recorder:
+async def run_load(plan: LoadPlan, *, clients: Clients | None = None) -> Recorder:
     """Run a plan and return what was recorded."""
     recorder = Recorder()
-    clients = _Clients()
+    clients = clients or Clients()
     targets = itertools.cycle(plan.targets)
     start = trio.current_time()
     schedule = arrivals(list(plan.phases), plan.shares, Random(plan.seed))
@@ -79,7 +81,7 @@
 
 async def _send(
     plan: LoadPlan,
-    clients: _Clients,
+    clients: Clients,
     target: str,
     arrival: Arrival,
     start: float,
