--- a/rattanrelay/decide/selection.py
+++ b/rattanrelay/decide/selection.py
@@ -18,6 +18,8 @@
 FAILURE_PENALTY_S = 0.25
 MAX_PENALTY_S = 2.0
 PENALTY_HALF_LIFE_S = 1.0
+#: A failure is recent while at least this penalty is left of it, in seconds.
+RECENT_FAILURE_S = 0.05
 #: Load reports may lower the weight to this part of the row's weight.
 MIN_REPORT_WEIGHT = 0.1
 CHOICES = 2
@@ -39,12 +41,15 @@
         "report_weight",
         "row_weight",
         "server",
+        "slots",
     )
 
     def __init__(self, name: str, server: str, row_weight: float = 1.0) -> None:
         self.name = name
         self.server = server
         self.row_weight = row_weight
+        #: Slots of the row.
+        self.slots = 1
         self.report_weight = 1.0
         self.latency = INITIAL_LATENCY_S
         self.load = 0
@@ -71,10 +76,15 @@
             self.observed_at = now
 
     def note_load(self, load: int, limit: int, now: float) -> None:
-        """Take over the work in flight and queued at the owner, and the slots allowed now."""
+        """Take over the work in flight and queued at the owner, and the slots allowed now.
+
+        Fewer slots than the row's, as of a cold or shedding server, lower the weight.
+        """
         self.load = load
         self.limit = limit
         self.load_at = now
+        if limit:
+            self.report(limit / self.slots)
 
     def current_load(self, now: float) -> float:
         """Return the decayed load at the owner, at least this instance's own part of it."""
@@ -100,6 +110,10 @@
             return 0.0
         return self.penalty * 0.5 ** ((now - self.penalty_at) / PENALTY_HALF_LIFE_S)
 
+    def suits_hedge(self, now: float) -> bool:
+        """Say whether a hedge may help: a slot is free and no failure is recent."""
+        return not self.queues(now) and self.penalty_left(now) < RECENT_FAILURE_S
+
     def cost(self, now: float) -> float:
         """Return the expected cost of one more sub-request; lower is better."""
         fresh = 0.5 ** ((now - self.observed_at) / OBSERVATION_HALF_LIFE_S)
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -30,10 +30,16 @@
 #: Reasons that say nothing about the searcher itself, or no more than its load does. A penalty for
 #: a full queue would move all work to the other replicas and fill their queues in turn.
 NO_PENALTY = CONGESTION | {"request_blocked", "request_suspect", "snapshot_gone"}
+#: Errors of a whole message that hold for each replica of its owner.
+OWNER_FAILURES = frozenset({"connect_failed", "no_quorum", "peer_unavailable", "stopping"})
 #: Reasons by which a canary may have crashed its server.
 CANARY_LOST = frozenset({"connection_lost", "request_suspect"})
 
 NEVER = float("inf")
+#: Longest time a sub-request may run, in seconds; takeovers wait for it (design 2.1).
+MAX_SUBREQUEST_S = 2.0
+#: Time after the deadline of a sub-request in which its owner's answer may still arrive.
+EXPIRE_MARGIN_S = 0.05
 #: First wait before all replicas of a shard are tried again; it doubles with each round.
 BACKOFF_S = 0.02
 MAX_BACKOFF_S = 0.5
@@ -60,10 +66,12 @@
 class _Message:
     """A message to an owner; `left` counts the targets that are still wanted."""
 
-    __slots__ = ("left", "owner", "scope")
+    __slots__ = ("deadline", "left", "owner", "scope", "targets")
 
-    def __init__(self, owner: str) -> None:
+    def __init__(self, owner: str, deadline: float) -> None:
         self.owner = owner
+        self.deadline = deadline
+        self.targets: list[Target] = []
         self.left = 0
         self.scope = trio.CancelScope()
 
@@ -106,7 +114,7 @@
         row: ServiceRow,
         state: ServiceState,
         ports: ScatterPorts,
-        deadline_ms: int,
+        unix_offset: float,
         may_restart: Callable[[float], bool] = lambda now: False,
         may_have_run: bool = False,
     ) -> None:
@@ -117,7 +125,11 @@
         self.row = row
         self.state = state
         self.ports = ports
-        self.deadline_ms = deadline_ms
+        #: Unix time minus trio time, in seconds.
+        self.unix_offset = unix_offset
+        self.deadline = 0.0
+        #: Messages whose sub-requests must end before the query does.
+        self.limited: list[_Message] = []
         self.may_restart = may_restart
         self.shards = {planned.name: _Shard(planned) for planned in plan.shards}
         self.gather = Gather(query_id, plan.snapshot, self.shards, query.limit)
@@ -143,12 +155,13 @@
         `canary` is the fingerprint of a query that must be proven on one shard first. Raises
         `request_blocked`, or the reason for which no canary could run.
         """
-        with trio.move_on_at(deadline):
-            async with trio.open_nursery() as self.nursery:
-                if not canary or await self._prove(canary):
-                    self._launch_first()
-                    await self._drive()
-                self.nursery.cancel_scope.cancel()
+        self.deadline = deadline
+        async with trio.open_nursery() as self.nursery:
+            self.nursery.cancel_scope.deadline = deadline
+            if not canary or await self._prove(canary):
+                self._launch_first()
+                await self._drive()
+            self.nursery.cancel_scope.cancel()
         self._close()
         if self.error is not None:
             raise self.error
@@ -176,12 +189,16 @@
         """Wait until all shards are settled; send hedges and retries when they are due."""
         while not self._settled():
             now = trio.current_time()
+            expire_at = self._expire(now)
             self._send_retries(now)
             hedge_at = self._send_hedges(now)
-            wake_at = min([hedge_at, *(due for due, _ in self.retries)])
+            wake_at = min([hedge_at, expire_at, *(due for due, _ in self.retries)])
             if self._settled():
                 return
             self.wake = trio.Event()
+            if wake_at == NEVER:
+                await self.wake.wait()
+                continue
             with trio.move_on_at(wake_at):
                 await self.wake.wait()
 
@@ -195,16 +212,17 @@
     def _launch(
         self, wave: Iterable[tuple[_Shard, Replica]], kind: str, now: float, canary: bool = False
     ) -> None:
-        groups: dict[str, tuple[_Message, list[Target]]] = {}
+        messages: dict[str, _Message] = {}
+        deadline = min(self.deadline, now + MAX_SUBREQUEST_S)
         owners = self.plan.owners
         count = 0
         for shard, replica in wave:
             owner = owners[replica.server].instance
-            group = groups.get(owner)
-            if group is None:
-                group = groups[owner] = (_Message(owner), [])
-            group[1].append(Target(shard.planned.name, replica.name))
-            shard.attempts.append(_Attempt(replica, group[0], now))
+            message = messages.get(owner)
+            if message is None:
+                message = messages[owner] = _Message(owner, deadline)
+            message.targets.append(Target(shard.planned.name, replica.name))
+            shard.attempts.append(_Attempt(replica, message, now))
             shard.tried.append(replica)
             shard.first_sent = shard.first_sent or now
             replica.outstanding += 1
@@ -213,21 +231,22 @@
             self.hedge_from = min(self.hedge_from, now)
         self.open += count
         self.sent[kind] += count
-        for message, targets in groups.values():
-            message.left = len(targets)
-            sub = self._sub_query(tuple(targets), kind, canary)
-            self.nursery.start_soon(self._ask, message, sub)
+        for message in messages.values():
+            message.left = len(message.targets)
+            self.nursery.start_soon(self._ask, message, self._sub_query(message, kind, canary))
+        if deadline < self.deadline:
+            self.limited += messages.values()
 
-    def _sub_query(self, targets: tuple[Target, ...], kind: str, canary: bool) -> SubQuery:
+    def _sub_query(self, message: _Message, kind: str, canary: bool) -> SubQuery:
         return SubQuery(
             self.query_id,
             self.query.service,
             self.plan.snapshot,
             self.query.tenant,
             self.query.body,
-            self.deadline_ms,
+            int((self.unix_offset + message.deadline) * 1000),
             self.epoch,
-            targets,
+            tuple(message.targets),
             kind,
             canary,
         )
@@ -242,9 +261,11 @@
                     error = await self._stream(message.owner, sub)
             except RelayError as raised:
                 error = raised
+        if error is not None and error.code in OWNER_FAILURES:
+            self._avoid_owner(message.owner)
         if message.left > 0:
             reason, ran = (error.code, error.ran) if error else ("bad_answer", "unknown")
-            self._fail_rest(message, sub.targets, reason, ran)
+            self._fail_rest(message, reason, ran)
 
     async def _stream(self, owner: str, sub: SubQuery) -> RelayError | None:
         """Receive the results of a message; returns the error that ended them.
@@ -260,10 +281,18 @@
                 return error
         return None
 
-    def _fail_rest(self, message, targets: tuple[Target, ...], reason: str, ran: str) -> None:
+    def _avoid_owner(self, owner: str) -> None:
+        """Give each replica of an owner a failure, so that not every one has to fail first."""
+        now = trio.current_time()
+        servers = {server for server, one in self.plan.owners.items() if one.instance == owner}
+        for replica in self.state.replicas.values():
+            if replica.server in servers:
+                replica.fail(now)
+
+    def _fail_rest(self, message: _Message, reason: str, ran: str) -> None:
         """Fail the targets of a message that ended without results for them."""
         now = trio.current_time()
-        for target in targets:
+        for target in message.targets:
             shard = self.shards[target.shard]
             for attempt in shard.attempts:
                 if attempt.message is message:
@@ -271,6 +300,15 @@
                     break
         self._wake_if_due()
 
+    def _expire(self, now: float) -> float:
+        """Fail sub-requests whose owner is silent after their deadline; return the next time."""
+        for message in self.limited:
+            if message.left and message.deadline + EXPIRE_MARGIN_S <= now:
+                self._fail_rest(message, "deadline", "unknown")
+                message.scope.cancel()
+        self.limited = [message for message in self.limited if message.left]
+        return min((one.deadline + EXPIRE_MARGIN_S for one in self.limited), default=NEVER)
+
     # Results.
 
     async def _receive(self, batch: ShardResults) -> None:
@@ -428,7 +466,7 @@
         """Hedge the sub-requests that are due; return when the next one is due.
 
         A replica whose slots are all in use gets no hedge: it would wait there as well, and make
-        the queue of a hot shard longer.
+        the queue of a hot shard longer. Nor does one that failed recently.
         """
         delay = self.state.latencies.delay()
         if delay is None or not self.row.hedge or not self.open:
@@ -446,8 +484,8 @@
                 self.hedge_from = min(self.hedge_from, sent_at)
                 continue
             shard.hedged = True
-            idle = [replica for replica in self._untried(shard) if not replica.queues(now)]
-            replica = choose_replica(idle, now, self.ports.rng)
+            suited = [replica for replica in self._untried(shard) if replica.suits_hedge(now)]
+            replica = choose_replica(suited, now, self.ports.rng)
             if replica is not None and self._pay(FULL_PRICE, now):
                 wave.append((shard, replica))
         next_from = self.hedge_from
