Take only members that do not answer at all as stopped on confirmation

An instance outside the view sees no acknowledgements of its epoch, so all members were suspect to it and a confirmation there could declare a live process as ended.

--- a/rattanrelay/decide/membership.py
+++ b/rattanrelay/decide/membership.py
@@ -157,6 +157,10 @@
         """Return the members that have not acknowledged the epoch for too long."""
         return [member for member in self._others() if self._silence(member, now) > SUSPECT_AFTER_S]
 
+    def silent(self, now: float) -> list[Member]:
+        """Return the suspects that have not answered at all, whatever epoch they are at."""
+        return [member for member in self.suspects(now) if not self._touched(member.identity, now)]
+
     def live(self, now: float) -> list[Member]:
         """Return the members that are not suspect, this process included."""
         suspects = self.suspects(now)
--- a/rattanrelay/decide/succession.py
+++ b/rattanrelay/decide/succession.py
@@ -41,14 +41,14 @@
 
 
 def with_stopped(
-    view: View, instance: str, suspects: Iterable[Member], evidence: Evidence, now: float
+    view: View, instance: str, silent: Iterable[Member], evidence: Evidence, now: float
 ) -> View:
     """Return the next view after an operator confirmed that an instance has stopped.
 
-    This concerns its departed processes, and its process in the view if that one is suspect: a
+    This concerns its departed processes, and its process in the view if that one is silent: a
     live process of the same instance is a later one that has replaced them.
     """
-    gone = [member for member in suspects if member.instance == instance]
+    gone = [member for member in silent if member.instance == instance]
     members = [member for member in view.members if member not in gone]
     departed = tuple(
         entry._replace(gone=True) if entry.member.instance == instance else entry
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -172,7 +172,7 @@
     async def confirm_stopped(self, instance: str) -> View:
         """Record the operator's statement that the lost processes of an instance have stopped.
 
-        It holds for departed processes and for a member that is suspect. Raises `not_ready`,
+        It holds for departed processes and for a member that does not answer. Raises `not_ready`,
         `store_unavailable` or `version_conflict`.
         """
         for _ in range(CONFIRM_ATTEMPTS):
@@ -188,8 +188,8 @@
                 await trio.sleep(CONFIRM_RETRY_S)
                 continue
             now = trio.current_time()
-            suspects = self.core.suspects(now)
-            target = with_stopped(view, instance, suspects, self.core.evidence, now)
+            silent = self.core.silent(now)
+            target = with_stopped(view, instance, silent, self.core.evidence, now)
             if await self._write(target, entry):
                 event("members.confirmed_stopped", instance=instance, epoch=target.epoch)
                 return target
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -293,12 +293,12 @@
             core = process.core
             if core.view is None or process.frozen:
                 continue
-            suspects = core.suspects(process.clock())
-            lost = [*suspects, *(entry.member for entry in core.view.departed)]
+            silent = core.silent(process.clock())
+            lost = [*silent, *(entry.member for entry in core.view.departed)]
             lost = [member for member in lost if member.instance == name]
             if any(other.member in lost for other in self.live()):
                 continue
-            view = with_stopped(core.view, name, suspects, core.evidence, process.clock())
+            view = with_stopped(core.view, name, silent, core.evidence, process.clock())
             self.use_store(process, Propose(core.epoch, view))
             return
 
