Share small limits by average use; count long waits in the owner's queue as late

Cause: with 4 to 6 entries in front of one service at twice its capacity each has a limit of 3 to 5 places. There 82% to 88% of the capacity were full answers, and a tenant that offers 40% of the capacity got 58% to 64% of its queries through: instantaneous shares of 2 places refuse its bursts, admission waits of 50 ms used up the soft deadline, and the limit saw congestion only when shards were already missing. Change: shares follow the average use over about a second and keep places that others wanted recently; waits are at most 25 ms; a wait of more than 2 warm latencies in the owner's queue is a late signal; the limit rises by 0.4 each 0.1 s. Not solved: bursts beyond a share of 2 places are still refused.

--- a/rattanrelay/decide/admission.py
+++ b/rattanrelay/decide/admission.py
@@ -11,15 +11,23 @@
 MAX_LIMIT = 1000.0
 #: The limit changes at most once in this time, in seconds.
 WINDOW_S = 0.1
-#: Queries added to the limit in a window without congestion.
-INCREASE = 1.0
+#: Queries added to the limit in a window without congestion. All instances raise their limits at
+#: once, so a whole query each would overshoot the capacity of a small service.
+INCREASE = 0.4
 #: Above this share of refused or late sub-requests the limit does not rise.
 CONGESTED_SHARE = 0.05
 #: Longest wait for admission, in seconds.
-MAX_WAIT_S = 0.05
+MAX_WAIT_S = 0.025
+#: Queries of one tenant that may wait even if its share of the limit is smaller.
+MIN_WAITING = 4
 #: A wait takes at most this part of the time left until the deadline.
 MAX_WAIT_SHARE = 0.25
 
+#: Half-life of a tenant's average use, and of the places that are kept for it, in seconds.
+SHARE_HALF_LIFE_S = 1.0
+#: A tenant that wants less than this many places is not active.
+MIN_DEMAND = 0.25
+
 #: Time constant of the overload signals, in seconds.
 OVERLOAD_MEMORY_S = 1.0
 #: The service is overloaded while more than this share of its sub-requests is refused.
@@ -47,24 +55,18 @@
         """Note how many queries are in flight."""
         self.peak = max(self.peak, in_flight)
 
-    def finished(
-        self, sub_requests: int, signals: int, now: float, *, overloaded: bool = False
-    ) -> None:
-        """Take over the congestion signals of a query; adapts the limit once in a window.
-
-        While the service is overloaded the limit does not rise: sub-requests already wait in the
-        owners' queues, and longer queues only make them late.
-        """
+    def finished(self, sub_requests: int, signals: int, now: float) -> None:
+        """Take over the congestion signals of a query; adapts the limit once in a window."""
         self.sub_requests += sub_requests
         self.signals += signals
         if now - self.window_start >= WINDOW_S and self.sub_requests:
-            self._adapt(now, overloaded)
+            self._adapt(now)
 
-    def _adapt(self, now: float, overloaded: bool) -> None:
+    def _adapt(self, now: float) -> None:
         share = min(1.0, self.signals / self.sub_requests)
         used = self.peak >= self.value / 2
         self.value *= 1.0 - share / 2
-        if used and not overloaded and share <= CONGESTED_SHARE:
+        if used and share <= CONGESTED_SHARE:
             self.value += INCREASE
         self.value = min(MAX_LIMIT, max(MIN_LIMIT, self.value))
         self.window_start = now
@@ -119,23 +121,58 @@
 
 
 class _Tenant:
-    """Queries of one tenant."""
+    """Queries of one tenant, its recent use and the places that it wanted recently."""
 
-    __slots__ = ("cap", "in_flight", "waiting", "weight")
+    __slots__ = ("average", "cap", "in_flight", "seen_at", "waiting", "wanted", "weight")
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
         self.weight = 1.0
         self.cap = 1
         self.in_flight = 0
         self.waiting: deque[Ticket] = deque()
+        #: Decayed average of `in_flight` and decayed peak of the places wanted, at `seen_at`.
+        self.average = 0.0
+        self.wanted = 0.0
+        self.seen_at = now
+
+    def see(self, now: float) -> None:
+        """Bring the average and the peak up to date; called before `in_flight` changes."""
+        if now <= self.seen_at:
+            return
+        factor = 0.5 ** ((now - self.seen_at) / SHARE_HALF_LIFE_S)
+        self.average = self.average * factor + self.in_flight * (1.0 - factor)
+        self.wanted = max(self.wanted * factor, self.in_flight + len(self.waiting))
+        self.seen_at = now
+
+    def enter(self, now: float) -> None:
+        """Take a place."""
+        self.see(now)
+        self.in_flight += 1
+
+    def leave(self, now: float) -> None:
+        """Give a place back."""
+        self.see(now)
+        self.in_flight -= 1
+
+    def wait(self, ticket: Ticket, now: float) -> None:
+        """Queue a query."""
+        self.see(now)
+        self.waiting.append(ticket)
+        self.wanted = max(self.wanted, self.in_flight + len(self.waiting))
+
+    def demand(self) -> float:
+        """Return the places wanted recently, at most the cap."""
+        return min(self.cap, self.wanted)
 
 
 class Admission:
     """Admits queries of one service up to a limit and shares it between tenants.
 
-    While the limit is used up, the next free place goes to the waiting tenant with the fewest
-    queries in flight for its weight (weighted max-min). Places that no other tenant wants may be
-    used by any tenant up to its cap.
+    While the limit is used up, the next free place goes to the waiting tenant with the least
+    average use for its weight (weighted max-min). The average is taken over about a second, since
+    a limit of a few places cannot be divided at each moment. A tenant above its share leaves free
+    what others wanted recently of theirs: waits are short, so a tenant whose queries come at
+    random would otherwise seldom meet a free place. Any tenant may use all other places.
     """
 
     def __init__(self) -> None:
@@ -147,7 +184,7 @@
         """Return a ticket that is admitted, waits or is refused."""
         tenant = self.tenants.get(name)
         if tenant is None:
-            tenant = self.tenants[name] = _Tenant()
+            tenant = self.tenants[name] = _Tenant(now)
         tenant.weight = weight
         tenant.cap = cap
         wait = min(MAX_WAIT_S, (deadline - now) * MAX_WAIT_SHARE)
@@ -155,7 +192,7 @@
         if tenant.in_flight >= tenant.cap:
             return ticket
         ticket.state = "waiting"
-        tenant.waiting.append(ticket)
+        tenant.wait(ticket, now)
         self._fill(now)
         if ticket.state == "waiting" and len(tenant.waiting) > self._queue_bound(tenant):
             self.give_up(ticket)
@@ -165,7 +202,7 @@
         """End an admitted query and admit waiting ones."""
         tenant = self.tenants[ticket.tenant]
         ticket.state = "ended"
-        tenant.in_flight -= 1
+        tenant.leave(now)
         self.in_flight -= 1
         self._fill(now)
 
@@ -181,7 +218,7 @@
             if tenant is None:
                 return
             ticket = tenant.waiting.popleft()
-            self._admit(tenant, ticket)
+            self._admit(tenant, ticket, now)
             if ticket.wake is not None:
                 ticket.wake()
 
@@ -192,22 +229,45 @@
                 tenant.waiting.popleft().state = "refused"
             if not tenant.waiting or tenant.in_flight >= tenant.cap:
                 continue
-            use = tenant.in_flight / tenant.weight
+            tenant.see(now)
+            use = tenant.average / tenant.weight
             if use < best_use:
                 best, best_use = tenant, use
-        return best
+        if best is None or self._may_use(best, now):
+            return best
+        return None
+
+    def _may_use(self, tenant: _Tenant, now: float) -> bool:
+        """Say whether a tenant may use a free place: within its share, or nobody else wants it.
+
+        Only asked for the waiting tenant with the least use of its share: if that one is above
+        its share, so are the others that wait.
+        """
+        if self.in_flight < self.limit.value / 2:
+            return True
+        active = [tenant]
+        for one in self.tenants.values():
+            one.see(now)
+            if one is not tenant and one.demand() >= MIN_DEMAND:
+                active.append(one)
+        unit = self.limit.value / sum(one.weight for one in active)
+        if tenant.average < unit * tenant.weight:
+            return True
+        wanted = (min(one.demand(), unit * one.weight) - one.in_flight for one in active[1:])
+        kept = sum(max(0.0, places) for places in wanted)
+        return self.in_flight + 1 + kept <= self.limit.value
 
-    def _admit(self, tenant: _Tenant, ticket: Ticket) -> None:
+    def _admit(self, tenant: _Tenant, ticket: Ticket, now: float) -> None:
         ticket.state = "admitted"
-        tenant.in_flight += 1
+        tenant.enter(now)
         self.in_flight += 1
         self.limit.started(self.in_flight)
 
     def _queue_bound(self, tenant: _Tenant) -> int:
-        """Return how many queries of a tenant may wait: about its fair share of the limit."""
+        """Return how many queries of a tenant may wait: about its share of the limit."""
         active = (t.weight for t in self.tenants.values() if t.in_flight or t.waiting)
         total = max(tenant.weight, sum(active))
-        return max(1, int(self.limit.value * tenant.weight / total))
+        return max(MIN_WAITING, int(self.limit.value * tenant.weight / total))
 
 
 def tenant_cap(max_in_flight: int, instances: int) -> int:
--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -250,8 +250,7 @@
         total = scatter.sent.total()
         state.overload.note(total, scatter.congested, scatter.queue_us / 1e6, now)
         signals = scatter.congested + scatter.late
-        overloaded = state.overload.holds(row.warm_latency_ms / 1000, now)
-        state.admission.limit.finished(total, signals, now, overloaded=overloaded)
+        state.admission.limit.finished(total, signals, now)
         for kind, count in scatter.sent.items():
             if count:
                 self.metrics.subrequests.add({"service": query.service, "kind": kind}, count)
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -40,6 +40,9 @@
 MAX_SUBREQUEST_S = 2.0
 #: Time after the deadline of a sub-request in which its owner's answer may still arrive.
 EXPIRE_MARGIN_S = 0.05
+#: A sub-request is late if it waited in its owner's queue for this many warm latencies. Waiting
+#: for the deadline to pass would notice congestion only when shards are already missing.
+LATE_QUEUE = 2.0
 #: First wait before all replicas of a shard are tried again; it doubles with each round.
 BACKOFF_S = 0.02
 MAX_BACKOFF_S = 0.5
@@ -141,6 +144,7 @@
         self.congested = 0
         self.late = 0
         self.queue_us = 0
+        self.late_us = row.warm_latency_ms * 1000 * LATE_QUEUE
         #: True once a server may have run a part of the query.
         self.may_have_run = may_have_run
         self.restart = False
@@ -332,6 +336,8 @@
         else:
             return
         self.queue_us += result.queue_us
+        if result.queue_us > self.late_us:
+            self.late += 1
         if result.status != "ok":
             self._refused(shard, attempt, result, now)
             return
