--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -498,7 +498,8 @@
     async def _prove(self, fingerprint: str) -> bool:
         """Run the query on one shard first; True once it succeeded there.
 
-        After a lost server there is one more trial, of kind `suspect`, on another replica.
+        After a lost server there is one more trial, of kind `suspect`, on another replica. When
+        the shard's replicas lack the snapshot, the query restarts with another one.
         """
         failures = self.canary_failures = []
         self.state.budget.earn(1)
@@ -513,6 +514,9 @@
             if self.gather.answered:
                 self.canary_failures = None
                 return True
+            if self._gone(shard) and self.may_restart(trio.current_time()):
+                self.restart = True
+                return False
             lost = sum(reason in CANARY_LOST for reason in failures)
             if "request_blocked" in failures or lost >= MAX_CANARIES_LOST:
                 self._block()
--- a/tests/harness/traffic.py
+++ b/tests/harness/traffic.py
@@ -66,8 +66,10 @@
         resend: int = 2,
         seed: int = 1,
         timeout_ms: int = 1000,
+        distinct_queries: int = DISTINCT_QUERIES,
     ) -> None:
         self.fleet = fleet
+        self.distinct_queries = distinct_queries
         self.query_services = query_services
         self.action_services = action_services
         self.balanced = balanced
@@ -148,7 +150,7 @@
         return self.fleet.balancer if self.balanced else self.fleet.entries[name].caller_client
 
     def _query(self, service: str, chance: random.Random, name: str) -> None:
-        query = {"filter": {"term": f"t{chance.randrange(DISTINCT_QUERIES)}"}, "limit": 5}
+        query = {"filter": {"term": f"t{chance.randrange(self.distinct_queries)}"}, "limit": 5}
 
         def send():
             client = self._client(name)
