Tell a cut connection from a crashed server in canary trials

A canary whose connection broke counted as a lost server. Two cut connections, or two searchers that truncate their answers, therefore blocked an innocent query for BLOCK_S with the statement that it crashes servers (seen in tests/system/coverage.feature: no answer named the shard within 60 s, since every query with its canary there was refused). The owner now waits up to 0.5 s for a status poll: the same boot id means connection_cut, which is no loss; a refused connection, a new boot id or no answer counts as before. The stand-in of tests/node/dispatch.feature changes its boot id when it crashes, as a crashed server does, and a scenario for cut connections is added.

--- a/rattanrelay/emulator/answers.py
+++ b/rattanrelay/emulator/answers.py
@@ -112,3 +112,10 @@
     answer.stream.reset_on_close()
     answer.stream.withheld = WHOLE_ANSWER
     return answer.with_body()
+
+
+@answer_fault("repeated")
+def repeated(answer: Answer) -> Response:
+    """The same answer twice on the connection."""
+    answer.stream.repeats = True
+    return answer.with_body()
--- a/rattanrelay/emulator/gate.py
+++ b/rattanrelay/emulator/gate.py
@@ -39,6 +39,8 @@
         self.withheld: int | None = None
         #: Bytes that are sent instead of the next answer.
         self.replacement: bytes | None = None
+        #: Whether the next answer is sent twice.
+        self.repeats = False
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
         """Wait until the connection is set up, then read."""
@@ -50,6 +52,8 @@
         """Send an answer, or what the faults leave of it."""
         if self.replacement is not None:
             data, self.replacement = self.replacement, None
+        if self.repeats:
+            data, self.repeats = data + data, False
         if self.withheld is None:
             await self.stream.send_all(data)
             return
--- a/rattanrelay/errors.py
+++ b/rattanrelay/errors.py
@@ -83,6 +83,7 @@
 register_code("peer_unavailable", 503, "Another instance does not answer")
 register_code("connect_failed", 503, "A connection could not be opened")
 register_code("connection_lost", 502, "A connection broke before the answer was complete")
+register_code("connection_cut", 502, "A connection broke, but the server did not restart")
 register_code("bad_answer", 502, "A peer sent an answer that does not fit its request")
 register_code("deadline", 504, "The deadline passed before the answer was complete")
 register_code("outcome_unknown", 504, "It is not known whether the request ran")
--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -51,6 +51,9 @@
     def lost(self) -> None:
         """Note a connection that broke while the server worked on a request."""
 
+    async def crashed(self, boot_id: str, since: float) -> bool:
+        """Say whether the server of this boot may have ended; `since` is trio time."""
+
     def dropped(self) -> None:
         """Note an idle connection that the server closed: it may have started anew."""
 
@@ -387,7 +390,20 @@
         else:
             self._free_later(job)
             self.supervisor.lost()
-        job.finish(self.measured(job, Outcome(error.code, error.ran)))
+        outcome = self.measured(job, Outcome(error.code, error.ran))
+        if error.ran != "not_run" and job.on_settled is not None:
+            self.nursery.start_soon(self._settle_broken, job, outcome)
+        else:
+            job.finish(outcome)
+
+    async def _settle_broken(self, job: SubRequest, outcome: Outcome) -> None:
+        """Finish a trial whose connection broke, once it is known whether its server restarted.
+
+        A cut connection to a server that goes on is no sign of a request that crashes servers.
+        """
+        if not await self.supervisor.crashed(job.boot_id, trio.current_time()):
+            outcome = outcome._replace(reason="connection_cut")
+        job.finish(outcome)
 
     def _cancelled(self, request_id: str, response: Response | None) -> None:
         if response is None or response.status != 200:
--- a/rattanrelay/node/server.py
+++ b/rattanrelay/node/server.py
@@ -27,6 +27,9 @@
 #: A leaving searcher counts as back this long after it last said that it leaves; reports lag.
 LEAVING_HOLD_S = 5.0
 
+#: Time after a broken connection in which a status poll may show that the server did not restart.
+CONFIRM_S = 0.5
+
 LEAVING_STATES = frozenset(("leaving", "draining"))
 #: Why a searcher in this state takes no new work.
 REFUSED_STATES = {"leaving": "draining", "lost": "connect_failed", "out": "no_replica"}
@@ -95,6 +98,10 @@
         self.silent_polls = 0
         self.poll_busy_until = 0.0
         self.polled_at = 0.0
+        self.unreachable_at = -1.0
+        #: When the last answered status poll was asked.
+        self.confirmed_at = -1.0
+        self.news = trio.Event()
         self.unconfirmed_since: float | None = None
         self.wake = trio.Event()
         self.owned = True
@@ -188,6 +195,7 @@
 
     def sent(self, job: SubRequest) -> None:
         """Count a sub-request that is being written."""
+        job.boot_id = self.boot_id
         self.around.metrics.subrequests.inc(job.labels)
 
     # What the pool tells
@@ -210,6 +218,16 @@
         """Note a connection that broke while the server worked on a request."""
         self._send("lost", "connection broke during a request")
 
+    async def crashed(self, boot_id: str, since: float) -> bool:
+        """Say whether the server of this boot may have ended; True if it is not known in time."""
+        self.wake.set()
+        with trio.move_on_after(CONFIRM_S):
+            while self.unreachable_at < since:
+                if self.confirmed_at >= since:
+                    return not boot_id or boot_id != self.boot_id
+                await self.news.wait()
+        return True
+
     def dropped(self) -> None:
         """Note an idle connection that the server closed.
 
@@ -222,7 +240,9 @@
     def unreachable(self) -> None:
         """Note a connection that could not be opened."""
         self.poll_busy_until = 0.0
+        self.unreachable_at = trio.current_time()
         self._send("lost", "connection could not be opened")
+        self._tell_news()
 
     # Status polls
 
@@ -252,6 +272,8 @@
             return
         self.silent_polls = 0
         self._note_headers(response)
+        self.confirmed_at = self.polled_at
+        self._tell_news()
         if self.unconfirmed_since is not None and self.polled_at >= self.unconfirmed_since:
             self.unconfirmed_since = None
         try:
@@ -270,6 +292,10 @@
 
     # Evidence
 
+    def _tell_news(self) -> None:
+        news, self.news = self.news, trio.Event()
+        news.set()
+
     def _no_authority(self) -> str:
         if not self.owned:
             return "no_owner"
--- a/rattanrelay/node/subrequest.py
+++ b/rattanrelay/node/subrequest.py
@@ -40,7 +40,7 @@
     `labels` are those of its metrics. `finish` is called once with the outcome that the asker
     sees. `on_settled`, if set, is called once with what became of the work itself, also after the
     asker has given it up. `request_id`, `sent_deadline_ms` and `free_at` are set when the
-    sub-request gets a slot.
+    sub-request gets a slot, `boot_id` (of the server, empty if unknown) when it is written.
     """
 
     def __init__(
@@ -70,6 +70,7 @@
         self.request_id = ""
         self.sent_deadline_ms = 0
         self.free_at = 0.0
+        self.boot_id = ""
         self.finished = False
 
     def finish(self, outcome: Outcome) -> None:
--- a/tests/node/dispatch.feature
+++ b/tests/node/dispatch.feature
@@ -129,6 +129,12 @@
     Then it ran 2 times and 1 entry is shared
     And the results are "a=connection_lost a=connection_lost a=request_blocked a=request_blocked"
 
+  Scenario: A cut connection to a server that goes on is no crash
+    Given a dispatcher with canaries
+    When 4 copies of a request whose connection is cut run as canaries
+    Then it ran 4 times and 0 entry is shared
+    And the results are "a=connection_cut a=connection_cut a=connection_cut a=connection_cut"
+
   Scenario: A crash after the asker has given up still counts
     Given a dispatcher with canaries
     When the asker of a canary that crashes its server later gives up first
--- a/tests/steps/answers_steps.py
+++ b/tests/steps/answers_steps.py
@@ -2,9 +2,11 @@
 
 import itertools
 import time
+from collections import Counter
 
 from behave import given, then, when
 
+from rattanrelay.emulator.answers import ANSWER_FAULTS
 from rattanrelay.emulator.corpus import query_digest
 from tests.harness import Fleet, wait_until
 from tests.harness.traffic import Traffic, check_query_answer
@@ -218,3 +220,144 @@
         assert not check_query_answer(context.fleet, context.service, query, answer)
         asked = {run.snapshot for run in context.fleet.runs() if run.body == query_digest(query)}
         assert asked == {"short-lived", context.old.name}, asked
+
+
+@given('a proxied fleet of "{deployment}" with service "{service}"')
+def proxied_fleet(context, deployment, service):
+    open_fleet(context, deployment, service, proxied_servers=True)
+
+
+def domain_searchers(context):
+    """Return the names of the searchers of the first failure domain."""
+    domain = context.fleet.deployment.servers[0].failure_domain
+    found = context.fleet.searchers().items()
+    return [name for name, one in found if one["failure_domain"] == domain]
+
+
+def wait_answers(context, since, count=ENOUGH):
+    """Wait until callers got answers to queries that they sent after a time."""
+    wait_until(lambda: len(answered(context, since)) >= count, f"{count} answers")
+
+
+def wait_healed(context):
+    """Wait until several answers in turn cover all shards."""
+    start = time.time()
+    wait_until(lambda: len(complete(context, start)) >= ENOUGH, "complete answers again")
+
+
+@when("the answers of one failure domain are spoilt in turn as")
+def spoil_in_turn(context):
+    names = domain_searchers(context)
+    context.spoilt = {}
+    for row in context.table:
+        context.fleet.post("searchers/faults", {"searchers": names}, set={"answer": row["fault"]})
+        start = time.time()
+
+        def done(start=start):
+            runs = context.fleet.runs(start, searchers=names)
+            return [run for run in runs if run.outcome == "done" and run.start >= start]
+
+        wait_until(lambda done=done: len(done()) >= 5, f"5 answers spoilt as {row['fault']}")
+        wait_answers(context, start)
+        context.spoilt[row["fault"]] = done()
+        context.fleet.post("searchers/faults", {}, set={}, reset=True)
+        wait_healed(context)
+
+
+@then("no connection was used again after a spoilt answer")
+def not_used_again(context):
+    assert len(context.spoilt) == len(ANSWER_FAULTS), context.spoilt.keys()
+    for fault, runs in context.spoilt.items():
+        peers = Counter(run.peer for run in runs)
+        assert max(peers.values()) == 1, (fault, peers)
+
+
+@then("no answer claimed more or less than the shards it covers")
+def true_coverage(context):
+    context.traffic.stop()
+    assert not context.traffic.wrong(), context.traffic.wrong()[:3]
+    assert len(answered(context)) >= ENOUGH
+    broken = [one for one in context.traffic.since(0) if not one.status]
+    assert not broken, broken[:3]
+    assert not context.fleet.violations(), context.fleet.violations()[:3]
+
+
+@when("one failure domain suffers in turn")
+def suffer_in_turn(context):
+    names = domain_searchers(context)
+    for row in context.table:
+        disturb, calm = DISTURBANCES[row["disturbance"]]
+        start = time.time()
+        disturb(context, names)
+        wait_answers(context, start)
+        calm(context, names)
+        wait_healed(context)
+
+
+def _post(path, **body):
+    return lambda context, names: context.fleet.post(path, {"searchers": names}, **body)
+
+
+def _proxy(**faults):
+    def change(context, names):
+        context.fleet.platform.set_proxy_faults(*names, **faults)
+
+    return change
+
+
+def _cut(context, names):
+    """Reset all connections of the searchers several times while queries run on them."""
+    for _ in range(5):
+        context.fleet.platform.post("proxies/cut", routes=names)
+        time.sleep(0.1)
+
+
+def _nothing(context, names):
+    pass
+
+
+HEALTHY = _post("searchers/faults", set={}, reset=True)
+
+#: How each disturbance starts and how it ends.
+DISTURBANCES = {
+    "crash": (_post("searchers/crash"), _nothing),
+    "cut": (_cut, _nothing),
+    "partition": (_proxy(black_hole="both"), _proxy()),
+    "shed": (_post("searchers/faults", set={"shed": True}), HEALTHY),
+    "hang": (_post("searchers/faults", set={"hang": True}), HEALTHY),
+    "late": (_post("searchers/faults", set={"straggle": 30.0, "ignore_cancel": True}), HEALTHY),
+    "pieces": (_proxy(piece_bytes=64, piece_gap_ms=0.2), _proxy()),
+    "leave": (_post("searchers/leave"), _post("searchers/return")),
+}
+
+
+@when("both searchers of one shard fail in turn and the shard is named with the reason")
+def shard_without_replica(context):
+    shard = newest(context).shards[0]
+    names = list(shard.searchers)
+    for row in context.table:
+        fault = row["fault"]
+        start = time.time()
+        if fault == "crash":
+            context.fleet.post("searchers/crash", {"searchers": names}, down_ms=3000)
+        else:
+            faults = {fault: True} if fault in ("shed", "hang") else {"answer": fault}
+            context.fleet.post("searchers/faults", {"searchers": names}, set=faults)
+
+        def named(start=start, reason=row["reason"]):
+            gaps = [
+                (gap["shard"], gap["reason"])
+                for one in answered(context, start)
+                for gap in one["coverage"]["missing"]
+            ]
+            return gaps.count((shard.name, reason)) >= 3
+
+        wait_until(named, f"{shard.name} is named with {row['reason']} during {fault}")
+        HEALTHY(context, names)
+        wait_healed(context)
+
+
+@then("no query was refused as one that crashes servers")
+def none_blocked(context):
+    codes = Counter(one.answer.get("code") for one in context.traffic.since(0, "query"))
+    assert not codes["request_blocked"], codes
--- a/tests/steps/dispatch_bench.py
+++ b/tests/steps/dispatch_bench.py
@@ -132,7 +132,9 @@
                 self.violations += 1
             try:
                 await trio.sleep(1e6 if fault == "hang" else self.service_s)
-                if fault == "reset":
+                if fault == "crash":
+                    self.boot_id += "+"
+                if fault in ("reset", "crash"):
                     await trio.aclose_forcefully(stream)
             finally:
                 del self.running[request_id]
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -296,7 +296,7 @@
 @when("{count:d} copies of a request that crashes its server run as canaries of kind {kind}")
 @on_bench
 async def poison(context, bench, count, kind):
-    bench.searcher.fault = lambda body: "reset"
+    bench.searcher.fault = lambda body: "crash"
     for number in range(count):
         name = "canary" if kind == "canary" else ("canary", "suspect")[number % 2]
         query = bench.query(f"q{number}", ["a"], 1.0, canary=True, kind=name)
@@ -305,6 +305,17 @@
     context.shared = bench.dispatcher.blocked()
 
 
+@when("{count:d} copies of a request whose connection is cut run as canaries")
+@on_bench
+async def cut_canaries(context, bench, count):
+    bench.searcher.fault = lambda body: "reset"
+    await trio.sleep(2)
+    for number in range(count):
+        await bench.dispatcher.run(bench.query(f"q{number}", ["a"], 1.0, canary=True), bench.emit)
+        await trio.sleep(1)
+    context.shared = bench.dispatcher.blocked()
+
+
 @then("it ran {count:d} times and {shared:d} entry is shared")
 def poison_ran(context, count, shared):
     assert context.bench.searcher.paths["/search"] == count
@@ -314,7 +325,7 @@
 @when("the asker of a canary that crashes its server later gives up first")
 @on_bench
 async def abandoned_canary(context, bench):
-    bench.searcher.fault = lambda body: "reset"
+    bench.searcher.fault = lambda body: "crash"
     bench.searcher.service_s = 0.2
     bench.searcher.ignores_cancel = True
     with trio.move_on_after(0.1):
