Let a tail service answer at its soft deadline only with enough shards

Cause: right after a start the demo answered with 1 of 20 shards at 115 ms; such an answer is early but of no use to a caller. Change: the service row has min_answered, 0.9 by default; from the soft deadline on that share ends the query, below it the query goes on.

--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -1,6 +1,7 @@
 """The entry side of an instance: one merged answer for each query of a caller."""
 
 import itertools
+import math
 import time
 from collections import Counter
 from random import Random
@@ -16,7 +17,7 @@
 from .plan import Plan, build_plan
 from .ports import ClaimsPort, Configuration, DispatchPort, Latest, MembersPort, PeersPort
 from .query import Answer, Query
-from .scatter import Scatter, ScatterPorts
+from .scatter import NEVER, Scatter, ScatterPorts
 from .service_state import ServiceState
 
 __all__ = ["Entry"]
@@ -152,17 +153,15 @@
     async def _run(
         self, query: Query, row: ServiceRow, state: ServiceState, started: float
     ) -> Answer:
-        deadline = query.deadline
-        if row.policy == "tail":
-            deadline = min(deadline, started + row.soft_deadline_ms / 1000)
+        soft = started + row.soft_deadline_ms / 1000 if row.policy == "tail" else NEVER
         fingerprint = request_fingerprint(query.service, query.body)
         proven = not row.canary or state.proven.holds(fingerprint, started)
-        first = await self._scatter(query, row, state, deadline, "" if proven else fingerprint)
+        first = await self._scatter(query, row, state, soft, "" if proven else fingerprint)
         best = first
         if first.restart:
             proven = proven or first.gather.answered > 0
             canary = "" if proven else fingerprint
-            second = await self._scatter(query, row, state, deadline, canary, first)
+            second = await self._scatter(query, row, state, soft, canary, first)
             best = max(second, first, key=lambda scatter: scatter.gather.answered)
         if row.canary and best.gather.answered:
             state.proven.note(fingerprint, started)
@@ -173,16 +172,20 @@
         query: Query,
         row: ServiceRow,
         state: ServiceState,
-        deadline: float,
+        soft: float,
         canary: str,
         earlier: Scatter | None = None,
     ) -> Scatter:
-        """Run the query against one snapshot; `earlier` was given up for another one."""
+        """Run the query against one snapshot; `earlier` was given up for another one.
+
+        From the trio time `soft` on, the row's share of the shards is enough.
+        """
         now = trio.current_time()
         plan = self._plan(query.service, state, now)
 
         def may_restart(at: float) -> bool:
-            return earlier is None and self._may_restart(query.service, state, plan, deadline - at)
+            left = query.deadline - at
+            return earlier is None and self._may_restart(query.service, state, plan, left)
 
         scatter = Scatter(
             query,
@@ -197,7 +200,8 @@
             may_have_run=earlier is not None and earlier.may_have_run,
         )
         try:
-            await scatter.run(deadline, canary)
+            enough = max(1, math.ceil(row.min_answered * len(plan.shards)))
+            await scatter.run(query.deadline, canary, soft=soft, enough=enough)
         except RelayError:
             state.proven.forget(request_fingerprint(query.service, query.body))
             raise
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -23,7 +23,7 @@
 from .query import Query
 from .service_state import ServiceState
 
-__all__ = ["CONGESTION", "Scatter", "ScatterPorts"]
+__all__ = ["CONGESTION", "NEVER", "Scatter", "ScatterPorts"]
 
 #: Reasons that signal congestion of a service.
 CONGESTION = frozenset({"queue_full", "shedding"})
@@ -131,6 +131,8 @@
         #: Unix time minus trio time, in seconds.
         self.unix_offset = unix_offset
         self.deadline = 0.0
+        self.soft = NEVER
+        self.enough = 0
         #: Messages whose sub-requests must end before the query does.
         self.limited: list[_Message] = []
         self.may_restart = may_restart
@@ -153,13 +155,18 @@
         self.wake = trio.Event()
         self.nursery: trio.Nursery | None = None
 
-    async def run(self, deadline: float, canary: str = "") -> Gather:
+    async def run(
+        self, deadline: float, canary: str = "", *, soft: float = NEVER, enough: int = 0
+    ) -> Gather:
         """Return the gathered results once they are complete or at `deadline` (trio time).
 
+        From the time `soft` on, `enough` answered shards end the query as well.
         `canary` is the fingerprint of a query that must be proven on one shard first. Raises
         `request_blocked`, or the reason for which no canary could run.
         """
         self.deadline = deadline
+        self.soft = soft
+        self.enough = enough
         async with trio.open_nursery() as self.nursery:
             self.nursery.cancel_scope.deadline = deadline
             if not canary or await self._prove(canary):
@@ -196,7 +203,8 @@
             expire_at = self._expire(now)
             self._send_retries(now)
             hedge_at = self._send_hedges(now)
-            wake_at = min([hedge_at, expire_at, *(due for due, _ in self.retries)])
+            soft = self.soft if now < self.soft else NEVER
+            wake_at = min([hedge_at, expire_at, soft, *(due for due, _ in self.retries)])
             if self._settled():
                 return
             self.wake = trio.Event()
@@ -209,6 +217,8 @@
     def _settled(self) -> bool:
         if self.gather.complete or self.restart or self.error is not None:
             return True
+        if self.gather.answered >= self.enough and trio.current_time() >= self.soft:
+            return True
         return not self.open and not self.retries
 
     # Messages to owners.
--- a/rattanrelay/table/columns.py
+++ b/rattanrelay/table/columns.py
@@ -110,6 +110,11 @@
     "services", "soft_deadline_ms", "ms", "When a tail service responds with what it has",
     1, MAX_TIME_MS,
 )  # fmt: skip
+_add(
+    "services", "min_answered", float, "",
+    "Share of the shards that a tail service needs to respond at the soft deadline",
+    minimum=0.0, maximum=1.0,
+)  # fmt: skip
 _count(
     "services", "max_in_flight", "sub-requests", "Sub-requests in flight over the fleet",
     1, MAX_COUNT,
--- a/rattanrelay/table/model.py
+++ b/rattanrelay/table/model.py
@@ -29,7 +29,8 @@
 #: `in` takes work; `out` takes no new work.
 RowState = Literal["in", "out"]
 
-#: `tail` answers at the soft deadline with named gaps; `coverage` retries within the deadline.
+#: `tail` answers from the soft deadline on with named gaps, once it covers `min_answered`;
+#: `coverage` retries within the deadline.
 Policy = Literal["tail", "coverage"]
 
 
@@ -40,6 +41,8 @@
     policy: Policy = "tail"
     timeout_ms: int = 1000
     soft_deadline_ms: int = 100
+    #: Share of the shards, 0 to 1, that a `tail` service needs to answer at the soft deadline.
+    min_answered: float = 0.9
     max_in_flight: int = 1000
     queue: int = 16
     warm_latency_ms: float = 20.0
--- a/tests/node/admin.feature
+++ b/tests/node/admin.feature
@@ -136,7 +136,7 @@
   Scenario: An import that changes a cell that another operator changed is refused
     Given "fleet" has exported "services"
     And "north" has called "PUT" "/v1/table/services/logging/queue" with {"value": 5}
-    When "fleet" imports the export with "logging,tail,1000,100,1000,16" replaced by "logging,tail,1000,100,1000,17"
+    When "fleet" imports the export with "logging,tail,1000,100,0.9,1000,16" replaced by "logging,tail,1000,100,0.9,1000,17"
     Then the answer has status 409 and code "edit_conflict"
     And the answer says "north (revision 8) wrote 5"
 
