--- a/rattanrelay/node/server.py
+++ b/rattanrelay/node/server.py
@@ -194,9 +194,10 @@
         return self.around.weight(tenant)
 
     def sent(self, job: SubRequest) -> None:
-        """Count a sub-request that is being written."""
+        """Note the boot that gets a sub-request; count actions, as the entry counts searches."""
         job.boot_id = self.boot_id
-        self.around.metrics.subrequests.inc(job.labels)
+        if job.kind == "action":
+            self.around.metrics.subrequests.inc(job.labels)
 
     # What the pool tells
 
