--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -172,30 +172,41 @@
     async def confirm_stopped(self, instance: str) -> View:
         """Record the operator's statement that the lost processes of an instance have stopped.
 
-        It holds for departed processes and for a member that does not answer. Raises `not_ready`,
-        `store_unavailable` or `version_conflict`.
+        It holds for departed processes and for a member that does not answer. Raises `not_ready`
+        without a view, `bad_request` if the instance still answers, `store_unavailable` or
+        `version_conflict`.
         """
         for _ in range(CONFIRM_ATTEMPTS):
-            entry, stored = await self._read()
-            if stored is not None:
-                self._learn(stored)
-            view = self.core.view
-            if view is None:
-                raise RelayError("not_ready", "no view yet", step="confirm stopped")
-            if stored is None or stored.epoch < view.epoch:
-                await self._write_back(entry, stored)
-            if stored is None or stored.epoch < view.epoch or not self._may_change(entry, stored):
-                await trio.sleep(CONFIRM_RETRY_S)
-                continue
-            now = trio.current_time()
-            silent = self.core.silent(now)
-            target = with_stopped(view, instance, silent, self.core.evidence, now)
-            if await self._write(target, entry):
-                event("members.confirmed_stopped", instance=instance, epoch=target.epoch)
-                return target
+            view = await self._confirm_once(instance)
+            if view is not None:
+                return view
             await trio.sleep(CONFIRM_RETRY_S)
+        if any(member.instance == instance for member in self.members):
+            raise RelayError("bad_request", f"{instance} still answers", step="confirm stopped")
         raise RelayError("version_conflict", self.key, step="confirm stopped")
 
+    async def _confirm_once(self, instance: str) -> View | None:
+        """Return the view that holds the statement, None if it has to be tried again."""
+        entry, stored = await self._read()
+        if stored is not None:
+            self._learn(stored)
+        view = self.core.view
+        if view is None:
+            raise RelayError("not_ready", "no view yet", step="confirm stopped")
+        if stored is None or stored.epoch < view.epoch:
+            await self._write_back(entry, stored)
+            return None
+        now = trio.current_time()
+        silent = self.core.silent(now)
+        if not _concerns(instance, view, silent):
+            listed = any(member.instance == instance for member in view.members)
+            return None if listed else view
+        target = with_stopped(view, instance, silent, self.core.evidence, now)
+        if not self._may_change(entry, stored) or not await self._write(target, entry):
+            return None
+        event("members.confirmed_stopped", instance=instance, epoch=target.epoch)
+        return target
+
     def document(self) -> Document:
         """Return the adopted view as a document, revision 0 without one."""
         view = self.core.view
@@ -486,3 +497,9 @@
 
 def _revisions(digest: dict[str, int]) -> tuple[DocumentRevision, ...]:
     return tuple(DocumentRevision(name, revision) for name, revision in digest.items())
+
+
+def _concerns(instance: str, view: View, silent: list[Member]) -> bool:
+    """Say whether a process of an instance is lost and not yet known to have ended."""
+    departed = [entry.member for entry in view.departed if not entry.gone]
+    return any(member.instance == instance for member in (*silent, *departed))
--- a/tests/node/members.feature
+++ b/tests/node/members.feature
@@ -89,5 +89,18 @@
     And 4.0 s pass in the cell
     Then each backend server has one owner
 
+  Scenario: An instance that answers cannot be confirmed as stopped
+    Given a running cell of 3 instances
+    When the operator tries to confirm the end of instance 1
+    Then the confirmation fails with "bad_request"
+    And each backend server has one owner
+
+  Scenario: A confirmation right after the end of an instance is not lost
+    Given a running cell of 2 instances
+    When instance 1 is killed
+    And the operator confirms the end of instance 1
+    And 3.0 s pass in the cell
+    Then each backend server has one owner
+
   Scenario: The charts of instances and of the table answer each event in each state
     Then the charts "instance" and "table_revision" leave no event open
--- a/tests/steps/members_node_steps.py
+++ b/tests/steps/members_node_steps.py
@@ -477,6 +477,20 @@
     await cell.node(0).members.confirm_stopped(f"entry-{number:02d}")
 
 
+@when("the operator tries to confirm the end of instance {number:d}")
+@in_cell
+async def try_confirm(context, cell, number):
+    try:
+        await cell.node(0).members.confirm_stopped(f"entry-{number:02d}")
+    except RelayError as error:
+        context.error = error
+
+
+@then('the confirmation fails with "{code}"')
+def confirmation_failed(context, code):
+    assert context.error.code == code, context.error
+
+
 @given("a table in which all rows are in")
 @in_cell
 async def table_in(context, cell):
