--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -7,15 +7,14 @@
 import trio
 
 from ..charts.interpreter import Chart
-from ..decide.lease import RestoreWait, View, decode_view, encode_view, view_key
+from ..decide.lease import View, decode_view, encode_view
 from ..decide.membership import Beat, Effect, Fetch, Membership, Propose, ReadStore
 from ..decide.ownership import Identity, Member
 from ..decide.revision import DigestFeed
 from ..decide.succession import with_stopped
 from ..errors import RelayError
 from ..log import event
-from ..store import Entry, StoreClient
-from ..store.client import ABSENT
+from ..store import StoreClient
 from ..wire import (
     BlockedRequest,
     Document,
@@ -29,6 +28,7 @@
 )
 from .peers import Peers
 from .ports import Latest
+from .view_store import ViewStore
 
 __all__ = ["Members"]
 
@@ -36,8 +36,6 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 FETCH_TIMEOUT_S = 1.0
 STORE_QUEUE = 2
-WATCHERS = 2
-WATCH_PAUSE_S = 1.0
 LEAVE_TIMEOUT_S = 5.0
 CONTACT_EVERY_S = 2.0
 MAX_CONTACTS = 16
@@ -80,8 +78,8 @@
         self.instance = instance
         self.me = Member(instance, incarnation, address, failure_domain)
         self.cell = cell
-        self.key = view_key(cell)
-        self.store = store
+        self.stored = ViewStore(store, cell, lambda: self.core.view, self._learn, self.chosen)
+        self.key = self.stored.key
         self.peers = peers
         self.digest = digest
         self.see_digest = see_digest
@@ -91,7 +89,6 @@
         self.contacts = contacts
         self.core = Membership(self.me, cell, trio.current_time())
         self.feed = DigestFeed()
-        self.restore_wait = RestoreWait()
         self.chart = Chart("instance", instance)
         self.conditions: tuple[str, ...] = ()
         #: The adopted view; waiters see each change.
@@ -143,7 +140,7 @@
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             nursery.start_soon(self._serve_store)
-            nursery.start_soon(self._watch)
+            nursery.start_soon(self.stored.watch)
             task_status.started()
             while True:
                 self._carry_out(self.core.tick(trio.current_time()))
@@ -187,14 +184,14 @@
 
     async def _confirm_once(self, instance: str) -> View | None:
         """Return the view that holds the statement, None if it has to be tried again."""
-        entry, stored = await self._read()
+        entry, stored = await self.stored.read()
         if stored is not None:
             self._learn(stored)
         view = self.core.view
         if view is None:
             raise RelayError("not_ready", "no view yet", step="confirm stopped")
         if stored is None or stored.epoch < view.epoch:
-            await self._write_back(entry, stored)
+            await self.stored.write_back(entry, stored)
             return None
         now = trio.current_time()
         silent = self.core.silent(now)
@@ -202,7 +199,7 @@
             listed = any(member.instance == instance for member in view.members)
             return None if listed else view
         target = with_stopped(view, instance, silent, self.core.evidence, now)
-        if not self._may_change(entry, stored) or not await self._write(target, entry):
+        if not await self.stored.change(target, entry, stored):
             return None
         event("members.confirmed_stopped", instance=instance, epoch=target.epoch)
         return target
@@ -327,7 +324,7 @@
         async for order in self._queue:
             try:
                 if isinstance(order, Propose):
-                    await self._propose(order)
+                    await self.stored.propose(order)
                 elif isinstance(order, ReadStore):
                     await self._refresh()
             except RelayError as error:
@@ -337,7 +334,7 @@
         """Read the view from the store, and from the platform's contacts while outside."""
         if not self.core.is_member:
             await self._ask_contacts()
-        entry, view = await self._read()
+        entry, view = await self.stored.read()
         if entry is not None and view is None:
             return
         before = self.epoch
@@ -364,60 +361,6 @@
             self.fetching.add(instance)
             await self._fetch(instance)
 
-    async def _propose(self, order: Propose) -> None:
-        entry, stored = await self._read()
-        if stored is not None and stored.epoch > order.base:
-            self._learn(stored)
-        elif order.base > (stored.epoch if stored else 0):
-            await self._write_back(entry, stored)
-        elif order.view.epoch > self.epoch and self._may_change(entry, stored):
-            await self._write(order.view, entry)
-
-    def _may_change(self, entry: Entry | None, stored: View | None) -> bool:
-        if stored is None:
-            return True
-        return self.restore_wait.over(stored, entry.version, trio.current_time())
-
-    async def _write_back(self, entry: Entry | None, stored: View | None) -> None:
-        """Put the adopted view into a store that has an older one or none."""
-        view = self.core.view
-        event("members.older_view", stored=stored.epoch if stored else 0, held=view.epoch)
-        await self._write(view._replace(restored=True), entry)
-
-    async def _write(self, view: View, entry: Entry | None) -> bool:
-        """Swap the stored view for `view`; False when another write came first."""
-        expected = entry.version if entry else ABSENT
-        try:
-            await self.store.put(self.key, encode_view(view), expected)
-        except RelayError as error:
-            if error.code == "store_unavailable" and error.ran == "unknown":
-                return await self._settle(view)
-            if error.code != "version_conflict":
-                raise
-            _, stored = await self._read()
-            if stored is not None:
-                self._learn(stored)
-            return False
-        self._learn(view)
-        return True
-
-    async def _settle(self, view: View) -> bool:
-        """Find out by reading back whether an unanswered write took effect."""
-        _, stored = await self._read()
-        if stored is not None:
-            self._learn(stored)
-        return stored == view
-
-    async def _read(self) -> tuple[Entry | None, View | None]:
-        entry = await self.store.get(self.key)
-        if entry is None:
-            return None, None
-        try:
-            return entry, decode_view(entry.value)
-        except msgspec.DecodeError as error:
-            event("members.bad_view", error=str(error), version=entry.version)
-            return entry, None
-
     def _learn(self, view: View) -> bool:
         before = self.epoch
         self._carry_out(self.core.learn(view, trio.current_time()))
@@ -447,47 +390,6 @@
         self.peers.update(known.values())
         self.feed.keep("/".join(member.identity) for member in (*members, *departed))
 
-    # The view in the store.
-
-    async def _watch(self) -> None:
-        """Two members of the cell watch the view; they restore it when the store lost it."""
-        version = ABSENT
-        while True:
-            if not self.chosen("watch", WATCHERS):
-                await trio.sleep(WATCH_PAUSE_S)
-                continue
-            started = trio.current_time()
-            try:
-                entry = await self.store.watch(self.key, version)
-                if entry is not None:
-                    await self._check_stored(entry)
-                    version = entry.version
-                    continue
-                if trio.current_time() < started + WATCH_PAUSE_S:
-                    # A watch that ends early found no such key.
-                    await self._restore()
-            except RelayError as error:
-                event("members.store_error", code=error.code, error=error.message)
-            await trio.sleep(WATCH_PAUSE_S)
-
-    async def _restore(self) -> None:
-        """Write the view to a store that has none."""
-        entry, _ = await self._read()
-        if entry is None and self.core.view is not None:
-            await self._write_back(None, None)
-
-    async def _check_stored(self, entry: Entry) -> None:
-        try:
-            stored = decode_view(entry.value)
-        except msgspec.DecodeError as error:
-            event("members.bad_view", error=str(error), version=entry.version)
-            return
-        view = self.core.view
-        if view is not None and stored.epoch < view.epoch:
-            await self._write_back(entry, stored)
-        else:
-            self._learn(stored)
-
     def _count(self, direction: str, message: tuple) -> None:
         self.traffic[f"{direction}_messages"] += 1
         fields = (None if field == () else field for field in message)
--- /dev/null
+++ b/rattanrelay/node/view_store.py
@@ -0,0 +1,136 @@
+"""The view document in the store: swaps, write-backs of a newer view, and the watch."""
+
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from ..decide.lease import RestoreWait, View, decode_view, encode_view, view_key
+from ..decide.membership import Propose
+from ..errors import RelayError
+from ..log import event
+from ..store import Entry, StoreClient
+from ..store.client import ABSENT
+
+__all__ = ["ViewStore"]
+
+WATCHERS = 2
+WATCH_PAUSE_S = 1.0
+
+
+class ViewStore:
+    """Reads and changes the stored view of a cell.
+
+    `held()` returns the adopted view, `learn(view)` adopts one if it is newer, and `chosen(name,
+    count)` says whether this instance is among the first `count` members for a name. All calls of
+    the store raise `store_unavailable`.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        cell: str,
+        held: Callable[[], View | None],
+        learn: Callable[[View], bool],
+        chosen: Callable[[str, int], bool],
+    ) -> None:
+        self.store = store
+        self.key = view_key(cell)
+        self.held = held
+        self.learn = learn
+        self.chosen = chosen
+        self.restore_wait = RestoreWait()
+
+    async def read(self) -> tuple[Entry | None, View | None]:
+        """Return the entry and the view in it; a malformed view is logged and None."""
+        entry = await self.store.get(self.key)
+        return entry, self._decoded(entry) if entry else None
+
+    async def propose(self, order: Propose) -> None:
+        """Write a view if the stored one still is its base; otherwise adopt or restore one."""
+        entry, stored = await self.read()
+        held = self.held()
+        if stored is not None and stored.epoch > order.base:
+            self.learn(stored)
+        elif order.base > (stored.epoch if stored else 0):
+            await self.write_back(entry, stored)
+        elif held is None or order.view.epoch > held.epoch:
+            await self.change(order.view, entry, stored)
+
+    async def change(self, view: View, entry: Entry | None, stored: View | None) -> bool:
+        """Replace the stored view; False when that has to wait or another write came first."""
+        if stored is not None:
+            now = trio.current_time()
+            if not self.restore_wait.over(stored, entry.version, now):
+                return False
+        return await self._swap(view, entry)
+
+    async def write_back(self, entry: Entry | None, stored: View | None) -> None:
+        """Put the adopted view into a store that has an older one or none."""
+        view = self.held()
+        event("members.older_view", stored=stored.epoch if stored else 0, held=view.epoch)
+        await self._swap(view._replace(restored=True), entry)
+
+    async def watch(self) -> None:
+        """While this instance is a watcher, adopt each stored view or restore the newer one."""
+        version = ABSENT
+        while True:
+            if not self.chosen("watch", WATCHERS):
+                await trio.sleep(WATCH_PAUSE_S)
+                continue
+            started = trio.current_time()
+            try:
+                entry = await self.store.watch(self.key, version)
+                if entry is not None:
+                    await self._check(entry)
+                    version = entry.version
+                    continue
+                if trio.current_time() < started + WATCH_PAUSE_S:
+                    # A watch that ends early found no such key.
+                    await self._restore()
+            except RelayError as error:
+                event("members.store_error", code=error.code, error=error.message)
+            await trio.sleep(WATCH_PAUSE_S)
+
+    async def _swap(self, view: View, entry: Entry | None) -> bool:
+        expected = entry.version if entry else ABSENT
+        try:
+            await self.store.put(self.key, encode_view(view), expected)
+        except RelayError as error:
+            if error.code == "version_conflict":
+                await self._learn_stored()
+                return False
+            if error.code == "store_unavailable" and error.ran == "unknown":
+                # Reading back settles whether the write took effect.
+                return await self._learn_stored() == view
+            raise
+        self.learn(view)
+        return True
+
+    async def _learn_stored(self) -> View | None:
+        _, stored = await self.read()
+        if stored is not None:
+            self.learn(stored)
+        return stored
+
+    async def _restore(self) -> None:
+        entry, _ = await self.read()
+        if entry is None and self.held() is not None:
+            await self.write_back(None, None)
+
+    async def _check(self, entry: Entry) -> None:
+        stored = self._decoded(entry)
+        held = self.held()
+        if stored is None:
+            return
+        if held is not None and stored.epoch < held.epoch:
+            await self.write_back(entry, stored)
+        else:
+            self.learn(stored)
+
+    def _decoded(self, entry: Entry) -> View | None:
+        try:
+            return decode_view(entry.value)
+        except msgspec.DecodeError as error:
+            event("members.bad_view", error=str(error), version=entry.version)
+            return None
--- a/tests/steps/peers_steps.py
+++ b/tests/steps/peers_steps.py
@@ -214,6 +214,7 @@
     port, _ = await _start_peer(nursery, handlers)
     name = f"entry-{number}"
     peers = Peers(name)
+    client = StoreClient(HOST, store.endpoint.port.port)
     parts = {}
     parts["members"] = Members(
         name,
@@ -221,12 +222,12 @@
         f"{HOST}:{port}",
         "d",
         "main",
-        StoreClient(HOST, store.endpoint.port.port),
+        client,
         peers,
         digest=lambda: parts["documents"].digest(),
         see_digest=lambda *report: parts["documents"].see_digest(*report),
     )
-    parts["documents"] = Documents(parts["members"].store, peers, parts["members"])
+    parts["documents"] = Documents(client, peers, parts["members"])
     for part in parts.values():
         part.register(handlers)
     for serve in (peers.serve, parts["members"].serve, parts["documents"].serve):
