Make a starting instance ready only after a comparison with its peers

The daemon never asked the documents task whether it is ready, so a restarted instance was ready with whatever table the store returned. Seen in tests/system/configuration.feature with a store restored to an older state and late peer messages: entry-2 was ready with revision 1 while 2 was accepted. The daemon asks it now, and a read of the store alone counts only without other members or after 3 s, since the store may return older data.

--- a/rattanrelay/decide/revision.py
+++ b/rattanrelay/decide/revision.py
@@ -1,9 +1,11 @@
 """Documents with revisions: which one is in force, what a peer lacks, and when to write."""
 
+import math
 from collections.abc import Iterable, Mapping
 from typing import Literal, NamedTuple
 
 __all__ = [
+    "COMPARE_WAIT_S",
     "FULL_DIGEST_EVERY_S",
     "DigestFeed",
     "Held",
@@ -18,6 +20,9 @@
 #: Digests that wait for an acknowledgement, for each peer.
 MAX_DIGESTS_IN_FLIGHT = 8
 
+#: A starting process that read the store waits this long for the digest of a peer.
+COMPARE_WAIT_S = 3.0
+
 #: `applied`, `pending` (not seen yet, and it may still be applied) or `lost` to another write.
 WriteOutcome = Literal["applied", "pending", "lost"]
 
@@ -102,19 +107,33 @@
 class Readiness:
     """A process is ready once it has a table and has checked that no newer one is in force.
 
-    The check is a read of the store, or a comparison of digests with each reachable peer.
+    The check is a comparison of digests with each reachable peer. A read of the store together with
+    one comparison is enough as well. Since the store can return older data, its read alone counts
+    only without other members, or after `COMPARE_WAIT_S`.
     """
 
     def __init__(self) -> None:
         self.store_read = False
         self.compared: set[str] = set()
 
-    def ready(self, has_table: bool, reachable: Iterable[str]) -> bool:
-        """Say whether the process is ready, given the peers that it reaches now."""
+    def ready(
+        self,
+        has_table: bool,
+        reachable: Iterable[str],
+        *,
+        alone: bool = False,
+        waited: float = math.inf,
+    ) -> bool:
+        """Say whether the process is ready, given the peers that it reaches now.
+
+        `alone` says that there are no other members, `waited` how long the process has had a view.
+        """
         if not has_table:
             return False
         peers = set(reachable)
-        return self.store_read or (bool(peers) and peers <= self.compared)
+        if self.store_read and (alone or self.compared or waited >= COMPARE_WAIT_S):
+            return True
+        return bool(peers) and peers <= self.compared
 
 
 def settle_write(
--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -1,5 +1,6 @@
 """One daemon: opens its sockets, starts its tasks and stops them in order."""
 
+import ipaddress
 import random
 import ssl
 from collections.abc import Callable
@@ -55,6 +56,7 @@
         self.metrics = Metrics(settings.instance)
         self.handlers = Handlers()
         self.addresses: Addresses | None = None
+        self.peer_listeners: list[trio.SocketListener] = []
         self._stop = trio.Event()
         self._callers_stopping = trio.Event()
         self._callers_ended = trio.Event()
@@ -88,13 +90,23 @@
         listeners = {name: await _open(address) for name, address in wanted.items()}
         ports = {name: _address(wanted[name], opened) for name, opened in listeners.items()}
         self.addresses = Addresses(**ports)
+        self.peer_listeners = listeners["peers"]
         return listeners
 
+    def _unchecked_table(self) -> str:
+        """Say why the table may be an old one; empty when it was checked."""
+        return "" if self.documents.ready else "the table is not compared with the peers yet"
+
+    def _advertised(self) -> str:
+        """Return the peer address that the other instances use."""
+        chosen = self.settings.advertise
+        return f"{chosen.host}:{chosen.port}" if chosen else self.addresses.peers
+
     def _build(self) -> None:
         settings = self.settings
         name = settings.instance
         self.store = StoreClient(settings.store.host, settings.store.port)
-        self.peers = Peers(name)
+        self.peers = Peers(name, _source(self.peer_listeners))
         listed = InstanceList(settings.instance_list.host, settings.instance_list.port)
 
         async def contacts() -> list[Member]:
@@ -103,7 +115,7 @@
         self.members = Members(
             name,
             self.incarnation,
-            self.addresses.peers,
+            self._advertised(),
             settings.failure_domain,
             settings.cell,
             self.store,
@@ -131,7 +143,7 @@
             instance=name,
             rng=self.rng,
         )
-        self.callers = CallerApi(self.entry, self.metrics)
+        self.callers = CallerApi(self.entry, self.metrics, ready=self._unchecked_table)
         self.report = Report(self)
         self.admin = Admin(settings, self.documents, self.members, self.report.status, self.metrics)
         for task in (self.members, self.documents, self.dispatch, self.claims):
@@ -182,6 +194,12 @@
     return await trio.open_tcp_listeners(address.port, host=address.host, backlog=BACKLOG)
 
 
+def _source(listeners: list[trio.SocketListener]) -> str | None:
+    """Return the IP address of the peer listener, None if it listens on all addresses."""
+    host = listeners[0].socket.getsockname()[0]
+    return None if ipaddress.ip_address(host).is_unspecified else host
+
+
 def _address(address: Address, listeners: list[trio.SocketListener]) -> str:
     port = listeners[0].socket.getsockname()[1]
     return f"{address.host}:{port}"
--- a/rattanrelay/node/documents.py
+++ b/rattanrelay/node/documents.py
@@ -90,6 +90,8 @@
         self.readiness = Readiness()
         self.chart = Chart("table_revision", members.instance)
         self.was_ready = False
+        #: When readiness was first asked for with a view, None before that.
+        self.view_since: float | None = None
         #: Newest revision seen in digests by name, with the instance that has it.
         self.wanted: dict[str, tuple[int, str]] = {}
         #: Revisions that each peer last reported, by instance and document name.
@@ -104,11 +106,22 @@
 
         An instance that has become ready stays ready.
         """
-        if not self.was_ready and not self.wanted:
-            has_table = self.configuration.value.table is not None
-            self.was_ready = self.readiness.ready(has_table, self.peers.connected())
+        if not self.was_ready and not self.wanted and self.members.epoch:
+            self.was_ready = self._is_checked()
         return self.was_ready
 
+    def _is_checked(self) -> bool:
+        now = trio.current_time()
+        if self.view_since is None:
+            self.view_since = now
+        others = [one for one in self.members.members if one.instance != self.members.instance]
+        return self.readiness.ready(
+            self.configuration.value.table is not None,
+            self.peers.connected(),
+            alone=not others,
+            waited=now - self.view_since,
+        )
+
     def register(self, handlers: Handlers) -> None:
         """Register the handlers of this task; they serve the view of the members task too."""
         handlers.on(Pull)(self.on_pull)
--- a/rattanrelay/node/peers.py
+++ b/rattanrelay/node/peers.py
@@ -26,8 +26,9 @@
 class _Line:
     """The link to one address and the task that keeps it open."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, source: str | None) -> None:
         self.address = address
+        self.source = source
         self.link: PeerLink | None = None
         self.changed = trio.Event()
         self.connection = trio.CancelScope()
@@ -50,7 +51,7 @@
         host, _, port = self.address.rpartition(":")
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
-                stream = await trio.open_tcp_stream(host, int(port))
+                stream = await trio.open_tcp_stream(host, int(port), local_address=self.source)
         except (OSError, ValueError, trio.TooSlowError):
             return False
         async with stream:
@@ -88,10 +89,15 @@
 
 
 class Peers:
-    """Calls to other instances by name; implements `PeersPort`."""
+    """Calls to other instances by name; implements `PeersPort`.
 
-    def __init__(self, instance: str) -> None:
+    Links are opened from the IP address `source`, so that a network rule or proxy on the way can
+    tell the instances apart; None leaves the choice to the system.
+    """
+
+    def __init__(self, instance: str, source: str | None = None) -> None:
         self.instance = instance
+        self.source = source
         self.lines: dict[str, _Line] = {}
         self._nursery: trio.Nursery | None = None
 
@@ -177,7 +183,7 @@
         raise _unavailable(instance, f"no connection to {line.address}", "not_run")
 
     def _add(self, instance: str, address: str) -> None:
-        line = _Line(address)
+        line = _Line(address, self.source)
         self.lines[instance] = line
         if self._nursery is not None:
             self._nursery.start_soon(line.run)
--- a/rattanrelay/settings.py
+++ b/rattanrelay/settings.py
@@ -48,6 +48,8 @@
     admin: Address
     store: Address
     instance_list: Address
+    #: Peer address that the other instances use; by default that of the peer listener.
+    advertise: Address | None = None
     cell: Name = "main"
     log_file: str = ""
     stop_timeout: PositiveSeconds = 15.0
--- a/tests/decide/revision.feature
+++ b/tests/decide/revision.feature
@@ -37,3 +37,13 @@
       | a table  | a b     | a b      | not read the store | ready     |
       | a table  | a b     | a        | not read the store | not ready |
       | a table  | -       | -        | not read the store | not ready |
+
+  Scenario Outline: A store that may return old data does not make a member ready by itself
+    When an instance with other members has read the store, <waited> s ago got a view and <compared>
+    Then it is <verdict>
+
+    Examples:
+      | waited | compared                 | verdict   |
+      | 1      | compared with nobody     | not ready |
+      | 1      | compared with one peer   | ready     |
+      | 3      | compared with nobody     | ready     |
--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -24,6 +24,8 @@
 __all__ = ["ADMIN_TOKEN", "Entry", "Fleet"]
 
 HOST = "127.0.0.1"
+#: Last number of the IP address of the first entry with a peer address of its own.
+FIRST_PEER_HOST = 11
 #: Later than any arrival, for journals without runs.
 AFTER_ALL_RUNS_S = 1e12
 ADMIN_TOKEN = "test-token-of-the-operators"
@@ -32,17 +34,29 @@
 class Entry:
     """An entry instance: its process, addresses and clients."""
 
-    def __init__(self, name: str, domain: str, ports: list[int]) -> None:
+    def __init__(self, name: str, domain: str, ports: list[int], peer_host: str = HOST) -> None:
         self.name = name
         self.domain = domain
-        self.callers, self.peers, self.admin = (f"{HOST}:{port}" for port in ports)
+        callers, peers, admin = ports
+        self.callers = f"{HOST}:{callers}"
+        self.peers = f"{peer_host}:{peers}"
+        self.admin = f"{HOST}:{admin}"
+        #: Peer address that the other instances use.
+        self.advertised = self.peers
         self.process: Process | None = None
         self.caller_client = CallerClient(self.callers)
         self.admin_client = AdminClient(self.admin, ADMIN_TOKEN)
 
+    @property
+    def peer_host(self) -> str:
+        """IP address from which this instance opens its peer links."""
+        return self.peers.rpartition(":")[0]
+
     def settings(self, store: str, instances: str, token_file: Path) -> dict:
         """Return the settings of the daemon."""
+        proxied = self.advertised != self.peers
         return {
+            **({"advertise": _address(self.advertised)} if proxied else {}),
             "instance": self.name,
             "failure_domain": self.domain,
             "callers": _address(self.callers),
@@ -65,7 +79,10 @@
 
     `platform` controls the process with store, instance list, balancer and proxies; `backends`
     controls the processes with the backend servers, which are spread over `backend_processes`.
-    With `proxied_store`, entries reach the store through the proxy route `store`.
+    With `proxied_store`, entries reach the store through the proxy route `store`. With
+    `own_routes`, each entry has a proxy route `store-{entry}` of its own to the store, and the
+    other entries reach its peer listener through the route `peers-{entry}`, each from an IP address
+    of its own.
     """
 
     def __init__(
@@ -77,8 +94,10 @@
         instance_lag_ms: float = 500.0,
         balancer_lag_ms: float = 500.0,
         proxied_store: bool = False,
+        own_routes: bool = False,
         **options,
     ) -> None:
+        self.own_routes = own_routes
         self.processes = Processes()
         self.deployment: Deployment = DEPLOYMENTS[deployment](instances=entries, **options)
         self.entries = self._make_entries()
@@ -131,7 +150,7 @@
             entry.process.start()
             return entry
         token_file = self.processes.write("operators.token", ADMIN_TOKEN.encode())
-        settings = entry.settings(self.store_address, self.hosts["instances"], token_file)
+        settings = entry.settings(self._store_of(name), self.hosts["instances"], token_file)
         path = self.processes.write(f"{name}.toml", tomli_w.dumps(settings).encode())
         entry.process = self.processes.start_daemon(name, path)
         return entry
@@ -144,7 +163,7 @@
     def list_instance(self, name: str, state: str = "live") -> None:
         """Put an entry instance on the platform's list, as its platform would."""
         entry = self.entries[name]
-        body = {"address": entry.peers, "failure_domain": entry.domain, "state": state}
+        body = {"address": entry.advertised, "failure_domain": entry.domain, "state": state}
         data = json.dumps(body).encode()
         http_call(self.hosts["instances"], "PUT", f"/v1/instances/{name}", data)
 
@@ -180,13 +199,48 @@
         """Return the control client of the process that hosts a searcher."""
         return next(control for control in self.backends if searcher in control.searchers())
 
+    def cut_store(self, *names: str) -> None:
+        """Let nothing through between some entries and the store."""
+        self.platform.set_proxy_faults(*(f"store-{name}" for name in names), black_hole="both")
+
+    def cut_peers(self, source: str, target: str, direction: str = "both") -> None:
+        """Let nothing through on the links that `source` opens to `target`.
+
+        `direction` is `to_target`, `to_client` (the answers) or `both`.
+        """
+        self.platform.set_proxy_faults(
+            f"peers-{target}", source=self.entries[source].peer_host, black_hole=direction
+        )
+
+    def delay_peers(self, delay_ms: float) -> None:
+        """Delay all bytes between the entries, in each direction."""
+        routes = (f"peers-{name}" for name in self.entries)
+        self.platform.set_proxy_faults(*routes, delay_ms=delay_ms)
+
+    def heal_routes(self) -> None:
+        """Remove the faults of all proxy routes."""
+        self.platform.post("proxies/heal")
+
+    def _store_of(self, name: str) -> str:
+        return self.hosts["proxies"][f"store-{name}"] if self.own_routes else self.store_address
+
     def _make_entries(self) -> dict[str, Entry]:
         rows = self.deployment.table.instances.values()
         ports = iter(free_ports(3 * len(rows)))
-        return {
-            row.name: Entry(row.name, row.failure_domain, [next(ports) for _ in range(3)])
-            for row in rows
-        }
+        entries = {}
+        for number, row in enumerate(rows):
+            host = f"127.0.0.{FIRST_PEER_HOST + number}" if self.own_routes else HOST
+            own = [next(ports) for _ in range(3)]
+            entries[row.name] = Entry(row.name, row.failure_domain, own, host)
+        return entries
+
+    def _proxies(self, store_port: int) -> list[ProxyConfig]:
+        routes = {"store": f"{HOST}:{store_port}"}
+        if self.own_routes:
+            for name, entry in self.entries.items():
+                routes[f"store-{name}"] = routes["store"]
+                routes[f"peers-{name}"] = entry.peers
+        return [ProxyConfig(name=name, target=target) for name, target in routes.items()]
 
     def _start_backends(self) -> None:
         addresses: dict[str, str] = {}
@@ -210,10 +264,13 @@
                     lag_ms=self.balancer_lag_ms,
                 )
             ],
-            proxies=[ProxyConfig(name="store", target=f"{HOST}:{store_port}")],
+            proxies=self._proxies(store_port),
         )
         self.platform = self._start_emulator("platform", config)
         self.hosts = self.platform.get("hosts")
+        if self.own_routes:
+            for name, entry in self.entries.items():
+                entry.advertised = self.hosts["proxies"][f"peers-{name}"]
 
     def _start_emulator(self, name: str, config: EmulatorConfig) -> ControlClient:
         [port] = free_ports(1)
--- a/tests/steps/members_decide_steps.py
+++ b/tests/steps/members_decide_steps.py
@@ -240,6 +240,16 @@
     context.ready = readiness.ready(table == "a table", _names(reached))
 
 
+@when(
+    "an instance with other members has read the store, {waited:d} s ago got a view and {compared}"
+)
+def judge_stale_readiness(context, waited, compared):
+    readiness = Readiness()
+    readiness.store_read = True
+    readiness.compared = {"a"} if compared == "compared with one peer" else set()
+    context.ready = readiness.ready(True, ["a", "b"], waited=float(waited))
+
+
 @then("it is {verdict}")
 def readiness_verdict(context, verdict):
     assert context.ready == (verdict == "ready"), context.ready
