--- a/tests/steps/configuration_steps.py
+++ b/tests/steps/configuration_steps.py
@@ -250,7 +250,7 @@
     )
 
 
-@then("the new instance is not ready")
+@then("the blind instance is not ready")
 def not_ready(context):
     assert not context.started.caller_client.ready()
     reply = context.started.caller_client.query("logging")
@@ -262,7 +262,7 @@
     context.fleet.platform.post("instances", down=False)
 
 
-@then("the new instance becomes ready with the accepted table while the store is down")
+@then("the blind instance becomes ready with the accepted table while the store is down")
 def ready_by_peers(context):
     context.fleet.wait_ready(context.started.name)
     assert table_revision(context.started) >= context.accepted
--- a/tests/system/configuration.feature
+++ b/tests/system/configuration.feature
@@ -40,9 +40,9 @@
     And the store refuses all connections
     And the platform's list is down as well
     And instance "entry-4" starts without any source of a table
-    Then the new instance is not ready
+    Then the blind instance is not ready
     When the platform's list returns
-    Then the new instance becomes ready with the accepted table while the store is down
+    Then the blind instance becomes ready with the accepted table while the store is down
 
   Scenario Outline: A write takes effect without an answer that reaches the instance
     Given a fleet with routes of its own for each of 3 instances
