Queue work during a planned handover and re-route within the deadline

Cause: while ownership moved in a planned way, the new owner refused sub-requests with no_owner until its takeover had ended, and an entry instance gave shards up whose owner was just leaving. Change: an owner whose former owners all still answer queues work until the takeover has ended, bounded by queue and deadlines. An entry instance that gets no_owner plans the shard anew after 10 ms, 20 ms, ... while table or view have changed less than 2 s ago, and twice otherwise. A silent former owner (a crash) still means an immediate refusal.

--- a/rattanrelay/decide/membership.py
+++ b/rattanrelay/decide/membership.py
@@ -149,6 +149,17 @@
             return False
         return self.takeover.taken(server, self.evidence, now)
 
+    def handover_pending(self, server: str, now: float) -> bool:
+        """Say whether this process is about to take a server over from processes that answer.
+
+        False while a former owner is silent: the takeover then takes seconds.
+        """
+        if not self.lease.holds(now) or not self.wanted or self.owner(server) != self.me:
+            return False
+        if self.takeover.taken(server, self.evidence, now):
+            return False
+        return all(self._touched(one, now) for one in self.takeover.awaited(self.evidence, now))
+
     def giving_up(self, busy: Iterable[str]) -> tuple[str, ...]:
         """Return those of the busy backend servers that this process does not own."""
         return tuple(server for server in busy if self.owner(server) != self.me)
--- a/rattanrelay/decide/takeover.py
+++ b/rattanrelay/decide/takeover.py
@@ -70,6 +70,18 @@
             identity in self.departed and identity not in self.given_up
         )
 
+    def awaited(self, evidence: Evidence, now: float) -> set[Identity]:
+        """Return the processes without which the takeover is not complete."""
+        if self.view is None:
+            return set()
+        departed = {
+            entry.member.identity
+            for entry in self.view.departed
+            if entry.member.identity not in self.given_up
+            and not evidence.quiet(entry, self.view, now)
+        }
+        return self.waiting | departed
+
     def taken(self, server: str, evidence: Evidence, now: float) -> bool:
         """Say whether a server that the view assigns to this process is free of former owners."""
         given_up = not any(server in held for _, held in self.given_up.values())
--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -195,6 +195,7 @@
             unix_offset=self.wall() - now,
             may_restart=may_restart,
             may_have_run=earlier is not None and earlier.may_have_run,
+            replan=lambda: self._present_plan(query.service, state),
         )
         try:
             await scatter.run(deadline, canary)
@@ -226,8 +227,15 @@
             raise RelayError("not_ready", text, step="choose snapshot")
         plan = build_plan(self._table(), self.members, snapshot, state.knowledge, state.replicas)
         state.plan_key, state.plan = key, plan
+        state.planned_at = now
         return plan
 
+    def _present_plan(self, service: str, state: ServiceState) -> Plan | None:
+        try:
+            return self._plan(service, state, trio.current_time())
+        except RelayError:
+            return None
+
     def _answer(self, query: Query, scatter: Scatter) -> Answer:
         gather = scatter.gather
         coverage = gather.coverage()
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -123,6 +123,10 @@
         """Say whether this instance may send work to a backend server now."""
         return self.core.may_dispatch(server, trio.current_time())
 
+    def handover_pending(self, server: str) -> bool:
+        """Say whether a backend server is about to be taken over from instances that answer."""
+        return self.core.handover_pending(server, trio.current_time())
+
     def lease_left(self) -> float:
         """Return for how many seconds the quorum lease still holds, 0.0 when it does not."""
         return self.core.lease.left(trio.current_time())
--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -39,6 +39,9 @@
     def refusal(self) -> str:
         """Return why no new work may be sent now, empty if it may."""
 
+    def may_queue(self, reason: str) -> bool:
+        """Say whether work that is refused for `reason` may wait in the queue for its end."""
+
     def may_connect(self) -> bool:
         """Say whether a connection may be opened now."""
 
@@ -123,7 +126,7 @@
     def submit(self, job: SubRequest) -> None:
         """Queue a sub-request; it is refused at once if it cannot be sent."""
         reason = "no_owner" if self.closing else self.supervisor.refusal()
-        if reason:
+        if reason and (self.closing or not self.supervisor.may_queue(reason)):
             self.refuse(job, reason)
             return
         job.queued_at = trio.current_time()
--- a/rattanrelay/node/ports.py
+++ b/rattanrelay/node/ports.py
@@ -74,6 +74,9 @@
         True only while it owns the server, its takeover has ended and its quorum lease holds.
         """
 
+    def handover_pending(self, server: str) -> bool:
+        """Say whether a backend server is about to be taken over from instances that answer."""
+
     def lease_left(self) -> float:
         """Return for how many seconds the quorum lease still holds, 0.0 when it does not."""
 
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -36,6 +36,11 @@
 CANARY_LOST = frozenset({"connection_lost", "request_suspect"})
 
 NEVER = float("inf")
+#: First wait before a shard whose replicas have no owner is planned anew; it doubles each time.
+REROUTE_S = 0.01
+#: New plans for a shard while ownership moves, and without a sign that it does.
+MAX_REROUTES = 5
+MAX_BLIND_REROUTES = 2
 #: Longest time a sub-request may run, in seconds; takeovers wait for it (design 2.1).
 MAX_SUBREQUEST_S = 2.0
 #: Time after the deadline of a sub-request in which its owner's answer may still arrive.
@@ -90,7 +95,7 @@
 class _Shard:
     """A shard of the query and its open sub-requests."""
 
-    __slots__ = ("attempts", "first_sent", "hedged", "planned", "rounds", "tried")
+    __slots__ = ("attempts", "first_sent", "hedged", "planned", "reroutes", "rounds", "tried")
 
     def __init__(self, planned: PlannedShard) -> None:
         self.planned = planned
@@ -99,6 +104,7 @@
         self.first_sent = 0.0
         self.hedged = False
         self.rounds = 0
+        self.reroutes = 0
 
 
 class Scatter:
@@ -117,6 +123,7 @@
         unix_offset: float,
         may_restart: Callable[[float], bool] = lambda now: False,
         may_have_run: bool = False,
+        replan: Callable[[], Plan | None] = lambda: None,
     ) -> None:
         self.query = query
         self.query_id = query_id
@@ -131,6 +138,8 @@
         #: Messages whose sub-requests must end before the query does.
         self.limited: list[_Message] = []
         self.may_restart = may_restart
+        #: Returns the plan for the present table and view, None if there is none.
+        self.replan = replan
         self.shards = {planned.name: _Shard(planned) for planned in plan.shards}
         self.gather = Gather(query_id, plan.snapshot, self.shards, query.limit)
         self.open = 0
@@ -180,6 +189,7 @@
             replica = choose_replica(planned.candidates, now, rng)
             if replica is None:
                 self.gather.fail(planned.name, planned.reason)
+                self._reroute(shard, planned.reason, now)
             else:
                 wave.append((shard, replica))
         self.state.budget.earn(len(wave))
@@ -401,9 +411,9 @@
         elif reason == "request_blocked":
             self._block()
         elif not shard.attempts and name in self.gather.pending:
-            self._plan_retry(shard, price, now)
+            self._plan_retry(shard, price, reason, now)
 
-    def _plan_retry(self, shard: _Shard, price: float, now: float) -> None:
+    def _plan_retry(self, shard: _Shard, price: float, reason: str, now: float) -> None:
         if self._gone(shard) and self.may_restart(now):
             self.restart = True
             return
@@ -411,12 +421,38 @@
             if self._pay(price, now):
                 self.retries.append((now, shard))
                 return
-            if self.row.policy != "coverage":
-                return
-        elif self.row.policy != "coverage" or not self._usable(shard):
+        elif self._reroute(shard, reason, now):
+            return
+        if self.row.policy != "coverage" or not self._usable(shard):
             return
         self._retry_later(shard, now)
 
+    def _reroute(self, shard: _Shard, reason: str, now: float) -> bool:
+        """Plan a shard anew after a short wait if its owner is just changing.
+
+        The asked instance may have handed the server over, or this instance may not know the new
+        view yet. Nothing was sent to a server, so a retry adds no load.
+        """
+        moving = self.state.is_moving(now)
+        limit = MAX_REROUTES if moving else MAX_BLIND_REROUTES
+        if reason != "no_owner" or shard.reroutes >= limit:
+            return False
+        self.retries.append((now + REROUTE_S * 2**shard.reroutes, shard))
+        shard.reroutes += 1
+        shard.tried.clear()
+        return True
+
+    def _refresh(self) -> None:
+        """Use the present owners and replicas of the same snapshot."""
+        plan = self.replan()
+        if plan is None or plan is self.plan or plan.snapshot != self.plan.snapshot:
+            return
+        self.plan = plan
+        for planned in plan.shards:
+            shard = self.shards.get(planned.name)
+            if shard is not None:
+                shard.planned = planned
+
     def _retry_later(self, shard: _Shard, now: float) -> None:
         """Try all replicas again after a growing wait; policy `coverage` only."""
         wait = min(MAX_BACKOFF_S, BACKOFF_S * 2**shard.rounds)
@@ -429,10 +465,14 @@
             return
         due = [shard for at, shard in self.retries if at <= now]
         self.retries = [entry for entry in self.retries if entry[0] > now]
+        if any(shard.reroutes for shard in due):
+            self._refresh()
         wave = []
         for shard in due:
             replica = choose_replica(self._untried(shard), now, self.ports.rng)
             if replica is None:
+                if not shard.planned.candidates:
+                    self._reroute(shard, shard.planned.reason, now)
                 continue
             if shard.rounds and not shard.tried and not self._pay(self._last_price(shard), now):
                 self._retry_later(shard, now)
--- a/rattanrelay/node/server.py
+++ b/rattanrelay/node/server.py
@@ -22,6 +22,7 @@
 
 STATUS_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 0.25
+HANDOVER_POLL_S = 0.01
 #: Status polls without an answer after which a searcher counts as lost.
 SILENT_POLLS = 2
 #: A leaving searcher counts as back this long after it last said that it leaves; reports lag.
@@ -98,6 +99,8 @@
         self.unconfirmed_since: float | None = None
         self.wake = trio.Event()
         self.owned = True
+        #: Whether work waits in the queue for the end of a handover.
+        self.awaiting = False
         self.pool = Pool(name, address, self, around.nursery, around.wall, around.connect)
         self.polling = trio.CancelScope()
         self.update(rows)
@@ -135,7 +138,7 @@
     def settle(self) -> None:
         """Refuse queued work that may not be sent any more, or send what now may be sent."""
         reason = self.refusal()
-        if reason:
+        if reason and not (self.awaiting and self.may_queue(reason)):
             self.pool.refuse_queued(reason)
         self.pool.pump()
 
@@ -165,13 +168,31 @@
             return "no_replica"
         return self._no_authority()
 
+    def may_queue(self, reason: str) -> bool:
+        """Let work wait while the server is about to be handed over by its former owner."""
+        if reason != "no_owner" or not self.owned:
+            return False
+        if not self.around.members.handover_pending(self.server):
+            return False
+        if not self.awaiting:
+            self.awaiting = True
+            self.around.nursery.start_soon(self._await_handover)
+        return True
+
+    async def _await_handover(self) -> None:
+        """Send or refuse what waits in the queue as soon as the handover has ended."""
+        while self.owned and self.around.members.handover_pending(self.server):  # noqa: ASYNC110
+            await trio.sleep(HANDOVER_POLL_S)
+        self.awaiting = False
+        self.settle()
+
     def may_connect(self) -> bool:
         """Say whether a connection may be opened now."""
         return not self._no_authority()
 
     def allowance(self) -> int:
         """Return how many slots may be in use now."""
-        if self.chart.state in REFUSED_STATES:
+        if self.awaiting or self.chart.state in REFUSED_STATES:
             return 0
         allowed = self.ramp.allowance(self.rows.limit.slots)
         if self.unconfirmed_since is not None:
--- a/rattanrelay/node/service_state.py
+++ b/rattanrelay/node/service_state.py
@@ -11,6 +11,9 @@
 
 __all__ = ["ServiceState"]
 
+#: A planned change of owners has ended this long after the table or the view changed.
+MOVE_S = 2.0
+
 
 class ServiceState:
     """Observations of one service; lost on exit."""
@@ -25,6 +28,12 @@
         self.proven = ProvenRequests()
         self.plan_key: tuple = ()
         self.plan: Plan | None = None
+        #: Time at which the table, view or snapshot of the plan last changed.
+        self.planned_at = -MOVE_S
+
+    def is_moving(self, now: float) -> bool:
+        """Say whether the owners of backend servers may just be changing."""
+        return now < self.planned_at + MOVE_S
 
     def take_budget(self, price: float, row: ServiceRow, now: float) -> bool:
         """Pay for an extra sub-request; False when it must not be sent."""
--- a/tests/steps/dispatch_bench.py
+++ b/tests/steps/dispatch_bench.py
@@ -31,6 +31,7 @@
         self.epoch = 1
         self.owned = True
         self.lease = 2.0
+        self.pending = False
         self.me = Member("i1", "a", "127.0.0.1:1", "d1")
         self.members = (self.me,)
 
@@ -38,7 +39,10 @@
         return self.me if self.owned else Member("i2", "b", "127.0.0.1:2", "d1")
 
     def may_dispatch(self, server):
-        return self.owned and self.lease > 0
+        return self.owned and self.lease > 0 and not self.pending
+
+    def handover_pending(self, server):
+        return self.owned and self.pending
 
     def lease_left(self):
         return self.lease
