--- /dev/null
+++ b/tests/system/handover.feature
@@ -0,0 +1,19 @@
+Feature: Planned moves of ownership leave no gaps
+  Guards against answers that miss shards although each of their servers has a former owner that
+  hands over, or a new one. The soft deadline is raised so that only refusals make gaps.
+
+  Scenario: A failure domain with an instance in it is taken out and returned
+    Given a proxied fleet of 4 instances under load
+    And a soft deadline of 900 ms for "logging"
+    When row domains/torrelavega is taken out
+    Then the new owners answer and no answer misses a shard for want of one
+    When row domains/torrelavega is returned
+    Then the new owners answer and no answer misses a shard for want of one
+    And all answers were true and no limit was exceeded
+
+  Scenario: An instance leaves on SIGTERM and joins again
+    Given a proxied fleet of 4 instances under load
+    And a soft deadline of 900 ms for "logging"
+    When instance "entry-2" is stopped with SIGTERM and started again under load
+    Then the new owners answer and no answer misses a shard for want of one
+    And all answers were true and no limit was exceeded
