--- a/benchmarks/state.py
+++ b/benchmarks/state.py
@@ -3,10 +3,9 @@
 Command: python -m benchmarks.state
 """
 
-from rattanrelay.decide.ownership import Member, owner
-
 from benchmarks.measure import cpu_per_call, fit, memory_of, print_line
 from rattanrelay.decide.limits import effective_limits
+from rattanrelay.decide.ownership import Member, owner
 from rattanrelay.table import (
     DomainRow,
     ServerRow,
