Wait for listed instances before an empty store gets a first view

A store that lost its data looked like a new cell to a starting instance that did not reach the others at that moment; it would have owned all servers beside them.

--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -39,6 +39,9 @@
 LEAVE_TIMEOUT_S = 5.0
 CONTACT_EVERY_S = 2.0
 MAX_CONTACTS = 16
+#: An empty store gets a first view this long after the start if listed instances do not answer:
+#: the store may have lost its data while they hold a view.
+FIRST_VIEW_WAIT_S = 5.0
 #: Attempts of an operator's change of the view against concurrent changes.
 CONFIRM_ATTEMPTS = 10
 CONFIRM_RETRY_S = 0.5
@@ -97,6 +100,8 @@
         self.traffic: Counter[str] = Counter()
         self.fetching: set[str] = set()
         self.contacted_at = -float("inf")
+        self.contacts_silent = False
+        self.started_at = trio.current_time()
         self._orders, self._queue = trio.open_memory_channel[Effect](STORE_QUEUE)
         self._nursery: trio.Nursery | None = None
 
@@ -314,15 +319,17 @@
             self.fetching.add(instance)
             self._nursery.start_soon(self._fetch, instance)
 
-    async def _fetch(self, instance: str) -> None:
+    async def _fetch(self, instance: str) -> bool:
+        """Ask an instance for its view; return whether it answered."""
         try:
             reply = await self.peers.call(instance, Pull(self.key, self.epoch), FETCH_TIMEOUT_S)
         except RelayError:
-            return
+            return False
         finally:
             self.fetching.discard(instance)
         if reply.value:
             self.offer(reply)
+        return True
 
     async def _serve_store(self) -> None:
         async for order in self._queue:
@@ -341,6 +348,9 @@
         entry, view = await self.stored.read()
         if entry is not None and view is None:
             return
+        now = trio.current_time()
+        if view is None and self.contacts_silent and now < self.started_at + FIRST_VIEW_WAIT_S:
+            return
         before = self.epoch
         self._carry_out(self.core.stored(view, trio.current_time()))
         self._publish(before)
@@ -356,6 +366,7 @@
         known = {member.instance for member in self.members}
         new = [member for member in contacts if member.instance not in known][:MAX_CONTACTS]
         self._update_peers(new)
+        self.contacts_silent = False
         async with trio.open_nursery() as nursery:
             for member in new:
                 nursery.start_soon(self._ask, member.instance)
@@ -363,7 +374,8 @@
     async def _ask(self, instance: str) -> None:
         if instance not in self.fetching:
             self.fetching.add(instance)
-            await self._fetch(instance)
+            if not await self._fetch(instance):
+                self.contacts_silent = True
 
     def _learn(self, view: View) -> bool:
         before = self.epoch
--- a/tests/node/members.feature
+++ b/tests/node/members.feature
@@ -78,6 +78,16 @@
     Then all 4 instances are in one view
     And each backend server has one owner
 
+  Scenario: An empty store gets no first view at once while a listed instance does not answer
+    Given a running cell of 1 instances
+    And the platform lists an instance that does not answer
+    When instance 0 is killed and the store loses its view
+    And another instance starts
+    And 4.0 s pass in the cell
+    Then the new instance has no view
+    When 10.0 s pass in the cell
+    Then each backend server has one owner
+
   Scenario: The operator confirms that lost instances have stopped
     Given a running cell of 3 instances
     When instance 1 is killed
--- a/tests/steps/members_node_steps.py
+++ b/tests/steps/members_node_steps.py
@@ -212,6 +212,7 @@
         self.results = queue.Queue()
         self.nodes = {}
         self.cuts = set()
+        self.silent = []
         self.left = None
 
     async def run(self):
@@ -233,7 +234,8 @@
         return result
 
     async def contacts(self):
-        return [Member(node.name, "", node.address, node.domain) for node in self.nodes.values()]
+        live = [Member(node.name, "", node.address, node.domain) for node in self.nodes.values()]
+        return [*live, *self.silent]
 
     def node(self, number):
         return self.nodes[f"entry-{number:02d}"]
@@ -471,6 +473,25 @@
     context.new = await cell.start(len(cell.nodes))
 
 
+@given("the platform lists an instance that does not answer")
+@in_cell
+async def list_silent(context, cell):
+    cell.silent.append(Member("entry-99", "", "10.0.0.99:7000", "domain-0"))
+
+
+@when("instance {number:d} is killed and the store loses its view")
+@in_cell
+async def kill_and_lose_view(context, cell, number):
+    cell.kill(number)
+    cell.store.lose("view/main")
+
+
+@then("the new instance has no view")
+@in_cell
+async def no_view(context, cell):
+    assert context.new.members.epoch == 0
+
+
 @when("the operator confirms the end of instance {number:d}")
 @in_cell
 async def confirm(context, cell, number):
