--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -13,12 +13,13 @@
 
 from ..decide.budget import FULL_PRICE, retry_price
 from ..decide.gather import Gather
-from ..decide.proven import canary_order
 from ..decide.selection import Replica, choose_replica
 from ..errors import RelayError
 from ..table import ServiceRow
 from ..wire import Cancel, ShardResult, ShardResults, SubQuery, Target
-from .plan import Plan, PlannedShard
+from .attempts import Attempt, Message, ShardState
+from .canary import CanaryRun
+from .plan import Plan
 from .ports import DispatchPort, PeersPort
 from .query import Query
 from .service_state import ServiceState
@@ -32,8 +33,6 @@
 NO_PENALTY = CONGESTION | {"request_blocked", "request_suspect", "snapshot_gone"}
 #: Errors of a whole message that hold for each replica of its owner.
 OWNER_FAILURES = frozenset({"connect_failed", "no_quorum", "peer_unavailable", "stopping"})
-#: Reasons by which a canary may have crashed its server.
-CANARY_LOST = frozenset({"connection_lost", "request_suspect"})
 
 NEVER = float("inf")
 #: Longest time a sub-request may run, in seconds; takeovers wait for it (design 2.1).
@@ -46,12 +45,10 @@
 #: First wait before all replicas of a shard are tried again; it doubles with each round.
 BACKOFF_S = 0.02
 MAX_BACKOFF_S = 0.5
-#: Servers lost with canaries of one query before the query is blocked.
-MAX_CANARIES_LOST = 2
-#: Canaries of one query that may be sent before the query is given up.
-MAX_CANARY_TARGETS = 6
-#: A canary that has run for this many hedge delays is joined by a second one.
-CANARY_PATIENCE = 3.0
+
+
+#: Shards and the replicas that are asked for them.
+Wave = list[tuple[ShardState, Replica]]
 
 
 class ScatterPorts:
@@ -66,44 +63,6 @@
         self.rng = rng
 
 
-class _Message:
-    """A message to an owner; `left` counts the targets that are still wanted."""
-
-    __slots__ = ("deadline", "left", "owner", "scope", "targets")
-
-    def __init__(self, owner: str, deadline: float) -> None:
-        self.owner = owner
-        self.deadline = deadline
-        self.targets: list[Target] = []
-        self.left = 0
-        self.scope = trio.CancelScope()
-
-
-class _Attempt:
-    """An open sub-request to one replica."""
-
-    __slots__ = ("message", "replica", "sent_at")
-
-    def __init__(self, replica: Replica, message: _Message, sent_at: float) -> None:
-        self.replica = replica
-        self.message = message
-        self.sent_at = sent_at
-
-
-class _Shard:
-    """A shard of the query and its open sub-requests."""
-
-    __slots__ = ("attempts", "first_sent", "hedged", "planned", "rounds", "tried")
-
-    def __init__(self, planned: PlannedShard) -> None:
-        self.planned = planned
-        self.attempts: list[_Attempt] = []
-        self.tried: list[Replica] = []
-        self.first_sent = 0.0
-        self.hedged = False
-        self.rounds = 0
-
-
 class Scatter:
     """Runs the sub-queries of one query against one snapshot."""
 
@@ -132,14 +91,14 @@
         self.unix_offset = unix_offset
         self.deadline = 0.0
         #: Messages whose sub-requests must end before the query does.
-        self.limited: list[_Message] = []
+        self.limited: list[Message] = []
         self.may_restart = may_restart
-        self.shards = {planned.name: _Shard(planned) for planned in plan.shards}
+        self.shards = {planned.name: ShardState(planned) for planned in plan.shards}
         self.gather = Gather(query_id, plan.snapshot, self.shards, query.limit)
         self.open = 0
         #: Send time of the oldest sub-request that may still be hedged.
         self.hedge_from = NEVER
-        self.retries: list[tuple[float, _Shard]] = []
+        self.retries: list[tuple[float, ShardState]] = []
         self.sent: Counter[str] = Counter()
         self.congested = 0
         self.late = 0
@@ -162,7 +121,7 @@
         self.deadline = deadline
         async with trio.open_nursery() as self.nursery:
             self.nursery.cancel_scope.deadline = deadline
-            if not canary or await self._prove(canary):
+            if not canary or await CanaryRun(self).prove(canary):
                 self._launch_first()
                 await self._drive()
             self.nursery.cancel_scope.cancel()
@@ -187,7 +146,7 @@
             else:
                 wave.append((shard, replica))
         self.state.budget.earn(len(wave))
-        self._launch(wave, "query", now)
+        self.launch(wave, "query", now)
 
     async def _drive(self) -> None:
         """Wait until all shards are settled; send hedges and retries when they are due."""
@@ -213,10 +172,14 @@
 
     # Messages to owners.
 
-    def _launch(
-        self, wave: Iterable[tuple[_Shard, Replica]], kind: str, now: float, canary: bool = False
+    def launch(
+        self,
+        wave: Iterable[tuple[ShardState, Replica]],
+        kind: str,
+        now: float,
+        canary: bool = False,
     ) -> None:
-        messages: dict[str, _Message] = {}
+        messages: dict[str, Message] = {}
         deadline = min(self.deadline, now + MAX_SUBREQUEST_S)
         owners = self.plan.owners
         count = 0
@@ -224,9 +187,9 @@
             owner = owners[replica.server].instance
             message = messages.get(owner)
             if message is None:
-                message = messages[owner] = _Message(owner, deadline)
+                message = messages[owner] = Message(owner, deadline)
             message.targets.append(Target(shard.planned.name, replica.name))
-            shard.attempts.append(_Attempt(replica, message, now))
+            shard.attempts.append(Attempt(replica, message, now))
             shard.tried.append(replica)
             shard.first_sent = shard.first_sent or now
             replica.outstanding += 1
@@ -241,7 +204,7 @@
         if deadline < self.deadline:
             self.limited += messages.values()
 
-    def _sub_query(self, message: _Message, kind: str, canary: bool) -> SubQuery:
+    def _sub_query(self, message: Message, kind: str, canary: bool) -> SubQuery:
         return SubQuery(
             self.query_id,
             self.query.service,
@@ -255,7 +218,7 @@
             canary,
         )
 
-    async def _ask(self, message: _Message, sub: SubQuery) -> None:
+    async def _ask(self, message: Message, sub: SubQuery) -> None:
         error = None
         with message.scope:
             try:
@@ -293,7 +256,7 @@
             if replica.server in servers:
                 replica.fail(now)
 
-    def _fail_rest(self, message: _Message, reason: str, ran: str) -> None:
+    def _fail_rest(self, message: Message, reason: str, ran: str) -> None:
         """Fail the targets of a message that ended without results for them."""
         now = trio.current_time()
         for target in message.targets:
@@ -354,7 +317,9 @@
         if shard.attempts:
             self._cancel_losers(shard, now)
 
-    def _refused(self, shard: _Shard, attempt: _Attempt, result: ShardResult, now: float) -> None:
+    def _refused(
+        self, shard: ShardState, attempt: Attempt, result: ShardResult, now: float
+    ) -> None:
         if result.reason == "snapshot_gone":
             knowledge = self.state.knowledge
             knowledge.lacks(result.searcher, self.plan.snapshot, result.held, now)
@@ -363,14 +328,14 @@
         attempt.replica.note_load(result.in_flight, result.limit, now)
         self._failed(shard, attempt, result.reason, now)
 
-    def _end(self, shard: _Shard, attempt: _Attempt) -> None:
+    def _end(self, shard: ShardState, attempt: Attempt) -> None:
         """Close an open sub-request."""
         shard.attempts.remove(attempt)
         attempt.replica.outstanding -= 1
         attempt.message.left -= 1
         self.open -= 1
 
-    def _cancel_losers(self, shard: _Shard, now: float) -> None:
+    def _cancel_losers(self, shard: ShardState, now: float) -> None:
         """Cancel the other sub-requests of a shard, or their message if it has no other target."""
         name = shard.planned.name
         for attempt in list(shard.attempts):
@@ -392,7 +357,7 @@
     # Failures and retries.
 
     def _failed(
-        self, shard: _Shard, attempt: _Attempt, reason: str, now: float, ran: str = "unknown"
+        self, shard: ShardState, attempt: Attempt, reason: str, now: float, ran: str = "unknown"
     ) -> None:
         self._end(shard, attempt)
         name = shard.planned.name
@@ -405,16 +370,16 @@
         if self.canary_failures is not None:
             self.canary_failures.append(reason)
         elif reason == "request_blocked":
-            self._block()
+            self.block()
         elif not shard.attempts and name in self.gather.pending:
             self._plan_retry(shard, price, now)
 
-    def _plan_retry(self, shard: _Shard, price: float, now: float) -> None:
+    def _plan_retry(self, shard: ShardState, price: float, now: float) -> None:
         if self._gone(shard) and self.may_restart(now):
             self.restart = True
             return
         if self._untried(shard):
-            if self._pay(price, now):
+            if self.pay(price, now):
                 self.retries.append((now, shard))
                 return
             if self.row.policy != "coverage":
@@ -423,7 +388,7 @@
             return
         self._retry_later(shard, now)
 
-    def _retry_later(self, shard: _Shard, now: float) -> None:
+    def _retry_later(self, shard: ShardState, now: float) -> None:
         """Try all replicas again after a growing wait; policy `coverage` only."""
         wait = min(MAX_BACKOFF_S, BACKOFF_S * 2**shard.rounds)
         shard.rounds += 1
@@ -440,19 +405,20 @@
             replica = choose_replica(self._untried(shard), now, self.ports.rng)
             if replica is None:
                 continue
-            if shard.rounds and not shard.tried and not self._pay(self._last_price(shard), now):
+            if shard.rounds and not shard.tried and not self.pay(self._last_price(shard), now):
                 self._retry_later(shard, now)
                 continue
             wave.append((shard, replica))
-        self._launch(wave, "retry", now)
+        self.launch(wave, "retry", now)
 
-    def _last_price(self, shard: _Shard) -> float:
+    def _last_price(self, shard: ShardState) -> float:
         return retry_price(self.gather.reasons.get(shard.planned.name, ""))
 
-    def _pay(self, price: float, now: float) -> bool:
+    def pay(self, price: float, now: float) -> bool:
+        """Pay for an extra sub-request; False when it must not be sent."""
         return self.state.take_budget(price, self.row, now)
 
-    def _usable(self, shard: _Shard) -> list[Replica]:
+    def _usable(self, shard: ShardState) -> list[Replica]:
         """Return the replicas of a shard that are not known to lack the snapshot."""
         lacking = self.state.knowledge.lacking
         candidates = shard.planned.candidates
@@ -460,10 +426,10 @@
             return list(candidates)
         return [one for one in candidates if (one.name, self.plan.snapshot) not in lacking]
 
-    def _untried(self, shard: _Shard) -> list[Replica]:
+    def _untried(self, shard: ShardState) -> list[Replica]:
         return [replica for replica in self._usable(shard) if replica not in shard.tried]
 
-    def _gone(self, shard: _Shard) -> bool:
+    def _gone(self, shard: ShardState) -> bool:
         return bool(shard.planned.candidates) and not self._usable(shard)
 
     # Hedges.
@@ -492,76 +458,15 @@
             shard.hedged = True
             suited = [replica for replica in self._untried(shard) if replica.suits_hedge(now)]
             replica = choose_replica(suited, now, self.ports.rng)
-            if replica is not None and self._pay(FULL_PRICE, now):
+            if replica is not None and self.pay(FULL_PRICE, now):
                 wave.append((shard, replica))
         next_from = self.hedge_from
-        self._launch(wave, "hedge", now)
+        self.launch(wave, "hedge", now)
         self.hedge_from = next_from
         return next_from + delay
 
-    # Canary.
-
-    async def _prove(self, fingerprint: str) -> bool:
-        """Run the query on one shard first; True once it succeeded there.
-
-        After a lost server there is one more trial, of kind `suspect`, on another replica.
-        """
-        failures = self.canary_failures = []
-        self.state.budget.earn(1)
-        kind = "canary"
-        for shard, replica in self._canary_targets(fingerprint):
-            seen = len(failures)
-            now = trio.current_time()
-            if (seen or self.open) and not self._pay(self._canary_price(), now):
-                break
-            self._launch([(shard, replica)], kind, now, canary=True)
-            await self._canary_result(seen)
-            if self.gather.answered:
-                self.canary_failures = None
-                return True
-            lost = sum(reason in CANARY_LOST for reason in failures)
-            if "request_blocked" in failures or lost >= MAX_CANARIES_LOST:
-                self._block()
-                return False
-            kind = "suspect" if lost else "canary"
-        await self._last_canary()
-        return self.gather.answered > 0
-
-    def _canary_price(self) -> float:
-        return FULL_PRICE if self.open else retry_price(self.canary_failures[-1])
-
-    async def _last_canary(self) -> None:
-        """Wait for a canary that is still open; without a success the query ends."""
-        while self.open and not self.gather.answered:
-            await self._canary_result(len(self.canary_failures))
-        if not self.gather.answered:
-            reason = self.canary_failures[-1] if self.canary_failures else "no_replica"
-            for name in self.gather.pending:
-                self.gather.reasons.setdefault(name, reason)
-        self.canary_failures = None
-
-    def _canary_targets(self, fingerprint: str) -> list[tuple[_Shard, Replica]]:
-        """Return shards and replicas in an order that all instances share."""
-        targets = []
-        for name in canary_order(fingerprint, list(self.shards)):
-            shard = self.shards[name]
-            replicas = {replica.name: replica for replica in shard.planned.candidates}
-            targets += [(shard, replicas[one]) for one in canary_order(fingerprint, list(replicas))]
-            if len(targets) >= MAX_CANARY_TARGETS:
-                break
-        return targets[:MAX_CANARY_TARGETS]
-
-    async def _canary_result(self, seen: int) -> None:
-        """Wait until a canary succeeded or failed, or a straggling one needs a second one."""
-        delay = self.state.latencies.delay()
-        hedge = delay is not None and self.row.hedge and self.open == 1 and not seen
-        patience = delay * CANARY_PATIENCE if hedge else NEVER
-        with trio.move_on_after(patience):
-            while not self.gather.answered and len(self.canary_failures) == seen:
-                self.wake = trio.Event()
-                await self.wake.wait()
-
-    def _block(self) -> None:
+    def block(self) -> None:
+        """End the query as one that crashes servers."""
         ran = "unknown" if self.may_have_run or self.open or self.gather.answered else "not_run"
         self.error = RelayError(
             "request_blocked",
