--- a/rattanrelay/node/attempts.py
+++ b/rattanrelay/node/attempts.py
@@ -36,7 +36,7 @@
 class ShardState:
     """A shard of the query and its open sub-requests."""
 
-    __slots__ = ("attempts", "first_sent", "hedged", "planned", "rounds", "tried")
+    __slots__ = ("attempts", "first_sent", "hedged", "planned", "reroutes", "rounds", "tried")
 
     def __init__(self, planned: PlannedShard) -> None:
         self.planned = planned
@@ -45,3 +45,4 @@
         self.first_sent = 0.0
         self.hedged = False
         self.rounds = 0
+        self.reroutes = 0
--- a/rattanrelay/node/canary.py
+++ b/rattanrelay/node/canary.py
@@ -33,7 +33,8 @@
     async def prove(self, fingerprint: str) -> bool:
         """Run the query on one shard first; True once it succeeded there.
 
-        After a lost server there is one more trial, of kind `suspect`, on another replica.
+        After a lost server there is one more trial, of kind `suspect`, on another replica. When
+        the shard's replicas lack the snapshot, the query restarts with another one.
         """
         failures = self.scatter.canary_failures = []
         self.scatter.state.budget.earn(1)
@@ -48,6 +49,9 @@
             if self.scatter.gather.answered:
                 self.scatter.canary_failures = None
                 return True
+            if self.scatter.gone(shard) and self.scatter.may_restart(trio.current_time()):
+                self.scatter.restart = True
+                return False
             lost = sum(reason in CANARY_LOST for reason in failures)
             if "request_blocked" in failures or lost >= MAX_CANARIES_LOST:
                 self.scatter.block()
--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -1,5 +1,6 @@
 """Connections, slots and queue of one searcher; each connection is a task that owns its socket."""
 
+import math
 from collections import deque
 from collections.abc import Callable
 from functools import partial
@@ -39,6 +40,9 @@
     def refusal(self) -> str:
         """Return why no new work may be sent now, empty if it may."""
 
+    def may_queue(self, reason: str) -> bool:
+        """Say whether work that is refused for `reason` may wait in the queue for its end."""
+
     def may_connect(self) -> bool:
         """Say whether a connection may be opened now."""
 
@@ -51,6 +55,9 @@
     def lost(self) -> None:
         """Note a connection that broke while the server worked on a request."""
 
+    async def crashed(self, boot_id: str, since: float) -> bool:
+        """Say whether the server of this boot may have ended; `since` is trio time."""
+
     def dropped(self) -> None:
         """Note an idle connection that the server closed: it may have started anew."""
 
@@ -64,7 +71,7 @@
         """Return the weight of a tenant."""
 
     def sent(self, job: SubRequest) -> None:
-        """Count a sub-request that is being written."""
+        """Note a sub-request that is being written."""
 
 
 class Pool:
@@ -123,7 +130,7 @@
     def submit(self, job: SubRequest) -> None:
         """Queue a sub-request; it is refused at once if it cannot be sent."""
         reason = "no_owner" if self.closing else self.supervisor.refusal()
-        if reason:
+        if reason and (self.closing or not self.supervisor.may_queue(reason)):
             self.refuse(job, reason)
             return
         job.queued_at = trio.current_time()
@@ -187,12 +194,12 @@
         self._drop_late_controls(now)
         while self.controls and self.idle:
             self.idle.pop().sender.send_nowait(self.controls.popleft())
-        while len(self.queue) and self.slots.in_use < self.supervisor.allowance():
-            if not self.idle:
-                break
+        while self.idle and len(self.queue) and self.slots.in_use < self.supervisor.allowance():
             self._start_next(now)
-        self._connect_if_needed()
-        self._close_idle()
+        if self.controls or len(self.queue):
+            self._connect_if_needed()
+        if self.closing or len(self.workers) > self.connections:
+            self._close_idle()
 
     def close(self) -> None:
         """Take no new work; each connection is closed when the queue and its work have ended."""
@@ -270,16 +277,18 @@
         self._ready(worker)
 
     async def _work(self, worker: Worker) -> None:
-        """Serve one connection until it is closed."""
+        """Serve one connection until it is closed.
+
+        The scope's deadline is that of the request in progress. A connection whose request was
+        given up is not used again, so one scope serves them all.
+        """
         try:
-            async for job in worker.receiver:
-                if isinstance(job, Control):
-                    await self._run_control(worker, job)
-                else:
-                    await self._run(worker, job)
-                if not worker.connection.usable:
-                    break
-                self._ready(worker)
+            with worker.scope:
+                await self._serve(worker)
+            if worker.job is not None:
+                self._timed_out(worker.job)
+            if worker.control is not None:
+                worker.control.done(None)
         finally:
             if worker in self.idle:
                 self.idle.remove(worker)
@@ -289,6 +298,17 @@
             self.leaving -= worker.leaving
             self.pump()
 
+    async def _serve(self, worker: Worker) -> None:
+        async for job in worker.receiver:
+            if isinstance(job, Control):
+                await self._run_control(worker, job)
+            else:
+                await self._run(worker, job)
+            if not worker.connection.usable or worker.scope.cancel_called:
+                return
+            worker.scope.deadline = math.inf
+            self._ready(worker)
+
     def _ready(self, worker: Worker) -> None:
         self.idle.append(worker)
         self.pump()
@@ -313,11 +333,13 @@
             self.controls.appendleft(control)
             return
         response = None
-        with trio.move_on_after(CONTROL_TIMEOUT_S):
-            try:
-                response = await worker.connection.request(control.request)
-            except RelayError:
-                self.supervisor.dropped()
+        worker.control = control
+        worker.scope.deadline = trio.current_time() + CONTROL_TIMEOUT_S
+        try:
+            response = await worker.connection.request(control.request)
+        except RelayError:
+            self.supervisor.dropped()
+        worker.control = None
         worker.served = worker.served or response is not None
         control.done(response)
 
@@ -343,19 +365,22 @@
             self.refuse(job, reason)
             return
         self.supervisor.sent(job)
-        response = None
-        with trio.move_on_at(job.free_at):
-            try:
-                response = await worker.connection.request(request)
-            except RelayError as error:
-                self._broken(job, error)
-                return
-        if response is None:
-            self.slots.free(job.request_id)
-            job.finish(self.measured(job, Outcome("deadline", "unknown")))
+        worker.job = job
+        worker.scope.deadline = job.free_at
+        try:
+            response = await worker.connection.request(request)
+        except RelayError as error:
+            worker.job = None
+            self._broken(job, error)
             return
+        worker.job = None
         self._answered(worker, job, response)
 
+    def _timed_out(self, job: SubRequest) -> None:
+        """Finish a sub-request whose answer did not come until its work had certainly ended."""
+        self.slots.free(job.request_id)
+        job.finish(self.measured(job, Outcome("deadline", "unknown")))
+
     def _requeue(self, job: SubRequest) -> None:
         """Queue a sub-request again whose connection closed before anything was written."""
         self.slots.free(job.request_id)
@@ -387,7 +412,20 @@
         else:
             self._free_later(job)
             self.supervisor.lost()
-        job.finish(self.measured(job, Outcome(error.code, error.ran)))
+        outcome = self.measured(job, Outcome(error.code, error.ran))
+        if error.ran != "not_run" and job.on_settled is not None:
+            self.nursery.start_soon(self._settle_broken, job, outcome)
+        else:
+            job.finish(outcome)
+
+    async def _settle_broken(self, job: SubRequest, outcome: Outcome) -> None:
+        """Finish a trial whose connection broke, once it is known whether its server restarted.
+
+        A cut connection to a server that goes on is no sign of a request that crashes servers.
+        """
+        if not await self.supervisor.crashed(job.boot_id, trio.current_time()):
+            outcome = outcome._replace(reason="connection_cut")
+        job.finish(outcome)
 
     def _cancelled(self, request_id: str, response: Response | None) -> None:
         if response is None or response.status != 200:
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -24,7 +24,7 @@
 from .query import Query
 from .service_state import ServiceState
 
-__all__ = ["CONGESTION", "Scatter", "ScatterPorts"]
+__all__ = ["CONGESTION", "NEVER", "Scatter", "ScatterPorts"]
 
 #: Reasons that signal congestion of a service.
 CONGESTION = frozenset({"queue_full", "shedding"})
@@ -35,6 +35,11 @@
 OWNER_FAILURES = frozenset({"connect_failed", "no_quorum", "peer_unavailable", "stopping"})
 
 NEVER = float("inf")
+#: First wait before a shard whose replicas have no owner is planned anew; it doubles each time.
+REROUTE_S = 0.01
+#: New plans for a shard while ownership moves, and without a sign that it does.
+MAX_REROUTES = 5
+MAX_BLIND_REROUTES = 2
 #: Longest time a sub-request may run, in seconds; takeovers wait for it (design 2.1).
 MAX_SUBREQUEST_S = 2.0
 #: Time after the deadline of a sub-request in which its owner's answer may still arrive.
@@ -79,6 +84,7 @@
         unix_offset: float,
         may_restart: Callable[[float], bool] = lambda now: False,
         may_have_run: bool = False,
+        replan: Callable[[], Plan | None] = lambda: None,
     ) -> None:
         self.query = query
         self.query_id = query_id
@@ -90,9 +96,13 @@
         #: Unix time minus trio time, in seconds.
         self.unix_offset = unix_offset
         self.deadline = 0.0
+        self.soft = NEVER
+        self.enough = 0
         #: Messages whose sub-requests must end before the query does.
         self.limited: list[Message] = []
         self.may_restart = may_restart
+        #: Returns the plan for the present table and view, None if there is none.
+        self.replan = replan
         self.shards = {planned.name: ShardState(planned) for planned in plan.shards}
         self.gather = Gather(query_id, plan.snapshot, self.shards, query.limit)
         self.open = 0
@@ -112,13 +122,18 @@
         self.wake = trio.Event()
         self.nursery: trio.Nursery | None = None
 
-    async def run(self, deadline: float, canary: str = "") -> Gather:
+    async def run(
+        self, deadline: float, canary: str = "", *, soft: float = NEVER, enough: int = 0
+    ) -> Gather:
         """Return the gathered results once they are complete or at `deadline` (trio time).
 
+        From the time `soft` on, `enough` answered shards end the query as well.
         `canary` is the fingerprint of a query that must be proven on one shard first. Raises
         `request_blocked`, or the reason for which no canary could run.
         """
         self.deadline = deadline
+        self.soft = soft
+        self.enough = enough
         async with trio.open_nursery() as self.nursery:
             self.nursery.cancel_scope.deadline = deadline
             if not canary or await CanaryRun(self).prove(canary):
@@ -143,6 +158,7 @@
             replica = choose_replica(planned.candidates, now, rng)
             if replica is None:
                 self.gather.fail(planned.name, planned.reason)
+                self._reroute(shard, planned.reason, now)
             else:
                 wave.append((shard, replica))
         self.state.budget.earn(len(wave))
@@ -155,7 +171,8 @@
             expire_at = self._expire(now)
             self._send_retries(now)
             hedge_at = self._send_hedges(now)
-            wake_at = min([hedge_at, expire_at, *(due for due, _ in self.retries)])
+            soft = self.soft if now < self.soft else NEVER
+            wake_at = min([hedge_at, expire_at, soft, *(due for due, _ in self.retries)])
             if self._settled():
                 return
             self.wake = trio.Event()
@@ -168,6 +185,8 @@
     def _settled(self) -> bool:
         if self.gather.complete or self.restart or self.error is not None:
             return True
+        if self.gather.answered >= self.enough and trio.current_time() >= self.soft:
+            return True
         return not self.open and not self.retries
 
     # Messages to owners.
@@ -372,22 +391,48 @@
         elif reason == "request_blocked":
             self.block()
         elif not shard.attempts and name in self.gather.pending:
-            self._plan_retry(shard, price, now)
+            self._plan_retry(shard, price, reason, now)
 
-    def _plan_retry(self, shard: ShardState, price: float, now: float) -> None:
-        if self._gone(shard) and self.may_restart(now):
+    def _plan_retry(self, shard: ShardState, price: float, reason: str, now: float) -> None:
+        if self.gone(shard) and self.may_restart(now):
             self.restart = True
             return
         if self._untried(shard):
             if self.pay(price, now):
                 self.retries.append((now, shard))
                 return
-            if self.row.policy != "coverage":
-                return
-        elif self.row.policy != "coverage" or not self._usable(shard):
+        elif self._reroute(shard, reason, now):
+            return
+        if self.row.policy != "coverage" or not self._usable(shard):
             return
         self._retry_later(shard, now)
 
+    def _reroute(self, shard: ShardState, reason: str, now: float) -> bool:
+        """Plan a shard anew after a short wait if its owner is just changing.
+
+        The asked instance may have handed the server over, or this instance may not know the new
+        view yet. Nothing was sent to a server, so a retry adds no load.
+        """
+        moving = self.state.is_moving(now)
+        limit = MAX_REROUTES if moving else MAX_BLIND_REROUTES
+        if reason != "no_owner" or shard.reroutes >= limit:
+            return False
+        self.retries.append((now + REROUTE_S * 2**shard.reroutes, shard))
+        shard.reroutes += 1
+        shard.tried.clear()
+        return True
+
+    def _refresh(self) -> None:
+        """Use the present owners and replicas of the same snapshot."""
+        plan = self.replan()
+        if plan is None or plan is self.plan or plan.snapshot != self.plan.snapshot:
+            return
+        self.plan = plan
+        for planned in plan.shards:
+            shard = self.shards.get(planned.name)
+            if shard is not None:
+                shard.planned = planned
+
     def _retry_later(self, shard: ShardState, now: float) -> None:
         """Try all replicas again after a growing wait; policy `coverage` only."""
         wait = min(MAX_BACKOFF_S, BACKOFF_S * 2**shard.rounds)
@@ -400,10 +445,14 @@
             return
         due = [shard for at, shard in self.retries if at <= now]
         self.retries = [entry for entry in self.retries if entry[0] > now]
+        if any(shard.reroutes for shard in due):
+            self._refresh()
         wave = []
         for shard in due:
             replica = choose_replica(self._untried(shard), now, self.ports.rng)
             if replica is None:
+                if not shard.planned.candidates:
+                    self._reroute(shard, shard.planned.reason, now)
                 continue
             if shard.rounds and not shard.tried and not self.pay(self._last_price(shard), now):
                 self._retry_later(shard, now)
@@ -429,7 +478,8 @@
     def _untried(self, shard: ShardState) -> list[Replica]:
         return [replica for replica in self._usable(shard) if replica not in shard.tried]
 
-    def _gone(self, shard: ShardState) -> bool:
+    def gone(self, shard: ShardState) -> bool:
+        """Say whether each replica of a shard is known to lack the snapshot."""
         return bool(shard.planned.candidates) and not self._usable(shard)
 
     # Hedges.
--- a/rattanrelay/node/server.py
+++ b/rattanrelay/node/server.py
@@ -22,11 +22,15 @@
 
 STATUS_INTERVAL_S = 1.0
 PROBE_INTERVAL_S = 0.25
+HANDOVER_POLL_S = 0.01
 #: Status polls without an answer after which a searcher counts as lost.
 SILENT_POLLS = 2
 #: A leaving searcher counts as back this long after it last said that it leaves; reports lag.
 LEAVING_HOLD_S = 5.0
 
+#: Time after a broken connection in which a status poll may show that the server did not restart.
+CONFIRM_S = 0.5
+
 LEAVING_STATES = frozenset(("leaving", "draining"))
 #: Why a searcher in this state takes no new work.
 REFUSED_STATES = {"leaving": "draining", "lost": "connect_failed", "out": "no_replica"}
@@ -95,9 +99,15 @@
         self.silent_polls = 0
         self.poll_busy_until = 0.0
         self.polled_at = 0.0
+        self.unreachable_at = -1.0
+        #: When the last answered status poll was asked.
+        self.confirmed_at = -1.0
+        self.news = trio.Event()
         self.unconfirmed_since: float | None = None
         self.wake = trio.Event()
         self.owned = True
+        #: Whether work waits in the queue for the end of a handover.
+        self.awaiting = False
         self.pool = Pool(name, address, self, around.nursery, around.wall, around.connect)
         self.polling = trio.CancelScope()
         self.update(rows)
@@ -135,7 +145,7 @@
     def settle(self) -> None:
         """Refuse queued work that may not be sent any more, or send what now may be sent."""
         reason = self.refusal()
-        if reason:
+        if reason and not (self.awaiting and self.may_queue(reason)):
             self.pool.refuse_queued(reason)
         self.pool.pump()
 
@@ -165,13 +175,31 @@
             return "no_replica"
         return self._no_authority()
 
+    def may_queue(self, reason: str) -> bool:
+        """Let work wait while the server is about to be handed over by its former owner."""
+        if reason != "no_owner" or not self.owned:
+            return False
+        if not self.around.members.handover_pending(self.server):
+            return False
+        if not self.awaiting:
+            self.awaiting = True
+            self.around.nursery.start_soon(self._await_handover)
+        return True
+
+    async def _await_handover(self) -> None:
+        """Send or refuse what waits in the queue as soon as the handover has ended."""
+        while self.owned and self.around.members.handover_pending(self.server):  # noqa: ASYNC110
+            await trio.sleep(HANDOVER_POLL_S)
+        self.awaiting = False
+        self.settle()
+
     def may_connect(self) -> bool:
         """Say whether a connection may be opened now."""
         return not self._no_authority()
 
     def allowance(self) -> int:
         """Return how many slots may be in use now."""
-        if self.chart.state in REFUSED_STATES:
+        if self.awaiting or self.chart.state in REFUSED_STATES:
             return 0
         allowed = self.ramp.allowance(self.rows.limit.slots)
         if self.unconfirmed_since is not None:
@@ -187,8 +215,10 @@
         return self.around.weight(tenant)
 
     def sent(self, job: SubRequest) -> None:
-        """Count a sub-request that is being written."""
-        self.around.metrics.subrequests.inc(job.labels)
+        """Note the boot that gets a sub-request; count actions, as the entry counts searches."""
+        job.boot_id = self.boot_id
+        if job.kind == "action":
+            self.around.metrics.subrequests.inc(job.labels)
 
     # What the pool tells
 
@@ -210,6 +240,16 @@
         """Note a connection that broke while the server worked on a request."""
         self._send("lost", "connection broke during a request")
 
+    async def crashed(self, boot_id: str, since: float) -> bool:
+        """Say whether the server of this boot may have ended; True if it is not known in time."""
+        self.wake.set()
+        with trio.move_on_after(CONFIRM_S):
+            while self.unreachable_at < since:
+                if self.confirmed_at >= since:
+                    return not boot_id or boot_id != self.boot_id
+                await self.news.wait()
+        return True
+
     def dropped(self) -> None:
         """Note an idle connection that the server closed.
 
@@ -222,7 +262,9 @@
     def unreachable(self) -> None:
         """Note a connection that could not be opened."""
         self.poll_busy_until = 0.0
+        self.unreachable_at = trio.current_time()
         self._send("lost", "connection could not be opened")
+        self._tell_news()
 
     # Status polls
 
@@ -252,6 +294,8 @@
             return
         self.silent_polls = 0
         self._note_headers(response)
+        self.confirmed_at = self.polled_at
+        self._tell_news()
         if self.unconfirmed_since is not None and self.polled_at >= self.unconfirmed_since:
             self.unconfirmed_since = None
         try:
@@ -270,6 +314,10 @@
 
     # Evidence
 
+    def _tell_news(self) -> None:
+        news, self.news = self.news, trio.Event()
+        news.set()
+
     def _no_authority(self) -> str:
         if not self.owned:
             return "no_owner"
