Spare the other replicas of a shard in the second trial of a suspect

The second trial of a query that lost a server ran on the other replica of the same shard. The second trial now runs on another shard.

The emulated searcher records when it accepted connections.

--- a/rattanrelay/emulator/journal.py
+++ b/rattanrelay/emulator/journal.py
@@ -65,6 +65,8 @@
         self.connections = 0
         self.peak_connections = 0
         self.connections_opened = 0
+        #: Unix seconds at which connections were accepted.
+        self.opened_at: list[float] = []
         #: Unix seconds of the last request for work, and of the last one that was started.
         self.last_arrival: float | None = None
         self.last_start: float | None = None
@@ -94,8 +96,9 @@
         if run.start is not None:
             self.working -= 1
 
-    def connect(self) -> None:
+    def connect(self, now: float) -> None:
         """Record an accepted connection."""
+        self.opened_at.append(now)
         self.connections += 1
         self.connections_opened += 1
         self.peak_connections = max(self.peak_connections, self.connections)
@@ -118,6 +121,7 @@
         self.peak_work = self.working
         self.peak_connections = self.connections
         self.connections_opened = 0
+        self.opened_at = []
         self.last_arrival = None
         self.last_start = None
 
@@ -143,6 +147,7 @@
             **self.summary(),
             "runs": [msgspec.to_builtins(run) for run in self.runs if run.arrived >= since],
             "violations": [violation._asdict() for violation in self.violations],
+            "opened_at": [time for time in self.opened_at if time >= since],
         }
 
 
--- a/rattanrelay/emulator/searcher.py
+++ b/rattanrelay/emulator/searcher.py
@@ -128,7 +128,7 @@
         if reached > limit:
             self.journal.violate(Violation(self.now(), "connections", "", reached, limit))
             return False
-        self.journal.connect()
+        self.journal.connect(self.now())
         return True
 
     def ended(self) -> None:
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -498,13 +498,16 @@
     async def _prove(self, fingerprint: str) -> bool:
         """Run the query on one shard first; True once it succeeded there.
 
-        After a lost server there is one more trial, of kind `suspect`, on another replica. When
-        the shard's replicas lack the snapshot, the query restarts with another one.
+        After a lost server there is one more trial, of kind `suspect`, on a replica of another
+        shard, so that no shard loses both of its replicas. When the replicas of the shard lack
+        the snapshot, the query restarts with another one.
         """
         failures = self.canary_failures = []
         self.state.budget.earn(1)
         kind = "canary"
-        for shard, replica in self._canary_targets(fingerprint):
+        targets = self._canary_targets(fingerprint)
+        while targets:
+            shard, replica = targets.pop(0)
             seen = len(failures)
             now = trio.current_time()
             if (seen or self.open) and not self._pay(self._canary_price(), now):
@@ -521,7 +524,9 @@
             if "request_blocked" in failures or lost >= MAX_CANARIES_LOST:
                 self._block()
                 return False
-            kind = "suspect" if lost else "canary"
+            if lost:
+                kind = "suspect"
+                targets = self._spare(shard, targets)
         await self._last_canary()
         return self.gather.answered > 0
 
@@ -549,6 +554,12 @@
                 break
         return targets[:MAX_CANARY_TARGETS]
 
+    @staticmethod
+    def _spare(lost: _Shard, targets: list[tuple[_Shard, Replica]]) -> list[tuple[_Shard, Replica]]:
+        """Leave out the other replicas of a shard that lost one, unless there are only these."""
+        spared = {replica.name for replica in lost.planned.candidates}
+        return [target for target in targets if target[1].name not in spared] or targets
+
     async def _canary_result(self, seen: int) -> None:
         """Wait until a canary succeeded or failed, or a straggling one needs a second one."""
         delay = self.state.latencies.delay()
--- a/tests/steps/answers_steps.py
+++ b/tests/steps/answers_steps.py
@@ -1,14 +1,18 @@
 """Steps of the features on snapshots, coverage, outcomes, crashing requests and cold starts."""
 
 import itertools
+import threading
 import time
 from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
 
+import msgspec
 from behave import given, then, when
 
 from rattanrelay.emulator.answers import ANSWER_FAULTS
-from rattanrelay.emulator.corpus import query_digest
-from tests.harness import Fleet, wait_until
+from rattanrelay.emulator.corpus import canonical, query_digest
+from rattanrelay.emulator.journal import Run, peak_concurrent
+from tests.harness import ActionKey, Fleet, wait_until
 from tests.harness.traffic import Traffic, check_query_answer
 
 #: More distinct queries than any scenario sends.
@@ -16,6 +20,11 @@
 FLIP_S = 0.25
 #: Answers that must arrive before a phase of a scenario counts as seen.
 ENOUGH = 60
+#: Cost of a connection in cold starts, in ms. That many connections in turn take at least half
+#: of the time that the row asks for, since the records of a busy emulator are late.
+CONNECT_MS = 100.0
+OPENED_IN_TURN = 5
+MIN_SPAN_S = (OPENED_IN_TURN - 1) * CONNECT_MS / 1000 / 2
 
 
 @given('a small fleet of "{deployment}" with service "{service}"')
@@ -33,6 +42,7 @@
     fleet.__enter__()
     context.add_cleanup(fleet.close)
     fleet.start_entries()
+    wait_until(lambda: _owned(context), "each backend server has an owner that may dispatch")
     for client in clients(context):
         wait_until(
             lambda client=client: _is_complete(ask(context, client)[1]),
@@ -40,6 +50,21 @@
         )
 
 
+def _owned(context):
+    """Say whether all instances are in the view and own all servers between them."""
+    fleet = context.fleet
+    found = [one.admin_client.call("GET", "/v1/status").json() for one in fleet.entries.values()]
+    if any(len(status["members"]) != len(found) for status in found):
+        return False
+    held = {
+        name
+        for status in found
+        for name, server in status["servers"].items()
+        if server["dispatching"]
+    }
+    return held == set(fleet.deployment.table.servers)
+
+
 def clients(context):
     """Return the caller clients of all instances."""
     return [entry.caller_client for entry in context.fleet.entries.values()]
@@ -361,3 +386,320 @@
 def none_blocked(context):
     codes = Counter(one.answer.get("code") for one in context.traffic.since(0, "query"))
     assert not codes["request_blocked"], codes
+
+
+@given('a proxied fleet of 3 searchers of "{service}"')
+def action_fleet(context, service):
+    open_fleet(context, "norte", service, proxied_servers=True, scale=1.0)
+    context.attempts = []
+    context.lock = threading.Lock()
+
+
+def act(context, client, key, *, timeout_ms=1000, action=None):
+    """Send a reservation, note the attempt, and return the answer."""
+    body = action or {"reserve": key}
+    reply = client.act(context.service, key, body, key, timeout_ms=timeout_ms)
+    answer = reply.json()
+    with context.lock:
+        context.attempts.append((key, canonical(body).decode(), answer))
+    return answer
+
+
+def act_everywhere(context, keys):
+    """Send each key through all instances at once."""
+    with ThreadPoolExecutor(6) as pool:
+        pairs = [(key, client) for key in keys for client in clients(context)]
+        list(pool.map(lambda pair: act(context, pair[1], pair[0]), pairs))
+
+
+def _refuse(context, names):
+    context.fleet.platform.set_proxy_faults(*names, refuse=True)
+    context.fleet.platform.post("proxies/cut", routes=names)
+
+
+def _answer_fault(name):
+    return _post("searchers/faults", set={"answer": name}), HEALTHY
+
+
+def _fault(**faults):
+    return _post("searchers/faults", set=faults), HEALTHY
+
+
+#: How each fault of non-idempotent requests starts and ends.
+ACTION_FAULTS = {
+    "nothing": (_nothing, _nothing),
+    "before_write": (_refuse, _proxy()),
+    "mid_write": (_proxy(cut_after_to_target=150), _proxy()),
+    "after_write": _answer_fault("reset"),
+    "mid_answer": _answer_fault("truncated"),
+    "crash": _fault(crash_marker="reserve"),
+    "silent": _fault(hang=True),
+    "deadline": _fault(straggle=1000.0),
+    "shed": _fault(shed=True),
+    "drain": (_post("searchers/leave"), _post("searchers/return")),
+}
+
+
+@when("reservations are sent through all instances at once and resent later, while")
+def act_under_faults(context):
+    names = list(context.fleet.searchers())
+    for row in context.table:
+        start, end = ACTION_FAULTS[row["fault"]]
+        wait_until(
+            lambda: act(context, clients(context)[0], ActionKey.new())["outcome"] == "done",
+            "a reservation is done",
+        )
+        start(context, names)
+        seen = Counter()
+        for _ in range(6):
+            keys = [ActionKey.new() for _ in range(3)]
+            before = len(context.attempts)
+            act_everywhere(context, keys)
+            seen.update(answer["outcome"] for _, _, answer in context.attempts[before:])
+            if seen[row["seen"]]:
+                break
+        end(context, names)
+        print(row["fault"], dict(seen))
+        assert seen[row["seen"]], (row["fault"], seen)
+    for key in {key for key, _, _ in context.attempts}:
+        act(context, clients(context)[len(context.attempts) % 3], key)
+
+
+@when("callers resend reservations while connections are cut and an instance is killed")
+def act_under_failures(context):
+    names = list(context.fleet.searchers())
+    stop = threading.Event()
+    running = clients(context)[:2]
+
+    def send(number):
+        while not stop.is_set():
+            key = ActionKey.new()
+            for turn in range(3):
+                act(context, running[(number + turn) % 2], key)
+
+    with ThreadPoolExecutor(6) as pool:
+        sending = [pool.submit(send, number) for number in range(6)]
+        try:
+            for wanted in range(20, 200, 20):
+                if wanted == 60:
+                    list(context.fleet.entries.values())[2].process.kill()
+                wait_until(
+                    lambda wanted=wanted: len(context.attempts) >= wanted, f"{wanted} attempts"
+                )
+                context.fleet.platform.post("proxies/cut", routes=names)
+        finally:
+            stop.set()
+    for one in sending:
+        one.result()
+
+
+def action_runs(context):
+    """Return the runs that had or may have had an effect, by body, each with its receipt."""
+    found = {}
+    for name, journal in context.fleet.journals().items():
+        for run in journal["runs"]:
+            if run["kind"] == "action" and run["ran"]:
+                found.setdefault(run["body"], []).append(f"{name}#{run['number']}")
+    return found
+
+
+@then("outcomes agree with the records and no key ran twice")
+def outcomes_agree(context):
+    runs = action_runs(context)
+    attempts = {}
+    for _, body, answer in context.attempts:
+        attempts.setdefault(body, []).append(answer)
+    assert runs and len(attempts) >= 30, len(attempts)
+    for body, answers in attempts.items():
+        ran = runs.get(body, [])
+        outcomes = {answer["outcome"] for answer in answers}
+        assert outcomes <= {"done", "not_run", "unknown"}, answers
+        assert len(ran) <= 1, (body, ran)
+        assert "done" not in outcomes or len(ran) == 1, (body, answers)
+        assert outcomes != {"not_run"} or not ran, (body, ran, answers)
+
+
+@then("repeats of a key that is done got the stored outcome")
+def stored_outcome(context):
+    runs = action_runs(context)
+    repeats = 0
+    receipts = {}
+    for _, body, answer in context.attempts:
+        if answer["outcome"] == "done":
+            receipts.setdefault(body, []).append(answer["result"]["result"]["receipt"])
+    for body, found in receipts.items():
+        repeats += len(found) > 1
+        assert found == runs[body] * len(found), (body, found, runs[body])
+    assert repeats >= 10, repeats
+
+
+@then("the same keys with another body are refused without a run")
+def other_body(context):
+    done = {key for key, _, answer in context.attempts if answer["outcome"] == "done"}
+    for number, key in enumerate(sorted(done)):
+        client = clients(context)[number % 3]
+        answer = act(context, client, key, action={"reserve": key, "other": number})
+        assert (answer["outcome"], answer["code"]) == ("not_run", "key_reused"), answer
+    outcomes_agree(context)
+
+
+@given('every searcher crashes on a query that contains "{marker}"')
+def crash_on(context, marker):
+    context.marker = marker
+    context.fleet.post("searchers/faults", {}, set={"crash_marker": marker})
+
+
+def crashes(context):
+    """Return the number of crashes that all searchers recorded."""
+    return sum(len(one["crashes"]) for one in context.fleet.searchers().values())
+
+
+def _send_poison(client, context):
+    return client.query(context.service, {"term": context.marker}, 5, timeout_ms=1000)
+
+
+@when(
+    "the crashing query is sent {count:d} times through each instance, at first through all at once"
+)
+def send_poison(context, count):
+    context.since = time.time()
+    with ThreadPoolExecutor(3) as pool:
+        list(pool.map(lambda one: _send_poison(one, context), clients(context)))
+    for _ in range(count - 1):
+        for client in clients(context):
+            _send_poison(client, context)
+
+
+@then("at most {count:d} crashes were recorded")
+def few_crashes(context, count):
+    assert 1 <= crashes(context) <= count, crashes(context)
+
+
+@then('the crashing query is refused as "{code}" by each instance')
+def poison_refused(context, code):
+    for client in clients(context):
+        answer = _send_poison(client, context).json()
+        assert answer["code"] == code, answer
+
+
+@then("a changed query is answered completely by each instance")
+def changed_passes(context):
+    for client in clients(context):
+        wait_until(
+            lambda client=client: _is_complete(ask(context, client)[1]), "a changed query passes"
+        )
+
+
+@then("other callers still got complete answers")
+def others_complete(context):
+    wait_answers(context, context.since)
+    context.traffic.stop()
+    wanted = [one for one in context.traffic.since(context.since, "query") if one.status]
+    gaps = Counter(
+        gap["reason"] for one in wanted for gap in one.answer.get("coverage", {}).get("missing", [])
+    )
+    covered = len(complete(context, context.since))
+    assert covered > 0.9 * len(wanted), (covered, len(wanted), gaps)
+    codes = Counter(one.answer.get("code") for one in wanted)
+    assert not codes["request_blocked"], codes
+
+
+@when("the crashing reservation is sent {count:d} times through each instance, at first at once")
+def send_poison_action(context, count):
+    action = {"reserve": context.marker}
+
+    def send(client):
+        act(context, client, ActionKey.new(), action=action)
+
+    with ThreadPoolExecutor(3) as pool:
+        list(pool.map(send, clients(context)))
+    for _ in range(count - 1):
+        for client in clients(context):
+            send(client)
+
+
+@then("a changed reservation is done through each instance")
+def changed_action(context):
+    for client in clients(context):
+        wait_until(
+            lambda client=client: act(context, client, ActionKey.new())["outcome"] == "done",
+            "a changed reservation is done",
+        )
+
+
+@given("a fleet whose searchers have {slots:d} slots, {cold:d} when cold")
+def cold_fleet(context, slots, cold):
+    """Start a fleet whose service times leave room for many requests at a time on few cores."""
+    options = {"slots": slots, "cold_slots": cold, "connect_ms": CONNECT_MS, "service_ms": 30.0}
+    open_fleet(context, "nl-midden", "register-search", cold_overload="shed", **options)
+    context.slots = slots
+    context.traffic = Traffic(context.fleet, query_services=(context.service,), threads=12)
+    context.traffic.__enter__()
+    context.add_cleanup(context.traffic.stop)
+    wait_busy(context, context.fleet.searchers(), 0.0)
+
+
+def wait_busy(context, names, since):
+    """Wait until each searcher has used more than the slots of a cold one since a time."""
+
+    def busy():
+        journals = context.fleet.journals(since, searchers=list(names)).values()
+        runs = [[msgspec.convert(run, Run) for run in one["runs"]] for one in journals]
+        return all(peak_concurrent(own) >= 2 for own in runs)
+
+    wait_until(busy, "each searcher has more than one slot in use")
+
+
+#: How servers become cold.
+COLD_STARTS = {
+    "crash": lambda fleet, select: fleet.post("searchers/crash", select),
+    "leave and return": lambda fleet, select: (
+        fleet.post("searchers/leave", select),
+        time.sleep(1),
+        fleet.post("searchers/return", select),
+    ),
+    "become cold unannounced": lambda fleet, select: fleet.post("searchers/cool", select),
+}
+
+
+@when("{count:d} servers {event} {times:d} times")
+def start_cold(context, count, event, times):
+    servers = [server.name for server in context.fleet.deployment.servers[:count]]
+    context.cold_starts = times
+    for _ in range(times):
+        COLD_STARTS[event](context.fleet, {"servers": servers})
+        time.sleep(FLIP_S)
+    names = [one for one in context.fleet.searchers() if one.split("/")[0] in servers]
+    start = time.time()
+    wait_until(
+        lambda: all(context.fleet.searchers()[name]["state"] == "warm" for name in names),
+        "the searchers are warm again",
+    )
+    wait_busy(context, names, start)
+
+
+@then("no searcher in cold start got more work than its row allows")
+def cold_limits(context):
+    context.traffic.stop()
+    assert not context.fleet.violations(), context.fleet.violations()[:3]
+    assert not context.traffic.wrong(), context.traffic.wrong()[:3]
+
+
+@then("each searcher shed at most {count:d} requests for each cold start that it did not announce")
+def few_shed(context, count):
+    context.traffic.stop()
+    violations = context.fleet.violations()
+    assert {one["kind"] for _, one in violations} <= {"cold_unannounced"}, violations[:3]
+    shed = Counter(name for name, _ in violations)
+    assert all(number <= count * context.cold_starts for number in shed.values()), shed
+
+
+@then("new connections were spaced by the cost in the row")
+def spaced(context):
+    checked = 0
+    for name, journal in context.fleet.journals().items():
+        opened = sorted(journal["opened_at"])
+        for first, last in zip(opened, opened[OPENED_IN_TURN - 1 :], strict=False):
+            checked += 1
+            assert last - first >= MIN_SPAN_S, (name, opened)
+    assert checked
--- /dev/null
+++ b/tests/system/cold_start.feature
@@ -0,0 +1,26 @@
+Feature: A cold backend server gets no more work than its row allows
+  Guards against full load on a server that has just started, however the start becomes known, and
+  against bursts of new connections. A cold searcher bears one slot, and one more after each 8
+  requests; it records each request above that as a violation.
+
+  Scenario Outline: <count> servers <event> <times> times
+    Given a fleet whose searchers have 4 slots, 1 when cold
+    When <count> servers <event> <times> times
+    Then no searcher in cold start got more work than its row allows
+
+    Examples:
+      | count | event            | times |
+      | 1     | crash            | 5     |
+      | 4     | crash            | 2     |
+      | 2     | leave and return | 1     |
+
+  Scenario: Servers become cold without saying so
+    Given a fleet whose searchers have 4 slots, 1 when cold
+    When 2 servers become cold unannounced 2 times
+    Then each searcher shed at most 4 requests for each cold start that it did not announce
+
+  Scenario: New connections are paced
+    Given a fleet whose searchers have 4 slots, 4 when cold
+    When 2 servers crash 2 times
+    Then no searcher in cold start got more work than its row allows
+    And new connections were spaced by the cost in the row
--- /dev/null
+++ b/tests/system/crashing_request.feature
@@ -0,0 +1,23 @@
+Feature: A request that crashes servers does so only a few times
+  Guards against a request that takes one server after another down, and against protection that
+  hurts other callers. The crashes that the searchers recorded are the judge. Trials of
+  non-idempotent requests run at the owner of the searcher of their route, so those that arrive
+  before the first loss is shared may crash one searcher for each owner.
+
+  Scenario: A crashing query is sent again and again through every instance
+    Given a small fleet of "nl-midden" with service "register-search"
+    And every searcher crashes on a query that contains "poison"
+    And answer callers that send distinct queries
+    When the crashing query is sent 20 times through each instance, at first through all at once
+    Then at most 2 crashes were recorded
+    And the crashing query is refused as "request_blocked" by each instance
+    And a changed query is answered completely by each instance
+    And other callers still got complete answers
+    And no answer claimed more or less than the shards it covers
+
+  Scenario: A crashing reservation is sent again and again with new keys
+    Given a proxied fleet of 3 searchers of "sample-booking"
+    And every searcher crashes on a query that contains "poison"
+    When the crashing reservation is sent 12 times through each instance, at first at once
+    Then at most 3 crashes were recorded
+    And a changed reservation is done through each instance
