--- a/tests/steps/answers_steps.py
+++ b/tests/steps/answers_steps.py
@@ -575,6 +575,14 @@
     assert 1 <= crashes(context) <= count, crashes(context)
 
 
+@then("no shard lost all of its searchers")
+def no_shard_lost(context):
+    lost = {name for name, one in context.fleet.searchers().items() if one["crashes"]}
+    assert lost
+    for shard in newest(context).shards:
+        assert not set(shard.searchers) <= lost, (shard, lost)
+
+
 @then('the crashing query is refused as "{code}" by each instance')
 def poison_refused(context, code):
     for client in clients(context):
--- a/tests/system/crashing_request.feature
+++ b/tests/system/crashing_request.feature
@@ -10,6 +10,7 @@
     And answer callers that send distinct queries
     When the crashing query is sent 20 times through each instance, at first through all at once
     Then at most 2 crashes were recorded
+    And no shard lost all of its searchers
     And the crashing query is refused as "request_blocked" by each instance
     And a changed query is answered completely by each instance
     And other callers still got complete answers
