--- a/rattanrelay/decide/membership.py
+++ b/rattanrelay/decide/membership.py
@@ -149,6 +149,17 @@
             return False
         return self.takeover.taken(server, self.evidence, now)
 
+    def handover_pending(self, server: str, now: float) -> bool:
+        """Say whether this process is about to take a server over from processes that answer.
+
+        False while a former owner is silent: the takeover then takes seconds.
+        """
+        if not self.lease.holds(now) or not self.wanted or self.owner(server) != self.me:
+            return False
+        if self.takeover.taken(server, self.evidence, now):
+            return False
+        return all(self._touched(one, now) for one in self.takeover.awaited(self.evidence, now))
+
     def giving_up(self, busy: Iterable[str]) -> tuple[str, ...]:
         """Return those of the busy backend servers that this process does not own."""
         return tuple(server for server in busy if self.owner(server) != self.me)
@@ -157,6 +168,10 @@
         """Return the members that have not acknowledged the epoch for too long."""
         return [member for member in self._others() if self._silence(member, now) > SUSPECT_AFTER_S]
 
+    def silent(self, now: float) -> list[Member]:
+        """Return the suspects that have not answered at all, whatever epoch they are at."""
+        return [member for member in self.suspects(now) if not self._touched(member.identity, now)]
+
     def live(self, now: float) -> list[Member]:
         """Return the members that are not suspect, this process included."""
         suspects = self.suspects(now)
--- a/tests/steps/members_node_steps.py
+++ b/tests/steps/members_node_steps.py
@@ -477,6 +477,20 @@
     await cell.node(0).members.confirm_stopped(f"entry-{number:02d}")
 
 
+@when("the operator tries to confirm the end of instance {number:d}")
+@in_cell
+async def try_confirm(context, cell, number):
+    try:
+        await cell.node(0).members.confirm_stopped(f"entry-{number:02d}")
+    except RelayError as error:
+        context.error = error
+
+
+@then('the confirmation fails with "{code}"')
+def confirmation_failed(context, code):
+    assert context.error.code == code, context.error
+
+
 @given("a table in which all rows are in")
 @in_cell
 async def table_in(context, cell):
@@ -525,8 +539,11 @@
 
 
 async def _edit(cell, number):
+    await _edit_at(cell.node(number))
+
+
+async def _edit_at(node):
     """Add a tenant with the name of the instance."""
-    node = cell.node(number)
 
     def change(value):
         table = decode_table(value) if value else Table(0)
@@ -549,11 +566,36 @@
         await _edit(cell, number)
 
 
-@when("instance {number:d} edits the table while it does not reach instance {other:d}")
+def _pair(cell):
+    """Return an editor and an instance that does not watch the store."""
+    passive = [node for node in cell.nodes.values() if not node.members.chosen("watch", 2)]
+    target = passive[0]
+    editor = next(node for node in cell.nodes.values() if node is not target)
+    return editor, target
+
+
+@when("an edit is made while its push does not reach an instance that does not watch the store")
 @in_cell
-async def edit_cut(context, cell, number, other):
-    cell.cuts.add((cell.node(number).name, cell.node(other).name))
-    await _edit(cell, number)
+async def edit_without_push(context, cell):
+    editor, target = _pair(cell)
+    cell.cuts.add((editor.name, target.name))
+    await _edit_at(editor)
+
+
+@when("an edit is made while an instance that does not watch the store cannot pull either")
+@in_cell
+async def edit_without_pull(context, cell):
+    editor, target = _pair(cell)
+    cell.cuts.add((editor.name, target.name))
+    cell.cuts |= {(target.name, other) for other in cell.nodes}
+    context.target = target
+    cell.nursery.start_soon(_edit_at, editor)
+
+
+@when("that instance can pull again")
+@in_cell
+async def heal_pulls(context, cell):
+    cell.cuts -= {(context.target.name, other) for other in cell.nodes}
 
 
 @when("all instances edit the table at the same time")
