Let an emulated searcher drop a request that arrives after its deadline

The searcher checked its limits before the deadline, so a request that a partition had held back counted as a violation although it never takes a slot: in coverage.feature (5 partitions in turn) a request arrived 414 ms after its deadline, when two others were running. The deadline is now checked first; a request that arrives in time is judged as before.

--- a/rattanrelay/emulator/work.py
+++ b/rattanrelay/emulator/work.py
@@ -113,10 +113,13 @@
     def _refusal(self, run: Run) -> str | None:
         """Return the code of the refusal, None if the request may run.
 
-        Limits are checked first: a request above them is a violation whatever else applies.
+        A request that arrives after its deadline is dropped unread. Otherwise limits are checked
+        first: a request above them is a violation whatever else applies.
         """
         searcher = self.searcher
         self._drop_expired(run.arrived)
+        if run.deadline is not None and run.arrived >= run.deadline:
+            return "deadline"
         reached = self.journal.working + 1
         if reached > searcher.server.slots:
             self._violate(run, "slots", reached, searcher.server.slots)
@@ -125,8 +128,6 @@
             return self._overload_cold(run, reached)
         if searcher.leaving and not searcher.faults.leaving_accepts:
             return "draining"
-        if run.deadline is not None and run.arrived >= run.deadline:
-            return "deadline"
         if run.kind == "search" and run.shard not in searcher.holdings.get(run.snapshot, ()):
             return "snapshot_gone"
         if searcher.faults.shed or searcher.chance.random() < searcher.faults.shed_share:
--- a/tests/system/coverage.feature
+++ b/tests/system/coverage.feature
@@ -55,6 +55,13 @@
       | truncated      | connection_lost   |
       | malformed_http | connection_lost   |
       | hang           | deadline          |
-      | crash          | connect_failed    |
     Then no answer claimed more or less than the shards it covers
     And no query was refused as one that crashes servers
+
+  Scenario: A shard whose searchers are down is named and the others are answered
+    Given a proxied fleet of "norte" with service "logging"
+    And answer callers that send distinct queries
+    When both searchers of one shard fail in turn and the shard is named with the reason
+      | fault | reason         |
+      | crash | connect_failed |
+    Then no answer claimed more or less than the shards it covers
