Give each free port to one user of the test process only

free_ports returned ports that an earlier call had given to an entry instance that was not started yet; one run of coverage.feature failed with 'Address already in use' at the start of entry-1.

--- a/rattanrelay/emulator/addresses.py
+++ b/rattanrelay/emulator/addresses.py
@@ -15,6 +15,9 @@
 
 BACKLOG = 1024
 
+#: Ports that this process was given before and may not have bound yet.
+_given: set[int] = set()
+
 
 class PortReservation:
     """A bound socket that never listens: connections are refused, the port stays ours."""
@@ -41,14 +44,15 @@
 
 
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return ports that nothing is bound to now; the search starts at a place of this process."""
+    """Return ports that nothing is bound to now and that no earlier call returned."""
     chance = random.Random(os.urandom(8))
     ports: list[int] = []
     for port in chance.sample(range(FIRST_FREE_PORT, LAST_FREE_PORT), LAST_FREE_PORT // 2):
         if len(ports) == count:
             return ports
-        if _is_free(host, port):
+        if port not in _given and _is_free(host, port):
             ports.append(port)
+            _given.add(port)
     raise OSError(errno.EADDRINUSE, f"{count} free ports were not found")
 
 
