--- a/rattanrelay/node/canary.py
+++ b/rattanrelay/node/canary.py
@@ -33,13 +33,16 @@
     async def prove(self, fingerprint: str) -> bool:
         """Run the query on one shard first; True once it succeeded there.
 
-        After a lost server there is one more trial, of kind `suspect`, on another replica. When
-        the shard's replicas lack the snapshot, the query restarts with another one.
+        After a lost server there is one more trial, of kind `suspect`, on a replica of another
+        shard, so that no shard loses both of its replicas. When the replicas of the shard lack
+        the snapshot, the query restarts with another one.
         """
         failures = self.scatter.canary_failures = []
         self.scatter.state.budget.earn(1)
         kind = "canary"
-        for shard, replica in self._targets(fingerprint):
+        targets = self._targets(fingerprint)
+        while targets:
+            shard, replica = targets.pop(0)
             seen = len(failures)
             now = trio.current_time()
             if (seen or self.scatter.open) and not self.scatter.pay(self._price(), now):
@@ -56,7 +59,9 @@
             if "request_blocked" in failures or lost >= MAX_CANARIES_LOST:
                 self.scatter.block()
                 return False
-            kind = "suspect" if lost else "canary"
+            if lost:
+                kind = "suspect"
+                targets = _spared(shard, targets)
         await self._wait_for_last()
         return self.scatter.gather.answered > 0
 
@@ -95,3 +100,11 @@
             while not scatter.gather.answered and len(scatter.canary_failures) == seen:
                 scatter.wake = trio.Event()
                 await scatter.wake.wait()
+
+
+def _spared(
+    lost: ShardState, targets: list[tuple[ShardState, Replica]]
+) -> list[tuple[ShardState, Replica]]:
+    """Leave out the other replicas of a shard that lost one, unless there are only these."""
+    spared = {replica.name for replica in lost.planned.candidates}
+    return [target for target in targets if target[1].name not in spared] or targets
