Leave the view before waiting for outcomes to be stored

It leaves the view first now, so that new keys go elsewhere, and gives the store 5 s to take outcomes after that. A repeat of a key without a stored outcome is answered with unknown, as before.

--- a/rattanrelay/node/claims.py
+++ b/rattanrelay/node/claims.py
@@ -97,6 +97,11 @@
         for log in self.logs:
             await log.flushed()
 
+    @property
+    def unsettled(self) -> int:
+        """Claims and outcomes that the store has not taken yet."""
+        return sum(log.waiting for log in self.logs)
+
     async def submit(self, action: Action) -> ActionResult:
         """Run an action at its coordinator, or here when that does not answer."""
         key_time(action.key, self.wall())
--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -33,6 +33,9 @@
 ADMIN_BODY_BYTES = 4 * 1024 * 1024
 #: Time in which peers still get answers after this instance has left the view, in seconds.
 FAREWELL_S = 0.3
+#: Time that a stopping instance gives the store to take outcomes, in seconds. A repeat of a
+#: request whose outcome was not stored is answered with `unknown`.
+STORE_OUTCOMES_S = 5.0
 BACKLOG = 512
 INCARNATION_DIGITS = 12
 
@@ -184,10 +187,16 @@
             await trio.sleep(self.settings.balancer_grace)
             self._callers_stopping.set()
             await self._callers_ended.wait()
-            await self.claims.drain()
+            # Once this instance has left, the others coordinate new requests themselves.
             await self.members.leave()
+            with trio.move_on_after(STORE_OUTCOMES_S):
+                await self.claims.drain()
             await trio.sleep(FAREWELL_S)
-        event("daemon.drained", in_time=not scope.cancelled_caught)
+        event(
+            "daemon.drained",
+            in_time=not scope.cancelled_caught,
+            outcomes_not_stored=self.claims.unsettled,
+        )
 
 
 async def _open(address: Address) -> list[trio.SocketListener]:
