Let calls to a store that is down back off

Each watch and read retried once a second. In tests/system/store_calls.feature a fleet of 5 with 4 documents opened 80 connections in 10 s while the store refused them, which is 5,439 calls/s for 3,400 instances; the store takes 2,000 reads/s.

--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -129,8 +129,9 @@
             blocked=lambda: self.dispatch.blocked(),
             see_blocked=lambda entries: self.dispatch.see_blocked(entries),
             contacts=contacts,
+            rng=self.rng,
         )
-        self.documents = Documents(self.store, self.peers, self.members)
+        self.documents = Documents(self.store, self.peers, self.members, self.rng)
         configuration = self.documents.configuration
         self.dispatch = Dispatcher(configuration, self.members, self.metrics, rng=self.rng)
         self.claims = Claims(
--- a/rattanrelay/node/documents.py
+++ b/rattanrelay/node/documents.py
@@ -1,6 +1,7 @@
 """The documents task: table and catalogs, their propagation, and edits in the store."""
 
 from collections.abc import Callable, Iterable
+from random import Random
 from typing import Literal, NamedTuple
 
 import msgspec
@@ -11,6 +12,7 @@
 from ..errors import RelayError
 from ..log import event
 from ..store import Entry, StoreClient
+from ..store.backoff import Backoff
 from ..store.client import ABSENT
 from ..table import Catalog, Table, decode_catalog, decode_table
 from ..wire import Accepted, Document, DocumentRevision, Handlers, Pull
@@ -39,6 +41,7 @@
 SETTLE_TIMEOUT_S = 5.0
 SETTLE_RETRY_S = 0.25
 START_RETRY_S = 1.0
+START_RETRY_LIMIT_S = 4.0
 
 Change = Callable[[bytes | None], bytes]
 
@@ -81,7 +84,14 @@
 class Documents:
     """Documents of this instance; `configuration` is what the other tasks read."""
 
-    def __init__(self, store: StoreClient, peers: Peers, members: Members) -> None:
+    def __init__(
+        self,
+        store: StoreClient,
+        peers: Peers,
+        members: Members,
+        rng: Random | None = None,
+    ) -> None:
+        self.rng = rng or Random(members.instance)
         self.store = store
         self.peers = peers
         self.members = members
@@ -354,6 +364,7 @@
 
     async def _first_read(self) -> None:
         """Read all documents once, so that the instance can become ready."""
+        backoff = Backoff(self.rng, first=START_RETRY_S, longest=START_RETRY_LIMIT_S)
         while not self.readiness.store_read:
             try:
                 await self._refresh(TABLE_NAME)
@@ -361,7 +372,7 @@
                     await self._refresh(name)
             except RelayError as error:
                 event("documents.store_error", code=error.code, error=error.message)
-                await trio.sleep(START_RETRY_S)
+                await trio.sleep(backoff.failed())
                 continue
             self.readiness.store_read = True
 
@@ -384,6 +395,7 @@
     async def _watch(self, name: str) -> None:
         """Follow one document in the store while this instance is one of the watchers."""
         version = ABSENT
+        backoff = Backoff(self.rng)
         while True:
             if not self.members.chosen("watch", WATCHERS):
                 await trio.sleep(WATCH_PAUSE_S)
@@ -391,6 +403,7 @@
             started = trio.current_time()
             try:
                 entry = await self.store.watch(name, version)
+                backoff.succeeded()
                 if entry is not None:
                     await self._take(name, _stored(name, entry))
                     version = entry.version
@@ -400,6 +413,8 @@
                     await self._refresh(name)
             except RelayError as error:
                 event("documents.store_error", code=error.code, error=error.message)
+                await trio.sleep(backoff.failed())
+                continue
             await trio.sleep(WATCH_PAUSE_S)
 
     async def _refresh(self, name: str) -> None:
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
+from random import Random
 
 import msgspec
 import trio
@@ -15,6 +16,7 @@
 from ..errors import RelayError
 from ..log import event
 from ..store import Entry, StoreClient
+from ..store.backoff import Backoff
 from ..store.client import ABSENT
 from ..wire import (
     BlockedRequest,
@@ -36,6 +38,8 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 FETCH_TIMEOUT_S = 1.0
 STORE_QUEUE = 2
+#: Longest pause between reads of the view that the store does not answer.
+READ_RETRY_LIMIT_S = 4.0
 WATCHERS = 2
 WATCH_PAUSE_S = 1.0
 LEAVE_TIMEOUT_S = 5.0
@@ -76,7 +80,11 @@
         blocked: Callable[[], Iterable[BlockedRequest]] = tuple,
         see_blocked: Callable[[Iterable[BlockedRequest]], None] = lambda _: None,
         contacts: Callable[[], Awaitable[list[Member]]] = _no_contacts,
+        rng: Random | None = None,
     ) -> None:
+        self.rng = rng or Random(instance)
+        self.reads = Backoff(self.rng, longest=READ_RETRY_LIMIT_S)
+        self.read_after = -float("inf")
         self.instance = instance
         self.me = Member(instance, incarnation, address, failure_domain)
         self.cell = cell
@@ -330,7 +338,14 @@
         """Read the view from the store, and from the platform's contacts while outside."""
         if not self.core.is_member:
             await self._ask_contacts()
-        entry, view = await self._read()
+        if trio.current_time() < self.read_after:
+            return
+        try:
+            entry, view = await self._read()
+        except RelayError:
+            self.read_after = trio.current_time() + self.reads.failed()
+            raise
+        self.reads.succeeded()
         if entry is not None and view is None:
             return
         before = self.epoch
@@ -445,6 +460,7 @@
     async def _watch(self) -> None:
         """Two members of the cell watch the view; they restore it when the store lost it."""
         version = ABSENT
+        backoff = Backoff(self.rng)
         while True:
             if not self.chosen("watch", WATCHERS):
                 await trio.sleep(WATCH_PAUSE_S)
@@ -452,6 +468,7 @@
             started = trio.current_time()
             try:
                 entry = await self.store.watch(self.key, version)
+                backoff.succeeded()
                 if entry is not None:
                     await self._check_stored(entry)
                     version = entry.version
@@ -461,6 +478,8 @@
                     await self._restore()
             except RelayError as error:
                 event("members.store_error", code=error.code, error=error.message)
+                await trio.sleep(backoff.failed())
+                continue
             await trio.sleep(WATCH_PAUSE_S)
 
     async def _restore(self) -> None:
--- /dev/null
+++ b/tests/steps/store_calls_steps.py
@@ -0,0 +1,102 @@
+"""Steps of the feature about the number of calls to the store."""
+
+import time
+from collections import Counter
+
+from behave import then, when
+
+from tests.harness import wait_until
+from tests.harness.cell import wait_owned
+from tests.harness.client import http_call
+
+INSTANCES = 3400
+READS_PER_S = 2000.0
+WRITES_PER_S = 300.0
+WATCHERS = 2
+#: Time in which the retries after a change of the store reach their longest pause, in seconds.
+SETTLE_S = 8.0
+#: Time in which a store answers the watches that a write ends, in seconds.
+ENDED_S = 0.5
+FAULTS = {
+    "quiet": {},
+    "refusing": {"down": "refuse"},
+    "slow": {"slow_ms": 3000.0},
+    "hanging": {"down": "hang"},
+}
+
+
+def _counts(context):
+    """Return calls by kind, and the connections that instances opened towards the store."""
+    platform = context.fleet.platform
+    counts = Counter(platform.get("store")["calls"]["counts"])
+    routes = platform.get("proxies")
+    names = [f"store-{name}" for name in context.fleet.entries]
+    counts["connections"] = sum(routes[name]["connections"] for name in names)
+    return counts
+
+
+@when("the store is {state} for {seconds:g} s of its own clock")
+def observe(context, state, seconds):
+    context.fleet.platform.set_store_faults(**FAULTS[state])
+    context.state = state
+    _pass_time(SETTLE_S if FAULTS[state] else 1.0)
+    before = _counts(context)
+    context.seconds = _pass_time(seconds)
+    context.calls = _counts(context) - before
+
+
+def _pass_time(seconds):
+    """Wait and return how long it took, in seconds."""
+    start = time.monotonic()
+    wait_until(lambda: time.monotonic() >= start + seconds, f"{seconds} s")
+    return time.monotonic() - start
+
+
+@then("the calls of each instance, times 3400, fit the store's rates")
+def fits(context):
+    calls = context.calls
+    made = sum(calls[kind] for kind in ("read", "list", "watch", "write", "lease"))
+    # A store that refuses connections counts no calls, but each attempt is one.
+    attempts = calls["connections"] if context.state == "refusing" else made
+    rate = attempts / context.seconds / len(context.fleet.entries) * INSTANCES
+    print(f"{context.state}: {dict(calls)} in {context.seconds:.1f} s, {rate:.0f} calls/s")
+    assert rate <= READS_PER_S, (rate, calls)
+
+
+@then("the store is not written to, and each document has at most 2 watchers")
+def no_writes(context):
+    assert context.calls["write"] == context.calls["lease"] == 0, context.calls
+    context.fleet.platform.set_store_faults()
+    wait_until(lambda: _watchers(context, "table"), "the table is watched")
+    for name in context.fleet.platform.get("store")["keys"]:
+        count = _watchers(context, name)
+        assert count <= WATCHERS, (name, count)
+
+
+def _watchers(context, name):
+    """Write the stored value again and return how many watches that ended."""
+    fleet = context.fleet
+    value = http_call(fleet.hosts["store"], "GET", f"/v1/kv/{name.replace('/', '%2F')}").body
+    version = fleet.platform.post("store/write", values={name: value.decode()})[name]
+    time.sleep(ENDED_S)
+    calls = fleet.platform.get("store/calls")
+    return sum((one["kind"], one["version"]) == ("watch", version) for one in calls)
+
+
+@when("all instances are killed and started again")
+def restart_all(context):
+    fleet = context.fleet
+    for entry in fleet.entries.values():
+        entry.process.kill()
+    before = _counts(context)
+    fleet.start_entries()
+    wait_owned(fleet)
+    context.calls = _counts(context) - before
+
+
+@then("each instance took at most {reads:d} reads and {writes:d} writes")
+def restart_calls(context, reads, writes):
+    calls, count = context.calls, len(context.fleet.entries)
+    print(f"restart: {dict(calls)}")
+    assert calls["read"] + calls["list"] <= reads * count, calls
+    assert 0 < calls["write"] <= writes * count, calls
--- /dev/null
+++ b/tests/system/store_calls.feature
@@ -0,0 +1,22 @@
+Feature: Calls to the store fit its rates
+  Guards against calls that grow with the fleet: the store takes about 2,000 reads and several
+  hundred writes a second from 3,400 instances, and counts each call. The store's record and the
+  connections that its proxy saw are the judge.
+
+  Scenario Outline: A fleet of 5 while the store is <state>
+    Given a fleet with routes of its own for each of 5 instances
+    When the store is <state> for 10 s of its own clock
+    Then the calls of each instance, times 3400, fit the store's rates
+    And the store is not written to, and each document has at most 2 watchers
+
+    Examples:
+      | state    |
+      | quiet    |
+      | refusing |
+      | slow     |
+      | hanging  |
+
+  Scenario: All instances are restarted at once
+    Given a fleet with routes of its own for each of 5 instances
+    When all instances are killed and started again
+    Then each instance took at most 20 reads and 4 writes
