--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -23,7 +23,7 @@
 from .query import Query
 from .service_state import ServiceState
 
-__all__ = ["CONGESTION", "Scatter", "ScatterPorts"]
+__all__ = ["CONGESTION", "NEVER", "Scatter", "ScatterPorts"]
 
 #: Reasons that signal congestion of a service.
 CONGESTION = frozenset({"queue_full", "shedding"})
@@ -45,6 +45,9 @@
 MAX_SUBREQUEST_S = 2.0
 #: Time after the deadline of a sub-request in which its owner's answer may still arrive.
 EXPIRE_MARGIN_S = 0.05
+#: A sub-request is late if it waited in its owner's queue for this many warm latencies. Waiting
+#: for the deadline to pass would notice congestion only when shards are already missing.
+LATE_QUEUE = 2.0
 #: First wait before all replicas of a shard are tried again; it doubles with each round.
 BACKOFF_S = 0.02
 MAX_BACKOFF_S = 0.5
@@ -135,6 +138,8 @@
         #: Unix time minus trio time, in seconds.
         self.unix_offset = unix_offset
         self.deadline = 0.0
+        self.soft = NEVER
+        self.enough = 0
         #: Messages whose sub-requests must end before the query does.
         self.limited: list[_Message] = []
         self.may_restart = may_restart
@@ -150,6 +155,7 @@
         self.congested = 0
         self.late = 0
         self.queue_us = 0
+        self.late_us = row.warm_latency_ms * 1000 * LATE_QUEUE
         #: True once a server may have run a part of the query.
         self.may_have_run = may_have_run
         self.restart = False
@@ -158,13 +164,18 @@
         self.wake = trio.Event()
         self.nursery: trio.Nursery | None = None
 
-    async def run(self, deadline: float, canary: str = "") -> Gather:
+    async def run(
+        self, deadline: float, canary: str = "", *, soft: float = NEVER, enough: int = 0
+    ) -> Gather:
         """Return the gathered results once they are complete or at `deadline` (trio time).
 
+        From the time `soft` on, `enough` answered shards end the query as well.
         `canary` is the fingerprint of a query that must be proven on one shard first. Raises
         `request_blocked`, or the reason for which no canary could run.
         """
         self.deadline = deadline
+        self.soft = soft
+        self.enough = enough
         async with trio.open_nursery() as self.nursery:
             self.nursery.cancel_scope.deadline = deadline
             if not canary or await self._prove(canary):
@@ -202,7 +213,8 @@
             expire_at = self._expire(now)
             self._send_retries(now)
             hedge_at = self._send_hedges(now)
-            wake_at = min([hedge_at, expire_at, *(due for due, _ in self.retries)])
+            soft = self.soft if now < self.soft else NEVER
+            wake_at = min([hedge_at, expire_at, soft, *(due for due, _ in self.retries)])
             if self._settled():
                 return
             self.wake = trio.Event()
@@ -215,6 +227,8 @@
     def _settled(self) -> bool:
         if self.gather.complete or self.restart or self.error is not None:
             return True
+        if self.gather.answered >= self.enough and trio.current_time() >= self.soft:
+            return True
         return not self.open and not self.retries
 
     # Messages to owners.
@@ -342,6 +356,8 @@
         else:
             return
         self.queue_us += result.queue_us
+        if result.queue_us > self.late_us:
+            self.late += 1
         if result.status != "ok":
             self._refused(shard, attempt, result, now)
             return
@@ -538,7 +554,8 @@
     async def _prove(self, fingerprint: str) -> bool:
         """Run the query on one shard first; True once it succeeded there.
 
-        After a lost server there is one more trial, of kind `suspect`, on another replica.
+        After a lost server there is one more trial, of kind `suspect`, on another replica. When
+        the shard's replicas lack the snapshot, the query restarts with another one.
         """
         failures = self.canary_failures = []
         self.state.budget.earn(1)
@@ -553,6 +570,9 @@
             if self.gather.answered:
                 self.canary_failures = None
                 return True
+            if self._gone(shard) and self.may_restart(trio.current_time()):
+                self.restart = True
+                return False
             lost = sum(reason in CANARY_LOST for reason in failures)
             if "request_blocked" in failures or lost >= MAX_CANARIES_LOST:
                 self._block()
