--- a/tests/steps/taking_out_steps.py
+++ b/tests/steps/taking_out_steps.py
@@ -146,13 +146,13 @@
     for control in context.fleet.backends:
         control.set_faults(context.select, leaving_accepts=True)
     context.out_at = time.time()
-    context.fleet.select("searchers/leave", **context.select)
+    context.fleet.post("searchers/leave", context.select)
 
 
 @when('backend server "{name}" comes back')
 def come_back(context, name):
     context.back_at = time.time()
-    context.fleet.select("searchers/return", servers=[name])
+    context.fleet.post("searchers/return", {"servers": [name]})
 
 
 @then("no server gets new work from it later than 3 s after that")
