--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterable
+from random import Random
 
 import msgspec
 import trio
@@ -15,6 +16,7 @@
 from ..errors import RelayError
 from ..log import event
 from ..store import StoreClient
+from ..store.backoff import Backoff
 from ..wire import (
     BlockedRequest,
     Document,
@@ -36,6 +38,8 @@
 HEARTBEAT_TIMEOUT_S = 1.0
 FETCH_TIMEOUT_S = 1.0
 STORE_QUEUE = 2
+#: Longest pause between reads of the view that the store does not answer.
+READ_RETRY_LIMIT_S = 4.0
 LEAVE_TIMEOUT_S = 5.0
 CONTACT_EVERY_S = 2.0
 MAX_CONTACTS = 16
@@ -77,11 +81,17 @@
         blocked: Callable[[], Iterable[BlockedRequest]] = tuple,
         see_blocked: Callable[[Iterable[BlockedRequest]], None] = lambda _: None,
         contacts: Callable[[], Awaitable[list[Member]]] = _no_contacts,
+        rng: Random | None = None,
     ) -> None:
+        self.rng = rng or Random(instance)
+        self.reads = Backoff(self.rng, longest=READ_RETRY_LIMIT_S)
+        self.read_after = -float("inf")
         self.instance = instance
         self.me = Member(instance, incarnation, address, failure_domain)
         self.cell = cell
-        self.stored = ViewStore(store, cell, lambda: self.core.view, self._learn, self.chosen)
+        self.stored = ViewStore(
+            store, cell, lambda: self.core.view, self._learn, self.chosen, self.rng
+        )
         self.key = self.stored.key
         self.peers = peers
         self.digest = digest
@@ -345,7 +355,14 @@
         """Read the view from the store, and from the platform's contacts while outside."""
         if not self.core.is_member:
             await self._ask_contacts()
-        entry, view = await self.stored.read()
+        if trio.current_time() < self.read_after:
+            return
+        try:
+            entry, view = await self.stored.read()
+        except RelayError:
+            self.read_after = trio.current_time() + self.reads.failed()
+            raise
+        self.reads.succeeded()
         if entry is not None and view is None:
             return
         now = trio.current_time()
--- a/rattanrelay/node/view_store.py
+++ b/rattanrelay/node/view_store.py
@@ -1,6 +1,7 @@
 """The view document in the store: swaps, write-backs of a newer view, and the watch."""
 
 from collections.abc import Callable
+from random import Random
 
 import msgspec
 import trio
@@ -10,6 +11,7 @@
 from ..errors import RelayError
 from ..log import event
 from ..store import Entry, StoreClient
+from ..store.backoff import Backoff
 from ..store.client import ABSENT
 
 __all__ = ["ViewStore"]
@@ -33,12 +35,14 @@
         held: Callable[[], View | None],
         learn: Callable[[View], bool],
         chosen: Callable[[str, int], bool],
+        rng: Random,
     ) -> None:
         self.store = store
         self.key = view_key(cell)
         self.held = held
         self.learn = learn
         self.chosen = chosen
+        self.backoff = Backoff(rng)
         self.restore_wait = RestoreWait()
 
     async def read(self) -> tuple[Entry | None, View | None]:
@@ -81,6 +85,7 @@
             started = trio.current_time()
             try:
                 entry = await self.store.watch(self.key, version)
+                self.backoff.succeeded()
                 if entry is not None:
                     await self._check(entry)
                     version = entry.version
@@ -90,6 +95,8 @@
                     await self._restore()
             except RelayError as error:
                 event("members.store_error", code=error.code, error=error.message)
+                await trio.sleep(self.backoff.failed())
+                continue
             await trio.sleep(WATCH_PAUSE_S)
 
     async def _swap(self, view: View, entry: Entry | None) -> bool:
