Keep goodput at twice the capacity, and send no hedges then

Cause: all queries of one round trip, up to 2 s long, lowered the concurrency limit again and again, from 32 to 2.8 and 3.8 places, and it rose by about 1 place a second from there. Admission kept the owners' queues so short that they did not show the overload, so the hedge budget was open.

Change: the queries of one round trip lower the limit to half at most. A query that admission refuses, other than at its tenant's cap, counts as an overload signal of each of its shards.

--- a/rattanrelay/decide/admission.py
+++ b/rattanrelay/decide/admission.py
@@ -41,12 +41,17 @@
 
     The limit rises by `INCREASE` in each window in which it was used, and falls by half of the
     share of sub-requests that were shed, refused by a full queue or late. In proportion to the
-    share, since in a wide query almost always one of many shards is refused.
+    share, since in a wide query almost always one of many shards is refused. The
+    queries of one round trip lower it to half at most: those that started under a higher limit say
+    nothing about the lower one, and would lower it again and again, far below the capacity.
     """
 
     def __init__(self) -> None:
         self.value = INITIAL_LIMIT
         self.window_start = 0.0
+        #: When the round trip began, and how far its queries may lower the limit.
+        self.round_at = -math.inf
+        self.floor = 0.0
         self.peak = 0
         self.sub_requests = 0
         self.signals = 0
@@ -55,8 +60,13 @@
         """Note how many queries are in flight."""
         self.peak = max(self.peak, in_flight)
 
-    def finished(self, sub_requests: int, signals: int, now: float) -> None:
+    def finished(
+        self, sub_requests: int, signals: int, now: float, started: float = math.inf
+    ) -> None:
         """Take over the congestion signals of a query; adapts the limit once in a window."""
+        if signals and started >= self.round_at:
+            self.round_at = now
+            self.floor = self.value / 2
         self.sub_requests += sub_requests
         self.signals += signals
         if now - self.window_start >= WINDOW_S and self.sub_requests:
@@ -65,7 +75,8 @@
     def _adapt(self, now: float) -> None:
         share = min(1.0, self.signals / self.sub_requests)
         used = self.peak >= self.value / 2
-        self.value *= 1.0 - share / 2
+        if share:
+            self.value = max(self.value * (1.0 - share / 2), min(self.value, self.floor))
         if used and share <= CONGESTED_SHARE:
             self.value += INCREASE
         self.value = min(MAX_LIMIT, max(MIN_LIMIT, self.value))
--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -100,7 +100,7 @@
         started = trio.current_time()
         ticket = self._arrive(state, tenant, query.deadline, started)
         try:
-            await self._wait(ticket)
+            await self._wait(state, ticket)
             answer = await self._run(query, row, state, started)
         finally:
             self._leave(state, ticket)
@@ -116,7 +116,7 @@
         deadline = now + action.deadline_ms / 1000 - self.wall()
         ticket = self._arrive(state, tenant, deadline, now)
         try:
-            await self._wait(ticket)
+            await self._wait(state, ticket)
             return await self.claims.submit(action)
         finally:
             self._leave(state, ticket)
@@ -131,7 +131,7 @@
         cap = tenant_cap(tenant.max_in_flight, len(self.members.members))
         return state.admission.arrive(tenant.name, max(1, tenant.weight), cap, now, deadline)
 
-    async def _wait(self, ticket: Ticket) -> None:
+    async def _wait(self, state: ServiceState, ticket: Ticket) -> None:
         """Return once the ticket is admitted; raises `overloaded` after a short wait."""
         if ticket.state == "waiting":
             admitted = trio.Event()
@@ -139,9 +139,21 @@
             with trio.move_on_at(ticket.wait_until):
                 await admitted.wait()
         if ticket.state != "admitted":
+            self._note_refusal(state, ticket)
             text = f"the share of tenant {ticket.tenant!r} is used up"
             raise RelayError("overloaded", text, step="admission")
 
+    def _note_refusal(self, state: ServiceState, ticket: Ticket) -> None:
+        """Count a refused query as an overload signal of each of its shards.
+
+        Admission keeps the owners' queues short, so they alone would not show the overload. A
+        tenant at its cap says nothing about the service.
+        """
+        tenant = state.admission.tenants[ticket.tenant]
+        if tenant.in_flight < tenant.cap:
+            shards = len(state.plan.shards) if state.plan else 1
+            state.overload.note(shards, shards, 0.0, trio.current_time())
+
     def _leave(self, state: ServiceState, ticket: Ticket) -> None:
         if ticket.state == "admitted":
             state.admission.leave(ticket, trio.current_time())
@@ -207,7 +219,7 @@
             state.proven.forget(request_fingerprint(query.service, query.body))
             raise
         finally:
-            self._observe(query, row, state, scatter)
+            self._observe(query, row, state, scatter, now)
         return scatter
 
     def _may_restart(self, service: str, state: ServiceState, plan: Plan, time_left: float) -> bool:
@@ -255,14 +267,19 @@
     # Observations.
 
     def _observe(
-        self, query: Query, row: ServiceRow, state: ServiceState, scatter: Scatter
+        self,
+        query: Query,
+        row: ServiceRow,
+        state: ServiceState,
+        scatter: Scatter,
+        started: float,
     ) -> None:
         """Pass the signals of a query on to admission, overload detection and metrics."""
         now = trio.current_time()
         total = scatter.sent.total()
         state.overload.note(total, scatter.congested, scatter.queue_us / 1e6, now)
         signals = scatter.congested + scatter.late
-        state.admission.limit.finished(total, signals, now)
+        state.admission.limit.finished(total, signals, now, started)
         for kind, count in scatter.sent.items():
             if count:
                 self.metrics.subrequests.add({"service": query.service, "kind": kind}, count)
--- a/tests/decide/admission.feature
+++ b/tests/decide/admission.feature
@@ -21,3 +21,7 @@
   Scenario: The limit rises by steps and falls with the share of refusals
     When 20 windows of used capacity without signals are followed by one with half refused
     Then the limit rises by 8 and then falls by a quarter
+
+  Scenario: The queries of one round trip lower the limit once
+    When all of 20 queries that started together end late, one each 0.1 s
+    Then the limit is half of what it was, and the next late query lowers it further
