Let tenants below their share in while a lowered limit is exceeded

Cause: after the limit fell, the queries of a tenant above its share, in flight since before, kept all others out until they ended. Change: while more queries are in flight than the limit allows, a waiting tenant within its share is admitted. At or below the limit nothing changes.

--- a/rattanrelay/decide/admission.py
+++ b/rattanrelay/decide/admission.py
@@ -224,8 +224,11 @@
             self.tenants[ticket.tenant].waiting.remove(ticket)
 
     def _fill(self, now: float) -> None:
-        while self.in_flight < int(self.limit.value):
-            tenant = self._next_tenant(now)
+        while True:
+            free = int(self.limit.value) - self.in_flight
+            if free == 0:
+                return
+            tenant = self._next_tenant(now) if free > 0 else self._owed_tenant()
             if tenant is None:
                 return
             ticket = tenant.waiting.popleft()
@@ -248,6 +251,18 @@
             return best
         return None
 
+    def _owed_tenant(self) -> _Tenant | None:
+        """Return a waiting tenant below its share of a limit that was just lowered.
+
+        The queries that a tenant above its share has in flight since before must not keep it out.
+        """
+        active = sum(one.weight for one in self.tenants.values() if one.in_flight or one.waiting)
+        for tenant in self.tenants.values():
+            share = self.limit.value * tenant.weight / active if active else 0.0
+            if tenant.waiting and tenant.in_flight + 1 <= min(share, tenant.cap):
+                return tenant
+        return None
+
     def _may_use(self, tenant: _Tenant, now: float) -> bool:
         """Say whether a tenant may use a free place: within its share, or nobody else wants it.
 
