Act on a new view or wish at once instead of at the next tick

Cause: taking a failure domain out moved its instances' servers in several steps, each of which waited for a tick of 0.1 s; meanwhile the queues of the new owners filled up and refused work. Change: the members task wakes on a new view and on a change of what is wanted.

--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -113,6 +113,8 @@
         self.contacts_silent = False
         self.started_at = trio.current_time()
         self._orders, self._queue = trio.open_memory_channel[Effect](STORE_QUEUE)
+        #: Set when the next tick should not wait, as after a new view.
+        self._due = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     # MembersPort.
@@ -164,7 +166,9 @@
             while True:
                 self._carry_out(self.core.tick(trio.current_time()))
                 self._follow_chart()
-                await trio.sleep(TICK_S)
+                with trio.move_on_after(TICK_S):
+                    await self._due.wait()
+                self._due = trio.Event()
 
     async def leave(self) -> bool:
         """Hand over and leave the view; return whether that succeeded in bounded time.
@@ -184,6 +188,7 @@
         if wanted != self.core.wanted:
             event("members.wanted", wanted=wanted, epoch=self.epoch)
         self.core.want(wanted, trio.current_time())
+        self._due.set()
 
     async def confirm_stopped(self, instance: str) -> View:
         """Record the operator's statement that the lost processes of an instance have stopped.
@@ -413,6 +418,7 @@
         )
         self._update_peers([])
         self.view.set(view)
+        self._due.set()
         return True
 
     def _update_peers(self, contacts: list[Member]) -> None:
