Keep the time bounds of takeovers and the membership port in one place

Cause: MAX_SUBREQUEST_S and CLOCK_MARGIN_S stood in three modules, the membership port in two; a test called a private method. Change: decide.lease holds the bounds, admin extends the port, coordinate is public.

--- a/rattanrelay/node/admin_ports.py
+++ b/rattanrelay/node/admin_ports.py
@@ -4,7 +4,7 @@
 from typing import Any, Protocol, TypedDict
 
 from ..wire import Document
-from .ports import Configuration, Latest, Member
+from .ports import Configuration, Latest, MembersPort
 
 __all__ = ["DocumentsPort", "MembershipPort", "Status", "StatusSource"]
 
@@ -47,24 +47,8 @@
         """
 
 
-class MembershipPort(Protocol):
-    """The members task: the view, the owners, and the statement that an instance has stopped."""
-
-    instance: str
-
-    @property
-    def epoch(self) -> int:
-        """Epoch of the adopted view, 0 before the first."""
-
-    @property
-    def members(self) -> tuple[Member, ...]:
-        """Members of the adopted view."""
-
-    def owner(self, name: str) -> Member | None:
-        """Return the member that owns a backend server, None without a view."""
-
-    def may_dispatch(self, server: str) -> bool:
-        """Say whether this instance may send work to a backend server now."""
+class MembershipPort(MembersPort, Protocol):
+    """The members task, with the statement that an instance has stopped."""
 
     async def confirm_stopped(self, instance: str) -> object:
         """Record that all processes of an instance have stopped."""
--- a/rattanrelay/node/claims.py
+++ b/rattanrelay/node/claims.py
@@ -79,7 +79,7 @@
 
         @handlers.on(Action)
         async def run_here(action: Action) -> ActionResult:
-            return await self._coordinate(action)
+            return await self.coordinate(action)
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Write claims, run requests and delete expired slices until cancelled."""
@@ -107,7 +107,7 @@
         key_time(action.key, self.wall())
         owner = self.members.owner(bucket_name(bucket_of(action.key)))
         if owner is None or owner.instance == self.instance:
-            return await self._coordinate(action)
+            return await self.coordinate(action)
         remaining = self._remaining(action)
         deadline_ms = int((self.wall() + remaining * FORWARD_SHARE) * 1000)
         forwarded = action._replace(deadline_ms=deadline_ms)
@@ -116,13 +116,14 @@
         except RelayError as error:
             # The claim in the store decides who runs, so a second coordinator is harmless.
             event("claims.forward_failed", key=action.key, peer=owner.instance, code=error.code)
-            result = await self._coordinate(action)
+            result = await self.coordinate(action)
             return result if error.ran == "not_run" else _not_provable(result)
 
     def _remaining(self, action: Action) -> float:
         return action.deadline_ms / 1000 - self.wall()
 
-    async def _coordinate(self, action: Action) -> ActionResult:
+    async def coordinate(self, action: Action) -> ActionResult:
+        """Run an action here, or wait for the result of the same one that is under way."""
         print_ = fingerprint(action.tenant, action.svc, action.route, action.body)
         run = self.runs.get(action.key)
         if run is None:
--- a/rattanrelay/node/dispatch.py
+++ b/rattanrelay/node/dispatch.py
@@ -9,6 +9,7 @@
 import trio
 
 from ..decide.canary import SharedEntry
+from ..decide.lease import CLOCK_MARGIN_S, MAX_SUBREQUEST_S
 from ..decide.limits import Limit, settling_limits
 from ..http import HttpConnection
 from ..log import event
@@ -25,7 +26,6 @@
 )
 from .batch import ActionRun, Batch, Emit, OpenJobs, action_result, check_json
 from .connection import Connect
-from .pool import CLOCK_MARGIN_S, MAX_SUBREQUEST_S
 from .ports import Configuration, Latest, MembersPort
 from .server import Rows, Searcher, SearcherStatus, Surroundings
 from .subrequest import Outcome
--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -9,6 +9,7 @@
 import trio
 
 from ..decide.fairqueue import Entry, FairQueue
+from ..decide.lease import CLOCK_MARGIN_S, MAX_SUBREQUEST_S
 from ..decide.slots import Slots
 from ..errors import RelayError
 from ..http import HttpConnection, Request, Response
@@ -16,18 +17,12 @@
 from .subrequest import Outcome, SubRequest, cancel_request, judge
 
 __all__ = [
-    "CLOCK_MARGIN_S",
     "CONNECT_TIMEOUT_S",
     "CONTROL_TIMEOUT_S",
-    "MAX_SUBREQUEST_S",
     "Pool",
     "Supervisor",
 ]
 
-#: A sub-request's deadline lies at most this far ahead of the check of the lease.
-MAX_SUBREQUEST_S = 2.0
-#: Time after its deadline at which the work of a sub-request has certainly ended.
-CLOCK_MARGIN_S = 0.25
 CONNECT_TIMEOUT_S = 1.0
 #: Pause after a connection that could not be opened.
 RECONNECT_S = 0.05
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -13,6 +13,7 @@
 
 from ..decide.budget import FULL_PRICE, retry_price
 from ..decide.gather import Gather
+from ..decide.lease import MAX_SUBREQUEST_S
 from ..decide.selection import Replica, choose_replica
 from ..errors import RelayError
 from ..table import ServiceRow
@@ -40,8 +41,6 @@
 #: New plans for a shard while ownership moves, and without a sign that it does.
 MAX_REROUTES = 5
 MAX_BLIND_REROUTES = 2
-#: Longest time a sub-request may run, in seconds; takeovers wait for it (design 2.1).
-MAX_SUBREQUEST_S = 2.0
 #: Time after the deadline of a sub-request in which its owner's answer may still arrive.
 EXPIRE_MARGIN_S = 0.05
 #: A sub-request is late if it waited in its owner's queue for this many warm latencies. Waiting
--- a/tests/steps/claims_steps.py
+++ b/tests/steps/claims_steps.py
@@ -104,7 +104,7 @@
         if self.chance.random() < 0.2:
             raise RelayError("peer_unavailable", "injected", ran="unknown")
         with trio.move_on_after(timeout):
-            return await self.nodes[instance]._coordinate(message)
+            return await self.nodes[instance].coordinate(message)
         raise RelayError("peer_unavailable", "no answer", ran="unknown")
 
 
