Run the features in several processes

Cause: `make test` ran all features in one process and took 14 minutes, most of it waiting in features with real processes. Change: `python -m tests` runs three system features and the unit features side by side. Features tagged @alone, which measure load or latency, run one after the other with nothing beside them. Each worker gets its own range of ports, since a port that one fleet was given and has not bound yet looks free to another.

--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 	$(VENV)/bin/ruff check --quiet --fix rattanrelay tests benchmarks
 
 test: lint
-	$(PYTHON) -m behave tests --format progress
+	$(PYTHON) -m tests
 
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/rattanrelay/emulator/addresses.py
+++ b/rattanrelay/emulator/addresses.py
@@ -12,6 +12,9 @@
 #: Below the ephemeral range of Linux (32768), so that no outgoing connection takes the port.
 FIRST_FREE_PORT = 10_000
 LAST_FREE_PORT = 32_000
+#: Environment variable with a range `first-end` within these, for fleets that run side by side: a
+#: port that one fleet was given and has not bound yet looks free to the other.
+PORTS_VARIABLE = "RATTANRELAY_FREE_PORTS"
 
 BACKLOG = 1024
 
@@ -47,7 +50,8 @@
     """Return ports that nothing is bound to now and that no earlier call returned."""
     chance = random.Random(os.urandom(8))
     ports: list[int] = []
-    for port in chance.sample(range(FIRST_FREE_PORT, LAST_FREE_PORT), LAST_FREE_PORT // 2):
+    candidates = _port_range()
+    for port in chance.sample(candidates, len(candidates)):
         if len(ports) == count:
             return ports
         if port not in _given and _is_free(host, port):
@@ -56,6 +60,12 @@
     raise OSError(errno.EADDRINUSE, f"{count} free ports were not found")
 
 
+def _port_range() -> range:
+    text = os.environ.get(PORTS_VARIABLE, f"{FIRST_FREE_PORT}-{LAST_FREE_PORT}")
+    first, _, end = text.partition("-")
+    return range(int(first), int(end))
+
+
 def split_address(address: str) -> tuple[str, int]:
     """Split `host:port`."""
     host, _, port = address.rpartition(":")
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,111 @@
+"""Runs all features: `python -m tests`, several processes of behave at a time."""
+
+import os
+import re
+import subprocess
+import sys
+import time
+from collections import Counter
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+from queue import SimpleQueue
+from typing import NamedTuple
+
+from rattanrelay.emulator.addresses import FIRST_FREE_PORT, LAST_FREE_PORT, PORTS_VARIABLE
+
+TESTS = Path(__file__).resolve().parent
+ROOT = TESTS.parent
+SYSTEM = TESTS / "system"
+
+#: Fleets of real processes that run side by side.
+SYSTEM_WORKERS = 3
+#: Features with this tag measure load or latency and run while nothing else does.
+ALONE = re.compile(r"^@alone$", re.MULTILINE)
+SCENARIOS = re.compile(r"^(\d+ scenarios? passed.*)$", re.MULTILINE)
+COUNT = re.compile(r"(\d+) (?:scenarios? )?(passed|failed|error|skipped)")
+
+
+class Finished(NamedTuple):
+    """A process of behave that has ended; `seconds` of wall time."""
+
+    name: str
+    status: int
+    output: str
+    seconds: float
+
+    def counts(self) -> Counter[str]:
+        """Return the number of scenarios by result; no summary counts as one error."""
+        summary = SCENARIOS.search(self.output)
+        if summary is None:
+            return Counter(error=1)
+        return Counter({result: int(number) for number, result in COUNT.findall(summary[1])})
+
+
+def port_ranges(count: int) -> list[str]:
+    """Return ranges of ports that do not overlap, so that fleets never get the same ones."""
+    size = (LAST_FREE_PORT - FIRST_FREE_PORT) // count
+    starts = range(FIRST_FREE_PORT, FIRST_FREE_PORT + size * count, size)
+    return [f"{start}-{start + size}" for start in starts]
+
+
+def run(name: str, paths: list[str], ports: str) -> Finished:
+    """Run behave on some features or directories."""
+    command = [sys.executable, "-m", "behave", "--format", "progress", *paths]
+    start = time.monotonic()
+    ended = subprocess.run(
+        command,
+        cwd=ROOT,
+        env={**os.environ, PORTS_VARIABLE: ports},
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+    return Finished(name, ended.returncode, ended.stdout, time.monotonic() - start)
+
+
+def run_all() -> Iterator[Finished]:
+    """Run the unit features and the system features side by side, then those that run alone."""
+    units = sorted(
+        str(path.relative_to(ROOT))
+        for path in TESTS.rglob("*.feature")
+        if not path.is_relative_to(SYSTEM)
+    )
+    system = sorted(SYSTEM.glob("*.feature"))
+    alone = [path for path in system if ALONE.search(path.read_text("utf-8"))]
+    shared = [path for path in system if path not in alone]
+    unit_ports, *ranges = port_ranges(SYSTEM_WORKERS + 1)
+    free = SimpleQueue()
+    for ports in ranges:
+        free.put(ports)
+
+    def run_system(path: Path) -> Finished:
+        ports = free.get()
+        try:
+            return run(path.name, [str(path.relative_to(ROOT))], ports)
+        finally:
+            free.put(ports)
+
+    with ThreadPoolExecutor(1) as unit_pool, ThreadPoolExecutor(SYSTEM_WORKERS) as system_pool:
+        unit_run = unit_pool.submit(run, "unit features", units, unit_ports)
+        yield from system_pool.map(run_system, shared)
+        yield unit_run.result()
+    yield from map(run_system, alone)
+
+
+def main() -> int:
+    """Print what each process printed and the sum of its scenarios; return the exit status."""
+    total = Counter()
+    status = 0
+    for finished in run_all():
+        print(f"== {finished.name}: {finished.seconds:.0f} s\n{finished.output}", flush=True)
+        total.update(finished.counts())
+        status = status or finished.status
+    failed = total["failed"] + total["error"]
+    print(f"{total['passed']} scenarios passed, {failed} failed, {total['skipped']} skipped")
+    return 1 if failed else status
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/system/cold_start.feature
+++ b/tests/system/cold_start.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: A cold backend server gets no more work than its row allows
   Guards against full load on a server that has just started, however the start becomes known, and
   against bursts of new connections. A cold searcher bears one slot, and one more after each 8
--- a/tests/system/overload.feature
+++ b/tests/system/overload.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Load above the capacity of the searchers
   Guards against goodput that collapses, retry storms, refusals of work that ran, a service that
   stays slow afterwards, and one tenant that takes the share of the others. The records of the
--- a/tests/system/stragglers.feature
+++ b/tests/system/stragglers.feature
@@ -1,3 +1,4 @@
+@alone
 Feature: Slow searchers and domains whose reports lie
   Guards against work that stays with slow replicas because they report low load, against hedges of
   non-idempotent work or beyond the budget, and against losers that keep their slots. The records
