Give searchers an earlier deadline than the caller's

A searcher got the caller's deadline, so its refusal arrived after it. After a refusal in time the next replica was tried with what was left, with the same result. Change: all searchers of one request get a deadline at 90% of the time that is left when the first one is tried, and the coordinator waits for the answer until the caller's deadline. Ruled out: the load of the machine alone; the new scenario in tests/node/claims.feature fails on the old code (and with a share of 1.0) on the mock clock. Repeats that wait for a request under way still get "unknown" at their own deadline.

--- a/rattanrelay/node/claims.py
+++ b/rattanrelay/node/claims.py
@@ -38,6 +38,9 @@
 CLEANUP_INTERVAL_S = 600.0
 #: A claim is settled this long before the deadline, so that a refusal still reaches the caller.
 ANSWER_RESERVE_S = 0.02
+#: Share of the remaining time in which searchers must answer. A searcher refuses at the deadline
+#: that it is given, and the refusal proves "not run" only if it arrives before the caller's.
+RUN_SHARE = 0.9
 
 
 class _Run:
@@ -173,8 +176,9 @@
     async def _dispatch(self, action: Action) -> ActionResult:
         """Try the replicas in order until one ran the request or may have run it."""
         result = _refused("no_replica", "no replica of the shard can take work")
+        run_until = self.wall() + self._remaining(action) * RUN_SHARE
         for shard, searcher in action_targets(self.configuration.value, action.svc, action.route):
-            if self._remaining(action) <= 0:
+            if run_until <= self.wall():
                 return _refused("deadline", "the deadline passed before dispatch")
             order = RunAction(
                 request_id=action.request_id,
@@ -183,23 +187,22 @@
                 searcher=searcher,
                 tenant=action.tenant,
                 body=action.body,
-                deadline_ms=action.deadline_ms,
+                deadline_ms=int(run_until * 1000),
                 epoch=self.members.epoch,
             )
-            result = await self._run_at_owner(order)
+            result = await self._run_at_owner(order, self._remaining(action))
             if result.outcome != "not_run":
                 return result
         return result
 
-    async def _run_at_owner(self, order: RunAction) -> ActionResult:
+    async def _run_at_owner(self, order: RunAction, timeout: float) -> ActionResult:
         owner = self.members.owner(server_of(order.searcher))
         if owner is None:
             return _refused("no_owner", "no instance owns the backend server")
         try:
             if owner.instance == self.instance:
                 return await self.dispatch.act(order)
-            remaining = order.deadline_ms / 1000 - self.wall()
-            return await self.peers.call(owner.instance, order, max(0.0, remaining))
+            return await self.peers.call(owner.instance, order, timeout)
         except RelayError as error:
             return ActionResult(error.ran, error.code, error.message)
 
--- a/tests/node/claims.feature
+++ b/tests/node/claims.feature
@@ -14,3 +14,9 @@
   Scenario: A key with another body
     When a key is sent again with another body
     Then the second body is refused with "key_reused" and did not run
+
+  Scenario: A searcher refuses at the deadline that it was given
+    Guards against `unknown` for a request that did not run, because the searcher's refusal comes
+    after the deadline of the caller.
+    When a new key is sent to a searcher that refuses at its deadline, 20 ms away
+    Then it is refused with "deadline" as not run
--- a/tests/steps/claims_steps.py
+++ b/tests/steps/claims_steps.py
@@ -81,6 +81,17 @@
         return ActionResult("done", "", "", b"box " + order.body)
 
 
+class RefusesAtDeadline:
+    """Refuses each action at its deadline; the refusal takes `delay` seconds to come back."""
+
+    def __init__(self, delay):
+        self.delay = delay
+
+    async def act(self, order):
+        await trio.sleep(order.deadline_ms / 1000 - wall() + self.delay)
+        return ActionResult("not_run", "deadline")
+
+
 class StaticMembers:
     """Ownership that never changes; `owner` may name another instance."""
 
@@ -331,3 +342,21 @@
             assert records == claims.decode_slice(claims.encode_slice(records))
 
     check()
+
+
+@when("a new key is sent to a searcher that refuses at its deadline, {delay:d} ms away")
+def refuse_at_deadline(context, delay):
+    world = World(1, fault_share=0.0, instances=1)
+    world.nodes["i0"].dispatch = RefusesAtDeadline(delay / 1000)
+
+    async def scenario(world):
+        await world.send("i0", new_key(world.chance, wall()), b"late")
+
+    world.run(scenario)
+    context.world = world
+
+
+@then('it is refused with "{code}" as not run')
+def refused(context, code):
+    [(_, _, result)] = context.world.answers
+    assert (result.outcome, result.code) == ("not_run", code), result
