Move retries and hedges of a query to modules of their own

Change: node/retries.py and node/hedges.py hold these rules, in the way node/canary.py already does; no rule is changed.

--- a/rattanrelay/node/attempts.py
+++ b/rattanrelay/node/attempts.py
@@ -6,7 +6,10 @@
 from ..wire import Target
 from .plan import PlannedShard
 
-__all__ = ["Attempt", "Message", "ShardState"]
+__all__ = ["NEVER", "Attempt", "Message", "ShardState"]
+
+#: A time of trio's clock that does not come.
+NEVER = float("inf")
 
 
 class Message:
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -18,11 +18,13 @@
 from ..errors import RelayError
 from ..table import ServiceRow
 from ..wire import Cancel, ShardResult, ShardResults, SubQuery, Target
-from .attempts import Attempt, Message, ShardState
+from .attempts import NEVER, Attempt, Message, ShardState
 from .canary import CanaryRun
+from .hedges import Hedges
 from .plan import Plan
 from .ports import DispatchPort, PeersPort
 from .query import Query
+from .retries import Retries
 from .service_state import ServiceState
 
 __all__ = ["CONGESTION", "NEVER", "Scatter", "ScatterPorts"]
@@ -35,20 +37,11 @@
 #: Errors of a whole message that hold for each replica of its owner.
 OWNER_FAILURES = frozenset({"connect_failed", "no_quorum", "peer_unavailable", "stopping"})
 
-NEVER = float("inf")
-#: First wait before a shard whose replicas have no owner is planned anew; it doubles each time.
-REROUTE_S = 0.01
-#: New plans for a shard while ownership moves, and without a sign that it does.
-MAX_REROUTES = 5
-MAX_BLIND_REROUTES = 2
 #: Time after the deadline of a sub-request in which its owner's answer may still arrive.
 EXPIRE_MARGIN_S = 0.05
 #: A sub-request is late if it waited in its owner's queue for this many warm latencies. Waiting
 #: for the deadline to pass would notice congestion only when shards are already missing.
 LATE_QUEUE = 2.0
-#: First wait before all replicas of a shard are tried again; it doubles with each round.
-BACKOFF_S = 0.02
-MAX_BACKOFF_S = 0.5
 
 
 class ScatterPorts:
@@ -101,9 +94,8 @@
         self.shards = {planned.name: ShardState(planned) for planned in plan.shards}
         self.gather = Gather(query_id, plan.snapshot, self.shards, query.limit)
         self.open = 0
-        #: Send time of the oldest sub-request that may still be hedged.
-        self.hedge_from = NEVER
-        self.retries: list[tuple[float, ShardState]] = []
+        self.hedges = Hedges(self)
+        self.retries = Retries(self)
         self.sent: Counter[str] = Counter()
         self.congested = 0
         self.late = 0
@@ -153,7 +145,7 @@
             replica = choose_replica(planned.candidates, now, rng)
             if replica is None:
                 self.gather.fail(planned.name, planned.reason)
-                self._reroute(shard, planned.reason, now)
+                self.retries.reroute(shard, planned.reason, now)
             else:
                 wave.append((shard, replica))
         self.state.budget.earn(len(wave))
@@ -164,10 +156,10 @@
         while not self._settled():
             now = trio.current_time()
             expire_at = self._expire(now)
-            self._send_retries(now)
-            hedge_at = self._send_hedges(now)
+            self.retries.send(now)
+            hedge_at = self.hedges.send(now)
             soft = self.soft if now < self.soft else NEVER
-            wake_at = min([hedge_at, expire_at, soft, *(due for due, _ in self.retries)])
+            wake_at = min(hedge_at, expire_at, soft, self.retries.next_at())
             if self._settled():
                 return
             self.wake = trio.Event()
@@ -209,7 +201,7 @@
             replica.outstanding += 1
             count += 1
         if count and not canary:
-            self.hedge_from = min(self.hedge_from, now)
+            self.hedges.note_sent(now)
         self.open += count
         self.sent[kind] += count
         for message in messages.values():
@@ -368,7 +360,7 @@
         else:
             await self.ports.peers.cast(owner, cancel)
 
-    # Failures and retries.
+    # Failures.
 
     def _failed(
         self, shard: ShardState, attempt: Attempt, reason: str, now: float, ran: str = "unknown"
@@ -386,38 +378,9 @@
         elif reason == "request_blocked":
             self.block()
         elif not shard.attempts and name in self.gather.pending:
-            self._plan_retry(shard, price, reason, now)
+            self.retries.plan(shard, price, reason, now)
 
-    def _plan_retry(self, shard: ShardState, price: float, reason: str, now: float) -> None:
-        if self.gone(shard) and self.may_restart(now):
-            self.restart = True
-            return
-        if self._untried(shard):
-            if self.pay(price, now):
-                self.retries.append((now, shard))
-                return
-        elif self._reroute(shard, reason, now):
-            return
-        if self.row.policy != "coverage" or not self._usable(shard):
-            return
-        self._retry_later(shard, now)
-
-    def _reroute(self, shard: ShardState, reason: str, now: float) -> bool:
-        """Plan a shard anew after a short wait if its owner is just changing.
-
-        The asked instance may have handed the server over, or this instance may not know the new
-        view yet. Nothing was sent to a server, so a retry adds no load.
-        """
-        moving = self.state.is_moving(now)
-        limit = MAX_REROUTES if moving else MAX_BLIND_REROUTES
-        if reason != "no_owner" or shard.reroutes >= limit:
-            return False
-        self.retries.append((now + REROUTE_S * 2**shard.reroutes, shard))
-        shard.reroutes += 1
-        shard.tried.clear()
-        return True
-
-    def _refresh(self) -> None:
+    def refresh(self) -> None:
         """Use the present owners and replicas of the same snapshot."""
         plan = self.replan()
         if plan is None or plan is self.plan or plan.snapshot != self.plan.snapshot:
@@ -428,41 +391,11 @@
             if shard is not None:
                 shard.planned = planned
 
-    def _retry_later(self, shard: ShardState, now: float) -> None:
-        """Try all replicas again after a growing wait; policy `coverage` only."""
-        wait = min(MAX_BACKOFF_S, BACKOFF_S * 2**shard.rounds)
-        shard.rounds += 1
-        shard.tried.clear()
-        self.retries.append((now + wait * (0.5 + self.ports.rng.random()), shard))
-
-    def _send_retries(self, now: float) -> None:
-        if not self.retries:
-            return
-        due = [shard for at, shard in self.retries if at <= now]
-        self.retries = [entry for entry in self.retries if entry[0] > now]
-        if any(shard.reroutes for shard in due):
-            self._refresh()
-        wave = []
-        for shard in due:
-            replica = choose_replica(self._untried(shard), now, self.ports.rng)
-            if replica is None:
-                if not shard.planned.candidates:
-                    self._reroute(shard, shard.planned.reason, now)
-                continue
-            if shard.rounds and not shard.tried and not self.pay(self._last_price(shard), now):
-                self._retry_later(shard, now)
-                continue
-            wave.append((shard, replica))
-        self.launch(wave, "retry", now)
-
-    def _last_price(self, shard: ShardState) -> float:
-        return retry_price(self.gather.reasons.get(shard.planned.name, ""))
-
     def pay(self, price: float, now: float) -> bool:
         """Pay for an extra sub-request; False when it must not be sent."""
         return self.state.take_budget(price, self.row, now)
 
-    def _usable(self, shard: ShardState) -> list[Replica]:
+    def usable(self, shard: ShardState) -> list[Replica]:
         """Return the replicas of a shard that are not known to lack the snapshot."""
         lacking = self.state.knowledge.lacking
         candidates = shard.planned.candidates
@@ -470,45 +403,13 @@
             return list(candidates)
         return [one for one in candidates if (one.name, self.plan.snapshot) not in lacking]
 
-    def _untried(self, shard: ShardState) -> list[Replica]:
-        return [replica for replica in self._usable(shard) if replica not in shard.tried]
+    def untried(self, shard: ShardState) -> list[Replica]:
+        """Return the usable replicas that were not asked in this round."""
+        return [replica for replica in self.usable(shard) if replica not in shard.tried]
 
     def gone(self, shard: ShardState) -> bool:
         """Say whether each replica of a shard is known to lack the snapshot."""
-        return bool(shard.planned.candidates) and not self._usable(shard)
-
-    # Hedges.
-
-    def _send_hedges(self, now: float) -> float:
-        """Hedge the sub-requests that are due; return when the next one is due.
-
-        A replica whose slots are all in use gets no hedge: it would wait there as well, and make
-        the queue of a hot shard longer. Nor does one that failed recently.
-        """
-        delay = self.state.latencies.delay()
-        if delay is None or not self.row.hedge or not self.open:
-            return NEVER
-        if now < self.hedge_from + delay:
-            return self.hedge_from + delay
-        self.hedge_from = NEVER
-        wave = []
-        for name in self.gather.pending:
-            shard = self.shards[name]
-            if shard.hedged or len(shard.attempts) != 1:
-                continue
-            sent_at = shard.attempts[0].sent_at
-            if now < sent_at + delay:
-                self.hedge_from = min(self.hedge_from, sent_at)
-                continue
-            shard.hedged = True
-            suited = [replica for replica in self._untried(shard) if replica.suits_hedge(now)]
-            replica = choose_replica(suited, now, self.ports.rng)
-            if replica is not None and self.pay(FULL_PRICE, now):
-                wave.append((shard, replica))
-        next_from = self.hedge_from
-        self.launch(wave, "hedge", now)
-        self.hedge_from = next_from
-        return next_from + delay
+        return bool(shard.planned.candidates) and not self.usable(shard)
 
     def block(self) -> None:
         """End the query as one that crashes servers."""
--- a/tests/steps/handover_steps.py
+++ b/tests/steps/handover_steps.py
@@ -9,7 +9,7 @@
 from entry_fakes import SHARDS, make_entry, make_query, ok_result, refused_result, run_entry
 
 from rattanrelay.errors import RelayError
-from rattanrelay.node.scatter import MAX_REROUTES
+from rattanrelay.node.retries import MAX_REROUTES
 from tests.harness import wait_until
 from tests.harness.cell import dispatching, running, table_revision
 
