Keep the options that commands share in one place

Cause: the options for the administration interface and for edits, with their help texts, stood in each of 13 commands. Change: cli/options.py adds them to the signature and the help text of a command, whose first parameter is then the client or the edit.

--- a/rattanrelay/cli/commands/instance.py
+++ b/rattanrelay/cli/commands/instance.py
@@ -2,8 +2,8 @@
 
 from urllib.parse import quote
 
-from ..client import open_admin
-from ..registry import command
+from ..client import AdminClient
+from ..options import admin_command
 from ..service_state import add_state_commands
 
 __all__ = ["confirm_stopped"]
@@ -11,17 +11,14 @@
 add_state_commands("instance")
 
 
-@command("instance", "confirm-stopped")
-def confirm_stopped(name: str, *, admin: str = "", token_file: str = "") -> None:
+@admin_command("instance", "confirm-stopped")
+def confirm_stopped(client: AdminClient, name: str) -> None:
     """State that all processes of an instance have stopped, so that its servers are taken over.
 
     A process that still runs could send work beside the new owner.
 
     :param name: name of the instance
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
     path = f"/v1/instances/{quote(name, safe='')}/confirm-stopped"
     epoch = client.call("POST", path).json()["epoch"]
     print(f"instance {name} is confirmed as stopped (epoch {epoch})")
--- a/rattanrelay/cli/commands/status.py
+++ b/rattanrelay/cli/commands/status.py
@@ -4,24 +4,21 @@
 from typing import Any
 
 from ...errors import RelayError
-from ..client import open_admin
+from ..client import AdminClient
 from ..main import EXIT_OK, EXIT_REFUSED
-from ..registry import command
+from ..options import admin_command
 from ..show import print_json, print_rows, wait_in_force
 
 __all__ = ["status"]
 
 
-@command("status")
-def status(*, until: int = 0, json: bool = False, admin: str = "", token_file: str = "") -> int:
+@admin_command("status")
+def status(client: AdminClient, *, until: int = 0, json: bool = False) -> int:
     """Print the status of each given instance; the exit code is 1 if one of them does not answer.
 
     :param until: wait until each member is known to have this table revision
     :param json: print JSON
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
     if until:
         wait_in_force(client, until)
     results = client.each("/v1/status")
--- a/rattanrelay/cli/commands/table.py
+++ b/rattanrelay/cli/commands/table.py
@@ -7,10 +7,11 @@
 from ...errors import RelayError
 from ...table.columns import COLUMNS, column_of, kind_of
 from ...table.csv import parse_sheet
-from ..client import open_admin
+from ..client import AdminClient
 from ..files import read_text
+from ..options import Edit, admin_command, edit_command
 from ..registry import command
-from ..show import cell_text, print_edit, print_history, print_json, print_rows
+from ..show import cell_text, print_history, print_json, print_rows
 
 __all__: list[str] = []
 
@@ -25,19 +26,14 @@
     return {"if-match": f'"{revision}"'} if revision else {}
 
 
-@command("table", "show")
-def show(
-    kind: str, name: str = "", *, json: bool = False, admin: str = "", token_file: str = ""
-) -> None:
+@admin_command("table", "show")
+def show(client: AdminClient, kind: str, name: str = "", *, json: bool = False) -> None:
     """Print the rows of a kind, or one row with the unit and meaning of each cell.
 
     :param kind: services, domains, servers, instances or tenants
     :param name: name of one row
     :param json: print JSON
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
     columns = COLUMNS[kind_of(kind)]
     value = client.call("GET", _path(kind, *filter(None, [name]))).json()
     if json:
@@ -67,23 +63,21 @@
     print_rows(["column", "unit", "allowed", "meaning"], rows)
 
 
-@command("table", "get")
-def get(kind: str, name: str, column: str, *, admin: str = "", token_file: str = "") -> None:
+@admin_command("table", "get")
+def get(client: AdminClient, kind: str, name: str, column: str) -> None:
     """Print one cell.
 
     :param kind: services, domains, servers, instances or tenants
     :param name: name of the row
     :param column: name of the column
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
     column_of(kind_of(kind), column)
     print(cell_text(client.call("GET", _path(kind, name, column)).json()["value"]))
 
 
-@command("table", "set")
+@edit_command("table", "set")
 def set_(
+    edit: Edit,
     kind: str,
     name: str,
     column: str,
@@ -91,10 +85,6 @@
     *,
     was: str = "",
     revision: int = 0,
-    wait: bool = False,
-    note: str = "",
-    admin: str = "",
-    token_file: str = "",
 ) -> None:
     """Change one cell.
 
@@ -104,40 +94,27 @@
     :param value: new value
     :param was: the value that you saw; the edit is refused if another one is there now
     :param revision: the edit is refused unless the table has this revision
-    :param wait: return when each member is known to have the change
-    :param note: reason, for the history
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
     column_of(kind_of(kind), column)
     body = {"value": value, "before": was} if was else {"value": value}
-    path = _path(kind, name, column, note=note)
-    answer = client.call("PUT", path, body, _if_match(revision))
-    print_edit(client, answer.json(), wait=wait)
+    path = _path(kind, name, column, note=edit.note)
+    answer = edit.client.call("PUT", path, body, _if_match(revision))
+    edit.finish(answer.json())
 
 
-@command("table", "add")
+@edit_command("table", "add")
 def add(
+    edit: Edit,
     kind: str,
     name: str,
     *cells: str,
-    wait: bool = False,
-    note: str = "",
-    admin: str = "",
-    token_file: str = "",
 ) -> None:
     """Add a row; columns that are not given take their default.
 
     :param kind: services, domains, servers, instances or tenants
     :param name: name of the new row
     :param cells: cells as column=value
-    :param wait: return when each member is known to have the change
-    :param note: reason, for the history
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
     values = {}
     for cell in cells:
         column, separator, value = cell.partition("=")
@@ -145,46 +122,39 @@
             text = f"cells: value {cell!r} is not allowed: column=value"
             raise RelayError("bad_arguments", text, step="read arguments")
         values[column_of(kind_of(kind), column).name] = value
-    answer = client.call("PUT", _path(kind, name, note=note), values, {"if-none-match": "*"})
-    print_edit(client, answer.json(), wait=wait)
+    answer = edit.client.call(
+        "PUT", _path(kind, name, note=edit.note), values, {"if-none-match": "*"}
+    )
+    edit.finish(answer.json())
 
 
-@command("table", "remove")
+@edit_command("table", "remove")
 def remove(
+    edit: Edit,
     kind: str,
     name: str,
     *,
     revision: int = 0,
-    wait: bool = False,
-    note: str = "",
-    admin: str = "",
-    token_file: str = "",
 ) -> None:
     """Remove a row.
 
     :param kind: services, domains, servers, instances or tenants
     :param name: name of the row
     :param revision: the edit is refused unless the table has this revision
-    :param wait: return when each member is known to have the change
-    :param note: reason, for the history
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
-    answer = client.call("DELETE", _path(kind, name, note=note), None, _if_match(revision))
-    print_edit(client, answer.json(), wait=wait)
+    answer = edit.client.call(
+        "DELETE", _path(kind, name, note=edit.note), None, _if_match(revision)
+    )
+    edit.finish(answer.json())
 
 
-@command("table", "export")
-def export(kind: str, *, file: str = "", admin: str = "", token_file: str = "") -> None:
+@admin_command("table", "export")
+def export(client: AdminClient, kind: str, *, file: str = "") -> None:
     """Write the rows of a kind as CSV, with their revision in the first line.
 
     :param kind: services, domains, servers, instances or tenants
     :param file: path of the file; standard output if it is not given
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
     data = client.call("GET", f"/v1/export/{kind_of(kind)}").body
     if not file:
         sys.stdout.buffer.write(data)
@@ -195,17 +165,14 @@
         raise RelayError("bad_arguments", f"{file}: {error.strerror}", step="write file") from None
 
 
-@command("table", "import")
+@edit_command("table", "import")
 def import_(
+    edit: Edit,
     file: str,
     *,
     kind: str = "",
     remove_missing: bool = False,
     dry_run: bool = False,
-    wait: bool = False,
-    note: str = "",
-    admin: str = "",
-    token_file: str = "",
 ) -> None:
     """Apply the cells that differ from the revision that the file was exported from.
 
@@ -213,12 +180,7 @@
     :param kind: kind of the rows, for a file without the first line of an export
     :param remove_missing: remove the rows that the file lacks
     :param dry_run: only print the changes
-    :param wait: return when each member is known to have the change
-    :param note: reason, for the history
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
     text = read_text(file)
     try:
         sheet = parse_sheet(text, kind_of(kind) if kind else None)
@@ -226,10 +188,10 @@
         raise RelayError(error.code, f"{file}: {error.message}", step=error.step) from None
     flags = {"remove_missing": remove_missing, "dry_run": dry_run}
     query = {name: str(flag).lower() for name, flag in flags.items()}
-    path = f"/v1/import/{sheet.kind}?{urlencode({**query, 'note': note})}"
-    value = client.call("POST", path, text).json()
+    path = f"/v1/import/{sheet.kind}?{urlencode({**query, 'note': edit.note})}"
+    value = edit.client.call("POST", path, text).json()
     if not dry_run:
-        print_edit(client, value, wait=wait)
+        edit.finish(value)
         return
     for change in value["changes"]:
         print(" ".join(cell_text(change[part]) for part in ("kind", "name", "column")), end=": ")
@@ -237,16 +199,13 @@
     print(f"{len(value['changes'])} changes to revision {value['revision']}, nothing written")
 
 
-@command("table", "history")
-def history(*, limit: int = 20, json: bool = False, admin: str = "", token_file: str = "") -> None:
+@admin_command("table", "history")
+def history(client: AdminClient, *, limit: int = 20, json: bool = False) -> None:
     """Print who changed what, newest first.
 
     :param limit: number of revisions
     :param json: print JSON
-    :param admin: host:port of an instance's administration interface, or several with commas
-    :param token_file: file with the bearer token
     """
-    client = open_admin(admin, token_file)
     value = client.call("GET", f"/v1/history?limit={limit}").json()
     if json:
         print_json(value)
