Derive the limits of changed rows only

A change of the table derived the limits of all searchers again, once for the new table and once for each table that may still be in use. `decide.settling.SettlingLimits` keeps the limits from table to table: it compares the rows, derives the domains and services that a changed row can affect, and of these only the changed servers while the group's row does not bind. What earlier tables allowed is kept as the places that each change replaced, so the smaller of old and new still holds over the settling time. The dispatcher asks for the limits of the searchers that it owns.

The dispatcher also keeps which servers it owns under the view, instead of looking up each owner.

--- a/rattanrelay/decide/limits.py
+++ b/rattanrelay/decide/limits.py
@@ -1,6 +1,6 @@
 """Slots and connections of each searcher, from the rows of servers, domains and services."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from math import floor
 from typing import NamedTuple
 
@@ -8,7 +8,19 @@
 
 from ..table import ServerRow, Table, server_of
 
-__all__ = ["CONNECTION_SHARE", "Limit", "apportion", "effective_limits", "settling_limits"]
+__all__ = [
+    "CONNECTION_SHARE",
+    "Group",
+    "Limit",
+    "apportion",
+    "effective_limits",
+    "groups_of",
+    "limit_of",
+    "own_slots",
+    "row_weight",
+    "settling_limits",
+    "share",
+]
 
 #: Part of a row's connections that one owner uses: room for three unconfirmed former holders.
 CONNECTION_SHARE = 4
@@ -21,6 +33,10 @@
     connections: int = 0
 
 
+#: A row that limits several servers: its kind, `domain` or `service`, and its name.
+Group = tuple[str, str]
+
+
 class _Claim(NamedTuple):
     """What a searcher asks of a domain's or service's row."""
 
@@ -39,14 +55,14 @@
     servers = {
         searcher: row for _, row in sorted(table.servers.items()) for searcher in row.searchers
     }
-    slots = {searcher: _own_slots(table, row) for searcher, row in servers.items()}
+    slots = {searcher: own_slots(table, row) for searcher, row in servers.items()}
     for name, row in table.domains.items():
         members = [key for key, server in servers.items() if server.failure_domain == name]
-        _share(slots, members, row.max_in_flight, lambda key: _weight(table, servers[key]))
+        share(slots, members, row.max_in_flight, lambda key: row_weight(table, servers[key]))
     for name, row in table.services.items():
         members = [key for key, server in servers.items() if server.service == name]
-        _share(slots, members, row.max_in_flight, lambda key: _weight(table, servers[key]))
-    return {key: _limit(servers[key], count) for key, count in slots.items()}
+        share(slots, members, row.max_in_flight, lambda key: row_weight(table, servers[key]))
+    return {key: limit_of(servers[key], count) for key, count in slots.items()}
 
 
 def settling_limits(recent: Iterable[Table], table: Table) -> dict[str, Limit]:
@@ -62,9 +78,9 @@
     for key, limit in new.items():
         row = table.servers[server_of(key)]
         slots = limit.slots
-        if not safe.issuperset(_groups(row)):
+        if not safe.issuperset(groups_of(row)):
             slots = min([slots, *(limits.get(key, Limit()).slots for _, limits in olds)])
-        result[key] = _limit(row, slots)
+        result[key] = limit_of(row, slots)
     return result
 
 
@@ -86,7 +102,7 @@
         for claim in full:
             result[claim.searcher] = claim.cap
             left -= claim.cap
-        open_claims = [claim for claim in open_claims if claim not in full]
+        open_claims = [claim for claim in open_claims if result[claim.searcher] == 0]
     _share_remainders(result, open_claims, left)
     return result
 
@@ -106,23 +122,27 @@
     return xxhash.xxh64_intdigest(name.encode())
 
 
-def _own_slots(table: Table, row: ServerRow) -> int:
+def own_slots(table: Table, row: ServerRow) -> int:
     """Return the slots that the server's own row allows, 0 if a row is out or missing."""
     domain = table.domains.get(row.failure_domain)
     service = table.services.get(row.service)
-    if domain is None or service is None or _weight(table, row) <= 0:
+    if domain is None or service is None or row_weight(table, row) <= 0:
         return 0
     states = (row.state, domain.state, service.state)
     return max(row.slots, 0) if states == ("in", "in", "in") else 0
 
 
-def _weight(table: Table, row: ServerRow) -> float:
+def row_weight(table: Table, row: ServerRow) -> float:
+    """Return the product of a server's weight and those of its domain and service."""
     domain = table.domains[row.failure_domain]
     service = table.services[row.service]
     return row.weight * domain.weight * service.weight
 
 
-def _share(slots: dict[str, int], members: list[str], total: int, weight_of) -> None:
+def share(
+    slots: dict[str, int], members: list[str], total: int, weight_of: Callable[[str], float]
+) -> None:
+    """Lower the slots of the members of a domain or service so that their sum is within `total`."""
     members = [key for key in members if slots[key] > 0]
     if sum(slots[key] for key in members) <= total:
         return
@@ -130,24 +150,26 @@
     slots.update(apportion(total, claims))
 
 
-def _limit(row: ServerRow, slots: int) -> Limit:
+def limit_of(row: ServerRow, slots: int) -> Limit:
+    """Return the limit of a searcher with this many slots."""
     if slots <= 0:
         return Limit()
     return Limit(slots, max(1, row.connections // CONNECTION_SHARE))
 
 
-def _groups(row: ServerRow) -> tuple[tuple[str, str], tuple[str, str]]:
+def groups_of(row: ServerRow) -> tuple[Group, Group]:
+    """Return the rows that limit a server together with others."""
     return ("domain", row.failure_domain), ("service", row.service)
 
 
-def _safe_groups(tables: list[tuple[Table, dict[str, Limit]]]) -> set[tuple[str, str]]:
+def _safe_groups(tables: list[tuple[Table, dict[str, Limit]]]) -> set[Group]:
     """Return the domains and services whose newest rows hold if any of the tables is in use."""
-    highest: dict[tuple[tuple[str, str], str], int] = {}
+    highest: dict[tuple[Group, str], int] = {}
     for table, limits in tables:
         for key, limit in limits.items():
-            for group in _groups(table.servers[server_of(key)]):
+            for group in groups_of(table.servers[server_of(key)]):
                 highest[group, key] = max(limit.slots, highest.get((group, key), 0))
-    sums: dict[tuple[str, str], int] = {}
+    sums: dict[Group, int] = {}
     for (group, _), slots in highest.items():
         sums[group] = sums.get(group, 0) + slots
     newest = tables[-1][0]
--- /dev/null
+++ b/rattanrelay/decide/settling.py
@@ -0,0 +1,273 @@
+"""Limits of the searchers while tables replace each other, derived for changed rows only."""
+
+import math
+from bisect import bisect_left, insort
+from collections import Counter, deque
+from collections.abc import Callable, Iterable, Iterator
+from itertools import compress
+from operator import ne
+from typing import NamedTuple
+
+from ..table import ServerRow, Table, server_of
+from .limits import Group, Limit, groups_of, limit_of, own_slots, row_weight, share
+
+__all__ = ["SettlingLimits"]
+
+
+class Place(NamedTuple):
+    """The slots of a searcher under one table and the groups in which they count."""
+
+    slots: int
+    groups: tuple[Group, Group]
+
+
+#: The places that a change of the table replaced, None for a searcher that was not there.
+Replaced = dict[str, Place | None]
+
+
+class SettlingLimits:
+    """The limits of `settling_limits`, kept up to date from table to table.
+
+    A change derives the domains and services again that a changed row can affect. What the earlier
+    tables allowed is kept as the places that each change replaced. Times are seconds on any clock.
+    """
+
+    def __init__(self) -> None:
+        self.table: Table | None = None
+        #: Sorted names of the servers in each group.
+        self.servers: dict[Group, list[str]] = {}
+        #: Names of the searchers of each server.
+        self.searchers: dict[str, tuple[str, ...]] = {}
+        #: Slots of all searchers of a server by its own row.
+        self.own: dict[str, int] = {}
+        #: Slots of each searcher after its domain's row, before its service's row.
+        self.domain_slots: dict[str, int] = {}
+        #: Sum in each group of the slots before the group's row.
+        self.asked: Counter[Group] = Counter()
+        #: Groups in which the row lowers the slots.
+        self.bound: set[Group] = set()
+        self.places: dict[str, Place] = {}
+        #: Sum of the slots in each group under the table in force.
+        self.sums: Counter[Group] = Counter()
+        #: Until when the table before each change may be in use, and what the change replaced.
+        self.changes: deque[tuple[float, Replaced]] = deque()
+        #: What earlier tables may add to the sum of each group.
+        self.extra: Counter[Group] = Counter()
+
+    def replace(self, table: Table, until: float) -> None:
+        """Take a new table; the one before it may be in use elsewhere until a time."""
+        old = self.table or Table(0)
+        first = self.table is None
+        self.table = table
+        replaced: Replaced = {}
+        domains: dict[str, list[str] | None] = {}
+        services: dict[str, set[str] | None] = {}
+        for name in _changed(old.servers, table.servers, _server_cells):
+            before = old.servers.get(name)
+            after = table.servers.get(name)
+            if before is not None:
+                self._remove(before, after, replaced)
+                domains.setdefault(before.failure_domain, [])
+                services.setdefault(before.service, set())
+            if after is not None:
+                self._add(after)
+                domains.setdefault(after.failure_domain, []).append(name)
+        whole_domains, whole_services = self._affected(old, table)
+        domains.update(dict.fromkeys(whole_domains))
+        for name, servers in domains.items():
+            for searcher in self._share_domain(name, servers):
+                service = self.table.servers[server_of(searcher)].service
+                services.setdefault(service, set()).add(searcher)
+        services.update(dict.fromkeys(whole_services))
+        for name, searchers in services.items():
+            self._share_service(name, searchers, replaced)
+        if replaced and not first:
+            self.changes.append((until, replaced))
+            self._sum_extra()
+
+    def expire(self, now: float) -> None:
+        """Drop the tables that are not in use any more."""
+        if now < self.next_expiry():
+            return
+        while now >= self.next_expiry():
+            self.changes.popleft()
+        self._sum_extra()
+
+    def next_expiry(self) -> float:
+        """Return when the oldest earlier table is no longer in use, infinity without one."""
+        return self.changes[0][0] if self.changes else math.inf
+
+    def limit(self, searcher: str) -> Limit:
+        """Return the limit of a searcher of the table; raises `KeyError` for another one."""
+        place = self.places[searcher]
+        slots = place.slots
+        if not all(self._holds(group) for group in place.groups):
+            slots = min([slots, *self._replaced_slots(searcher)])
+        return limit_of(self.table.servers[server_of(searcher)], slots)
+
+    def _holds(self, group: Group) -> bool:
+        """Say whether a group's row holds whichever of the tables each instance uses."""
+        kind, name = group
+        row = (self.table.domains if kind == "domain" else self.table.services).get(name)
+        cap = row.max_in_flight if row else 0
+        return self.sums[group] + self.extra[group] <= cap
+
+    def _replaced_slots(self, searcher: str) -> Iterator[int]:
+        for _, replaced in self.changes:
+            if searcher in replaced:
+                place = replaced[searcher]
+                yield place.slots if place else 0
+
+    def _sum_extra(self) -> None:
+        """Sum over each group by how much earlier tables exceeded the one in force."""
+        highest: dict[tuple[Group, str], int] = {}
+        for _, replaced in self.changes:
+            for searcher, place in replaced.items():
+                for group in place.groups if place else ():
+                    known = highest.get((group, searcher), 0)
+                    highest[group, searcher] = max(place.slots, known)
+        self.extra = Counter()
+        for (group, searcher), slots in highest.items():
+            place = self.places.get(searcher)
+            now = place.slots if place and group in place.groups else 0
+            self.extra[group] += max(0, slots - now)
+
+    # What a change affects.
+
+    def _affected(self, old: Table, new: Table) -> tuple[set[str], set[str]]:
+        """Return the domains and services to derive again as a whole since their rows changed."""
+        domains = set(_changed(old.domains, new.domains, _group_cells))
+        services = set(_changed(old.services, new.services, _group_cells))
+        for name in _changed(old.services, new.services, _weight_cells):
+            domains.update(row.failure_domain for row in self._rows(("service", name)))
+        for name in _changed(old.domains, new.domains, _weight_cells):
+            services.update(row.service for row in self._rows(("domain", name)))
+        return domains, services
+
+    def _rows(self, group: Group) -> Iterator[ServerRow]:
+        for name in self.servers.get(group, ()):
+            yield self.table.servers[name]
+
+    def _add(self, row: ServerRow) -> None:
+        """Put a server into its groups."""
+        for group in groups_of(row):
+            insort(self.servers.setdefault(group, []), row.name)
+        self.searchers[row.name] = row.searchers
+
+    def _remove(self, row: ServerRow, after: ServerRow | None, replaced: Replaced) -> None:
+        """Take a server out of its groups and remove the searchers that it no longer has."""
+        domain, service = groups_of(row)
+        for group in (domain, service):
+            names = self.servers[group]
+            del names[bisect_left(names, row.name)]
+        self.asked[domain] -= self.own.pop(row.name)
+        kept = after.searchers if after else ()
+        for searcher in self.searchers.pop(row.name):
+            self.asked[service] -= self.domain_slots.pop(searcher)
+            if searcher not in kept:
+                self._put(searcher, None, replaced)
+
+    # Derivation of one group.
+
+    def _share_domain(self, name: str, servers: list[str] | None) -> list[str]:
+        """Derive a domain again, or only new servers of it while its row does not bind.
+
+        Returns the searchers whose slots changed.
+        """
+        group = ("domain", name)
+        row = self.table.domains.get(name)
+        cap = row.max_in_flight if row else 0
+        if servers is not None and group not in self.bound:
+            slots = self._own(servers)
+            self.asked[group] += sum(slots.values())
+            if self.asked[group] <= cap:
+                return self._set_domain_slots(slots)
+        slots = self._own(self.servers.get(group, ()))
+        self.asked[group] = sum(slots.values())
+        self._share(group, cap, slots)
+        return self._set_domain_slots(slots)
+
+    def _own(self, servers: Iterable[str]) -> dict[str, int]:
+        """Return what the servers' own rows allow each of their searchers."""
+        slots = {}
+        for name in servers:
+            count = own_slots(self.table, self.table.servers[name])
+            searchers = self.searchers[name]
+            slots.update(dict.fromkeys(searchers, count))
+            self.own[name] = count * len(searchers)
+        return slots
+
+    def _set_domain_slots(self, slots: dict[str, int]) -> list[str]:
+        """Set the slots after the domain's row; return the searchers whose slots changed."""
+        changed = [
+            searcher
+            for searcher, count in slots.items()
+            if self.domain_slots.get(searcher) != count
+        ]
+        for searcher in changed:
+            service = ("service", self.table.servers[server_of(searcher)].service)
+            self.asked[service] += slots[searcher] - self.domain_slots.get(searcher, 0)
+            self.domain_slots[searcher] = slots[searcher]
+        return changed
+
+    def _share_service(self, name: str, searchers: set[str] | None, replaced: Replaced) -> None:
+        """Derive a service again, or only some searchers of it while its row does not bind."""
+        group = ("service", name)
+        row = self.table.services.get(name)
+        cap = row.max_in_flight if row else 0
+        whole = searchers is None or group in self.bound or self.asked[group] > cap
+        if whole:
+            searchers = [key for row in self._rows(group) for key in self.searchers[row.name]]
+        slots = {searcher: self.domain_slots[searcher] for searcher in searchers}
+        if whole:
+            self._share(group, cap, slots)
+        for searcher, count in slots.items():
+            groups = groups_of(self.table.servers[server_of(searcher)])
+            self._put(searcher, Place(count, groups), replaced)
+
+    def _share(self, group: Group, cap: int, slots: dict[str, int]) -> None:
+        """Lower the slots of a whole group to its row and record whether the row binds."""
+        if sum(slots.values()) <= cap:
+            self.bound.discard(group)
+            return
+        self.bound.add(group)
+        share(slots, list(slots), cap, self._weight)
+
+    def _weight(self, searcher: str) -> float:
+        return row_weight(self.table, self.table.servers[server_of(searcher)])
+
+    def _put(self, searcher: str, place: Place | None, replaced: Replaced) -> None:
+        """Set or remove the place of a searcher and record what it replaces."""
+        before = self.places.get(searcher)
+        if place == before:
+            return
+        replaced.setdefault(searcher, before)
+        for group in before.groups if before else ():
+            self.sums[group] -= before.slots
+        if place is None:
+            del self.places[searcher]
+            return
+        for group in place.groups:
+            self.sums[group] += place.slots
+        self.places[searcher] = place
+
+
+def _changed(old: dict, new: dict, cells: Callable[[tuple], tuple]) -> list[str]:
+    """Return the names of the rows in which the given cells differ, or that only one map has."""
+    gone = [name for name in old if name not in new]
+    other = compress(new, map(ne, new.values(), map(old.get, new)))
+    return gone + [
+        name for name in other if name not in old or cells(old[name]) != cells(new[name])
+    ]
+
+
+def _server_cells(row: ServerRow) -> tuple:
+    return groups_of(row), row.searchers, row.slots, row.weight, row.state
+
+
+def _weight_cells(row) -> tuple:
+    return row.weight, row.state
+
+
+def _group_cells(row) -> tuple:
+    return row.weight, row.state, row.max_in_flight
--- a/rattanrelay/node/dispatch.py
+++ b/rattanrelay/node/dispatch.py
@@ -2,7 +2,6 @@
 
 import random
 import time
-from collections import deque
 from collections.abc import Callable
 from itertools import count
 
@@ -10,7 +9,7 @@
 
 from ..decide.canary import SharedEntry
 from ..decide.lease import CLOCK_MARGIN_S, MAX_SUBREQUEST_S
-from ..decide.limits import Limit, settling_limits
+from ..decide.settling import SettlingLimits
 from ..http import HttpConnection
 from ..log import event
 from ..metrics import Metrics
@@ -63,10 +62,11 @@
         self.rng = rng
         self.connect = connect
         self.searchers: dict[str, Searcher] = {}
-        self.limits: dict[str, Limit] = {}
-        self.table: Table | None = None
-        #: Earlier tables, and until when they may be in use at another instance.
-        self.replaced_tables: deque[tuple[float, Table]] = deque()
+        self.limits = SettlingLimits()
+        #: Servers whose owner under the epoch is known, and those of them that are owned here.
+        self.judged: set[str] = set()
+        self.mine: set[str] = set()
+        self.judged_epoch = 0
         #: True while a searcher with a new address waits for the end of work at the old one.
         self.moving = False
         self.open_jobs: OpenJobs = {}
@@ -229,29 +229,39 @@
     def _set_limits(self, table: Table) -> None:
         """Set the limits of a table, and for a while those of the tables before it as well."""
         now = trio.current_time()
-        if self.table is not None and self.table.revision != table.revision:
-            self.replaced_tables.append((now + SETTLE_S, self.table))
-        self.table = table
-        while self.replaced_tables and self.replaced_tables[0][0] <= now:
-            self.replaced_tables.popleft()
-        self.limits = settling_limits([old for _, old in self.replaced_tables], table)
+        self.limits.expire(now)
+        if table is not self.limits.table:
+            self.limits.replace(table, now + SETTLE_S)
 
     def _owned(self, table: Table) -> dict[str, tuple[str, Rows]]:
         """Return address and rows of each searcher that this instance owns."""
         wanted = {}
-        for row in table.servers.values():
-            owner = self.members.owner(row.name)
-            if owner is None or owner.instance != self.members.instance:
-                continue
+        for name in sorted(self._mine(table)):
+            row = table.servers[name]
             service = table.services.get(row.service)
             domain = table.domains.get(row.failure_domain)
             if service is None or domain is None:
                 continue
             out = "out" in (row.state, service.state, domain.state)
-            for name, address in zip(row.searchers, row.addresses.split(), strict=True):
-                wanted[name] = address, Rows(row, service, self.limits[name], out)
+            for searcher, address in zip(row.searchers, row.addresses.split(), strict=True):
+                wanted[searcher] = address, Rows(row, service, self.limits.limit(searcher), out)
         return wanted
 
+    def _mine(self, table: Table) -> set[str]:
+        """Return the servers of the table that this instance owns under the adopted view."""
+        if self.judged_epoch != self.members.epoch:
+            self.judged_epoch = self.members.epoch
+            self.judged = set()
+            self.mine = set()
+        new = table.servers.keys() - self.judged
+        self.mine.update(name for name in new if self._owns(name))
+        self.judged |= new
+        return self.mine & table.servers.keys()
+
+    def _owns(self, server: str) -> bool:
+        owner = self.members.owner(server)
+        return owner is not None and owner.instance == self.members.instance
+
     def _take(self, name: str, address: str, rows: Rows) -> None:
         searcher = self.searchers.get(name)
         if searcher is not None and searcher.address != address:
@@ -282,7 +292,7 @@
             self.sync()
 
     def _keep_house(self) -> None:
-        settled = self.replaced_tables and self.replaced_tables[0][0] <= trio.current_time()
+        settled = trio.current_time() >= self.limits.next_expiry()
         if settled or self.moving:
             self.moving = False
             self.seen = None
