Run planned stops by a state chart with a time limit for each phase

Cause: the sequence of a planned stop was plain code in node/daemon.py. Only the whole stop had a limit and a log line, so a stop that could not leave the view or store its outcomes ended like a good one, with status 0. A table that came into force during a stop also asked the members task to join again: the stopping instance re-entered the view. Change: chart `drain` and node/drain.py, which runs the phase of each state. A phase ends as done, timed_out, store_down or second_signal; each transition is logged and shown by `status`, /v1/status and /metrics. A stop with a phase that was not done ends as `incomplete` with exit status 3, a second signal as `cut_short` with status 3. Leaving the view and handing over are two phases with 2.5 s each instead of one with 5 s; requests that exceed the 4 s of `finishing` are still waited for in `closing`. An instance that stops ignores its row in the table. Without the check for a stopping instance node/members.feature:29 fails (the instance is in the view again).

--- a/rattanrelay/charts/interpreter.py
+++ b/rattanrelay/charts/interpreter.py
@@ -9,7 +9,7 @@
 
 from ..log import event as log_event
 
-__all__ = ["Chart", "load_chart", "unanswered"]
+__all__ = ["Chart", "leaf_states", "load_chart", "unanswered"]
 
 
 @cache
@@ -18,13 +18,17 @@
     return import_from_yaml(filepath=str(Path(__file__).with_name(f"{name}.yaml")))
 
 
+def leaf_states(chart: Statechart) -> tuple[str, ...]:
+    """Return the states of a chart that have no states in them."""
+    return tuple(sorted(state for state in chart.states if not chart.children_for(state)))
+
+
 def unanswered(chart: Statechart) -> tuple[tuple[str, str], ...]:
     """Return each (state, event) that the chart leaves open; all leaves must answer all events."""
     events = sorted({transition.event for transition in chart.transitions})
-    leaves = [state for state in chart.states if not chart.children_for(state)]
     return tuple(
         (state, event)
-        for state in sorted(leaves)
+        for state in leaf_states(chart)
         for event in events
         if not any(step.event == event for step in chart.transitions_from(state))
     )
@@ -53,6 +57,7 @@
         self.name = name
         self.subject = subject
         self.chart = load_chart(name)
+        self.leaves = leaf_states(self.chart)
         self.events = frozenset(transition.event for transition in self.chart.transitions)
         self.without_effect = _without_effect(name)
         self.interpreter = Interpreter(self.chart)
--- a/rattanrelay/cli/commands/status.py
+++ b/rattanrelay/cli/commands/status.py
@@ -11,6 +11,9 @@
 
 __all__ = ["status"]
 
+#: State of an instance without a planned stop.
+SERVING = "serving"
+
 
 @command("status")
 def status(*, until: int = 0, json: bool = False, admin: str = "", token_file: str = "") -> int:
@@ -45,6 +48,7 @@
         f"lease {answer['lease_left_s']:.1f} s, table revision {answer['table_revision']}, "
         f"in force everywhere {answer['in_force_everywhere']}"
     )
+    _print_drain(answer["drain"])
     for condition in answer["degraded"]:
         print(f"  degraded: {condition}")
     for instance in answer["departed"]:
@@ -63,6 +67,15 @@
     print_rows(["member", "domain", "address", "table revision"], rows)
 
 
+def _print_drain(drain: dict[str, Any]) -> None:
+    """Print the planned stop of an instance that has one, and its ended phases."""
+    if drain["state"] == SERVING:
+        return
+    print(f"  stopping: {drain['state']} for {drain['seconds']:.1f} s")
+    for phase in drain["phases"]:
+        print(f"    {phase['phase']}: {phase['ended']} after {phase['seconds']:.1f} s")
+
+
 def _print_searchers(answers: list[dict[str, Any]]) -> None:
     """Print the searchers that the asked instances own, and the servers without an answer."""
     seen = [item for answer in answers for item in answer["searchers"] if item["owned"]]
--- a/rattanrelay/cli/main.py
+++ b/rattanrelay/cli/main.py
@@ -10,13 +10,22 @@
 from ..errors import RelayError
 from .registry import command_tree, group_names
 
-__all__ = ["EXIT_INPUT", "EXIT_INTERRUPTED", "EXIT_OK", "EXIT_REFUSED", "main"]
+__all__ = [
+    "EXIT_DRAIN_INCOMPLETE",
+    "EXIT_INPUT",
+    "EXIT_INTERRUPTED",
+    "EXIT_OK",
+    "EXIT_REFUSED",
+    "main",
+]
 
 EXIT_OK = 0
 #: Refused by the server, or the network failed.
 EXIT_REFUSED = 1
 #: Bad arguments, settings or input files.
 EXIT_INPUT = 2
+#: A daemon stopped before all phases of its drain were done.
+EXIT_DRAIN_INCOMPLETE = 3
 EXIT_INTERRUPTED = 130
 
 
--- a/rattanrelay/metrics.py
+++ b/rattanrelay/metrics.py
@@ -44,6 +44,12 @@
         self.slot_limit = self._add(Gauge, "slots_limit", "Slots allowed now by searcher")
         self.store_calls = self._add(Gauge, "store_calls_total", "Calls to the store by kind")
         self.revision = self._add(Gauge, "document_revision", "Revision in force by document")
+        self.drain_state = self._add(
+            Gauge, "drain_state", "1 for the state of the planned stop, 0 for the others"
+        )
+        self.drain_phase = self._add(
+            Gauge, "drain_phase_seconds", "Duration of each ended phase of the planned stop"
+        )
         self.degraded = self._add(Gauge, "degraded", "1 for each condition that holds, by reason")
 
     def _add(self, kind, name: str, doc: str, **options):
--- a/rattanrelay/node/admin_fleet.py
+++ b/rattanrelay/node/admin_fleet.py
@@ -84,6 +84,7 @@
         "searchers": [item for item in searchers if item["server"] in table.servers],
         "blocked": list(status.get("blocked", [])),
         "store_calls": dict(status.get("store_calls", {})),
+        "drain": dict(status.get("drain", {})),
     }
     return json_response(200, value)
 
--- a/rattanrelay/node/admin_ports.py
+++ b/rattanrelay/node/admin_ports.py
@@ -29,6 +29,8 @@
     store_calls: dict[str, int]
     #: Former members that are not known to have stopped.
     departed: list[str]
+    #: State of the planned stop, the seconds in it, and the ended phases.
+    drain: dict[str, Any]
 
 
 #: Returns the live state now.
--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -21,6 +21,7 @@
 from .claims import Claims
 from .dispatch import Dispatcher
 from .documents import Documents
+from .drain import Drain
 from .entry import Entry
 from .instances import InstanceList
 from .members import Members
@@ -31,11 +32,6 @@
 __all__ = ["Addresses", "Daemon"]
 
 ADMIN_BODY_BYTES = 4 * 1024 * 1024
-#: Time in which peers still get answers after this instance has left the view, in seconds.
-FAREWELL_S = 0.3
-#: Time that a stopping instance gives the store to take outcomes, in seconds. A repeat of a
-#: request whose outcome was not stored is answered with `unknown`.
-STORE_OUTCOMES_S = 5.0
 BACKLOG = 512
 INCARNATION_DIGITS = 12
 
@@ -49,7 +45,7 @@
 
 
 class Daemon:
-    """All tasks of one instance; must be made inside a trio run."""
+    """All tasks of one instance; must be made inside a trio run. Implements `DrainPort`."""
 
     def __init__(self, settings: Settings, *, rng: random.Random | None = None) -> None:
         self.settings = settings
@@ -63,11 +59,19 @@
         self._stop = trio.Event()
         self._callers_stopping = trio.Event()
         self._callers_ended = trio.Event()
+        self.balancer_grace = settings.balancer_grace
+        self.drain = Drain(
+            settings.instance, self, self.metrics, stop_timeout=settings.stop_timeout
+        )
 
     def stop(self) -> None:
         """Begin a graceful shutdown; `run` returns when it has ended."""
         self._stop.set()
 
+    def cut_short(self) -> None:
+        """End a graceful shutdown before its phases are done."""
+        self.drain.cut_short()
+
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until `stop` is called or the task is cancelled; `started` receives `Addresses`."""
         listeners = await self._listen()
@@ -182,23 +186,42 @@
     async def _shut_down(self) -> None:
         """Stop taking work, finish what is under way, hand over; bounded by `stop_timeout`."""
         event("daemon.stopping")
-        with trio.move_on_after(self.settings.stop_timeout) as scope:
-            self.callers.stop()
-            # The balancer goes on sending until it has seen that this instance is not ready.
-            await trio.sleep(self.settings.balancer_grace)
-            self._callers_stopping.set()
-            await self._callers_ended.wait()
-            # Once this instance has left, the others coordinate new requests themselves.
-            await self.members.leave()
-            with trio.move_on_after(STORE_OUTCOMES_S):
-                await self.claims.drain()
-            await trio.sleep(FAREWELL_S)
+        await self.drain.run()
         event(
             "daemon.drained",
-            in_time=not scope.cancelled_caught,
+            complete=self.drain.complete,
+            unfinished=self.drain.unfinished(),
             outcomes_not_stored=self.claims.unsettled,
         )
 
+    def stop_ready(self) -> None:
+        """Report not ready from now on."""
+        self.callers.stop()
+
+    async def finish_requests(self) -> None:
+        """Take no new requests of callers; return when all have been answered."""
+        self._callers_stopping.set()
+        await self._callers_ended.wait()
+
+    async def leave_view(self) -> None:
+        """Return when this instance is not in the view."""
+        await self.members.leave_view()
+
+    async def hand_over(self) -> None:
+        """Return when the members know that no work is left here."""
+        await self.members.hand_over()
+
+    async def flush_claims(self) -> None:
+        """Return when the store has all outcomes.
+
+        Once this instance has left the view, the others coordinate new requests themselves.
+        """
+        await self.claims.drain()
+
+    def store_down(self) -> bool:
+        """Say whether the last call to the store failed."""
+        return self.store.failing
+
 
 async def _open(address: Address) -> list[trio.SocketListener]:
     return await trio.open_tcp_listeners(address.port, host=address.host, backlog=BACKLOG)
--- /dev/null
+++ b/rattanrelay/node/drain.py
@@ -0,0 +1,206 @@
+"""Planned stop of one instance: runs the phases of the chart `drain`, each in bounded time."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple, Protocol
+
+import trio
+
+from ..charts.interpreter import Chart
+from ..log import event
+from ..metrics import Metrics
+
+__all__ = [
+    "CLOSE_LIMIT_S",
+    "FAREWELL_S",
+    "FINISH_LIMIT_S",
+    "FLUSH_LIMIT_S",
+    "HAND_OVER_LIMIT_S",
+    "LEAVE_VIEW_LIMIT_S",
+    "PHASES",
+    "Drain",
+    "DrainPort",
+    "EndedPhase",
+]
+
+#: Time for the answers to the requests under way; those that take longer go on while the next
+#: phases run.
+FINISH_LIMIT_S = 4.0
+LEAVE_VIEW_LIMIT_S = 2.5
+#: Longer than a sub-request and its margin take, so that work sent before the view changed ends.
+HAND_OVER_LIMIT_S = 2.5
+#: A repeat of a request whose outcome the store did not take is answered with `unknown`.
+FLUSH_LIMIT_S = 5.0
+CLOSE_LIMIT_S = 5.0
+#: Time in which peers still get answers after this instance has left the view.
+FAREWELL_S = 0.3
+DRAINED = "drained"
+
+
+class DrainPort(Protocol):
+    """What a planned stop needs of the other tasks of the daemon."""
+
+    #: Time in which the balancer goes on sending to an instance that is not ready, in seconds.
+    balancer_grace: float
+
+    def stop_ready(self) -> None:
+        """Report not ready from now on."""
+
+    async def finish_requests(self) -> None:
+        """Take no new requests of callers; return when all have been answered."""
+
+    async def leave_view(self) -> None:
+        """Return when this instance is not in the view."""
+
+    async def hand_over(self) -> None:
+        """Return when the members know that no work is left here."""
+
+    async def flush_claims(self) -> None:
+        """Return when the store has all outcomes."""
+
+    def store_down(self) -> bool:
+        """Say whether the last call to the store failed."""
+
+
+class EndedPhase(NamedTuple):
+    """A phase that has ended with an event of the chart after some seconds."""
+
+    phase: str
+    ended: str
+    seconds: float
+
+
+class _Phase(NamedTuple):
+    run: Callable[[DrainPort], Awaitable[None]]
+    #: Time limit in seconds, None for that of the settings.
+    limit: float | None
+    needs_store: bool
+
+
+#: The phases by their state in the chart.
+PHASES: dict[str, _Phase] = {}
+
+
+def _phase(state: str, limit: float | None, *, needs_store: bool = False):
+    def register(run: Callable[[DrainPort], Awaitable[None]]):
+        PHASES[state] = _Phase(run, limit, needs_store)
+        return run
+
+    return register
+
+
+@_phase("not_ready", None)
+async def _wait_for_balancer(port: DrainPort) -> None:
+    port.stop_ready()
+    await trio.sleep(port.balancer_grace)
+
+
+@_phase("finishing", FINISH_LIMIT_S)
+async def _finish(port: DrainPort) -> None:
+    await port.finish_requests()
+
+
+@_phase("leaving_view", LEAVE_VIEW_LIMIT_S, needs_store=True)
+async def _leave_view(port: DrainPort) -> None:
+    await port.leave_view()
+
+
+@_phase("handing_over", HAND_OVER_LIMIT_S, needs_store=True)
+async def _hand_over(port: DrainPort) -> None:
+    await port.hand_over()
+
+
+@_phase("flushing_claims", FLUSH_LIMIT_S, needs_store=True)
+async def _flush(port: DrainPort) -> None:
+    await port.flush_claims()
+
+
+@_phase("closing", CLOSE_LIMIT_S)
+async def _close(port: DrainPort) -> None:
+    await trio.sleep(FAREWELL_S)
+    await port.finish_requests()
+
+
+class Drain:
+    """The planned stop of one instance; `stop_timeout` bounds all phases together, in seconds."""
+
+    def __init__(
+        self, instance: str, port: DrainPort, metrics: Metrics, *, stop_timeout: float
+    ) -> None:
+        self.port = port
+        self.metrics = metrics
+        self.stop_timeout = stop_timeout
+        self.chart = Chart("drain", instance)
+        self.ended: list[EndedPhase] = []
+        self.entered = trio.current_time()
+        self.scope = trio.CancelScope()
+        self._show()
+
+    @property
+    def state(self) -> str:
+        """State in the chart `drain`."""
+        return self.chart.state
+
+    @property
+    def complete(self) -> bool:
+        """Say whether the stop has ended and each phase did its work."""
+        return self.state == DRAINED
+
+    def unfinished(self) -> list[str]:
+        """Return the phases that did not do their work."""
+        return [one.phase for one in self.ended if one.ended != "done"]
+
+    def status(self) -> dict[str, Any]:
+        """Return the state, the seconds spent in it and the ended phases as JSON values."""
+        return {
+            "state": self.state,
+            "seconds": round(trio.current_time() - self.entered, 3),
+            "phases": [one._asdict() for one in self.ended],
+        }
+
+    async def run(self) -> None:
+        """Go through the phases until the chart ends; `cut_short` ends it at once."""
+        deadline = trio.current_time() + self.stop_timeout
+        self._send("stop", "signal")
+        with self.scope:
+            while self.state in PHASES:
+                await self._run_phase(deadline)
+
+    def cut_short(self) -> None:
+        """End the stop at once, as a second signal asks."""
+        if self.state in PHASES:
+            self._end_phase("second_signal")
+        else:
+            self._send("second_signal", "signal")
+        self.scope.cancel()
+
+    async def _run_phase(self, deadline: float) -> None:
+        phase = PHASES[self.state]
+        limit = self._limit(phase)
+        with trio.move_on_at(min(trio.current_time() + limit, deadline)) as scope:
+            await phase.run(self.port)
+        if not scope.cancelled_caught:
+            self._end_phase("done")
+        elif phase.needs_store and self.port.store_down():
+            self._end_phase("store_down")
+        else:
+            self._end_phase("timed_out")
+
+    def _limit(self, phase: _Phase) -> float:
+        return self.stop_timeout if phase.limit is None else phase.limit
+
+    def _end_phase(self, ended: str) -> None:
+        phase = self.state
+        seconds = round(trio.current_time() - self.entered, 3)
+        self.ended.append(EndedPhase(phase, ended, seconds))
+        event("drain.phase_ended", phase=phase, ended=ended, seconds=seconds)
+        self.metrics.drain_phase.set({"phase": phase, "ended": ended}, seconds)
+        self._send(ended, f"{phase} after {seconds} s")
+
+    def _send(self, name: str, cause: str) -> None:
+        if self.chart.send(name, cause):
+            self.entered = trio.current_time()
+            self._show()
+
+    def _show(self) -> None:
+        for state in self.chart.leaves:
+            self.metrics.drain_state.set({"state": state}, int(state == self.state))
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -40,7 +40,6 @@
 STORE_QUEUE = 2
 #: Longest pause between reads of the view that the store does not answer.
 READ_RETRY_LIMIT_S = 4.0
-LEAVE_TIMEOUT_S = 5.0
 CONTACT_EVERY_S = 2.0
 MAX_CONTACTS = 16
 #: An empty store gets a first view this long after the start if listed instances do not answer:
@@ -111,6 +110,8 @@
         self.fetching: set[str] = set()
         self.contacted_at = -float("inf")
         self.contacts_silent = False
+        #: Set when this process stops: its row in the table no longer counts.
+        self.stopping = False
         self.started_at = trio.current_time()
         self._orders, self._queue = trio.open_memory_channel[Effect](STORE_QUEUE)
         #: Set when the next tick should not wait, as after a new view.
@@ -170,21 +171,30 @@
                     await self._due.wait()
                 self._due = trio.Event()
 
-    async def leave(self) -> bool:
-        """Hand over and leave the view; return whether that succeeded in bounded time.
+    async def leave_view(self) -> None:
+        """Return when this instance is not in the view; it does not join again.
 
-        Call it while the task runs. With the store down it ends after `LEAVE_TIMEOUT_S`.
+        Call it while the task runs. It does not end while the store is down.
         """
         self.want(False)
-        with trio.move_on_after(LEAVE_TIMEOUT_S):
-            while self.giving_up() or not self.core.has_left():  # noqa: ASYNC110
-                await trio.sleep(TICK_S / 2)
-        left = not self.core.is_member
-        event("members.left", left=left, epoch=self.epoch, holding=list(self.giving_up()))
-        return left
+        self.stopping = True
+        while self.core.is_member:  # noqa: ASYNC110
+            await trio.sleep(TICK_S / 2)
+        event("members.left", epoch=self.epoch, holding=list(self.giving_up()))
+
+    async def hand_over(self) -> None:
+        """Return when no work is left here and the members of the view without this one know it."""
+        while self.giving_up() or not self.core.has_left():  # noqa: ASYNC110
+            await trio.sleep(TICK_S / 2)
+        event("members.handed_over", epoch=self.epoch)
 
     def want(self, wanted: bool) -> None:
-        """Set whether this instance should be a member, as its row of the table says."""
+        """Set whether this instance should be a member, as its row of the table says.
+
+        It has no effect once the instance has begun to stop.
+        """
+        if self.stopping:
+            return
         if wanted != self.core.wanted:
             event("members.wanted", wanted=wanted, epoch=self.epoch)
         self.core.want(wanted, trio.current_time())
--- a/rattanrelay/node/report.py
+++ b/rattanrelay/node/report.py
@@ -38,7 +38,7 @@
 
     def store_down(self) -> bool:
         """Say whether the last call to the store failed."""
-        return self.daemon.store.failing
+        return self.daemon.store_down()
 
     def revisions(self) -> dict[str, dict[str, int]]:
         """Return the last known revision of each document by instance."""
@@ -70,6 +70,7 @@
             "searchers": [item._asdict() for item in daemon.dispatch.held()],
             "blocked": [item._asdict() for item in daemon.dispatch.blocked()],
             "store_calls": dict(daemon.store.calls),
+            "drain": daemon.drain.status(),
         }
 
     def _refresh(self) -> None:
--- a/tests/cli/commands.feature
+++ b/tests/cli/commands.feature
@@ -80,6 +80,8 @@
       | instance out entry-2                                   | instances/entry-2/state                      |
       | instance confirm-stopped entry-3                       | instance entry-3 is confirmed as stopped     |
       | status                                                 | departed and not known to have stopped: ent  |
+      | status                                                 | stopping: finishing for 0.5 s                |
+      | status                                                 | not_ready: done after 3.0 s                  |
       | status --until 6                                       | revision 6 is in force on all 2 members      |
       | status --json                                          | "in_force_everywhere": 6                     |
       | table show services --admin {closed},{admin}           | logging  tail                                |
--- a/tests/node/members.feature
+++ b/tests/node/members.feature
@@ -26,6 +26,20 @@
     Then each backend server has one owner
     And that instance has left
 
+  Scenario: A table edit does not bring a stopping instance back
+    Given a running cell of 3 instances
+    And a table in which all rows are in
+    And the instance that owns "server-1" has work there
+    When that instance starts to leave
+    And 1.0 s pass in the cell
+    And instance 0 edits the table
+    And 1.0 s pass in the cell
+    Then that instance is in no view
+    When the work at "server-1" ends
+    And 1.0 s pass in the cell
+    Then each backend server has one owner
+    And that instance has left
+
   Scenario: Leaving ends in bounded time while the store is down
     Given a running cell of 3 instances
     When the store of the cell goes down
--- a/tests/steps/operator_fakes.py
+++ b/tests/steps/operator_fakes.py
@@ -106,6 +106,11 @@
         "blocked": [BlockedRequest("f1", 20)._asdict()],
         "store_calls": {"read": 3},
         "departed": ["entry-3"],
+        "drain": {
+            "state": "finishing",
+            "seconds": 0.5,
+            "phases": [{"phase": "not_ready", "ended": "done", "seconds": 3.0}],
+        },
     }
 
 
