Give instances backend servers in proportion to their weights

The column weight of an instance's row had no effect. The owner of a server is now the member with the highest -weight / ln(h) with h in (0, 1) from xxh64. Equal weights give the same owners as before, weight 0 gives none.

The weights are part of the view, so two instances that hold different revisions of the table for a moment agree on the owners of an epoch. The live member of lowest rank writes a view with the table's weights; the view names the revision that they come from, and an instance with an older table does not undo them. Servers move by the takeover rules of any other change of the view. What a member held before depends on the weights of the views in between, so history has them too. A joining process waits up to 3 s for the table that the weights come from, so that a restarted instance of weight 0 takes no servers.

The warnings of a dry run name a table in which no instance with a weight above 0 remains, and status prints the weight of each member.

A view of this version cannot be read by an earlier one, since members have one more field; a view of an earlier version is read with equal weights.

Two comparisons of members in the simulated cells now compare identities, because the weight of a member changes while its process stays the same.

--- a/rattanrelay/cli/commands/status.py
+++ b/rattanrelay/cli/commands/status.py
@@ -56,11 +56,12 @@
             member["instance"],
             member["failure_domain"],
             member["address"],
+            member.get("weight", ""),
             member["revisions"].get("table"),
         ]
         for member in answer["members"]
     ]
-    print_rows(["member", "domain", "address", "table revision"], rows)
+    print_rows(["member", "domain", "address", "weight", "table revision"], rows)
 
 
 def _print_searchers(answers: list[dict[str, Any]]) -> None:
--- a/rattanrelay/decide/lease.py
+++ b/rattanrelay/decide/lease.py
@@ -52,18 +52,27 @@
     """An earlier view under which a lease could still be held.
 
     `waiting` lists the members that are not yet known to have adopted a later epoch or ended.
+    `weights` has the weights of the members in their order; it is empty when all are 1.
     """
 
     epoch: int
     members: tuple[Identity, ...]
     waiting: tuple[Identity, ...]
+    weights: tuple[int, ...] = ()
+
+    def shares(self) -> dict[Identity, int]:
+        """Return the weight of each member."""
+        weights = self.weights or (1,) * len(self.members)
+        return dict(zip(self.members, weights, strict=True))
 
 
 class View(NamedTuple):
     """The view document of a cell; `members` is sorted by instance name.
 
     `restored` marks a view that was written back to a store with older data. The store may have
-    lost a still newer view then, so a change of it waits for `RESTORE_WAIT_S`.
+    lost a still newer view then, so a change of it waits for `RESTORE_WAIT_S`. `weights_revision`
+    is the revision of the table from which the weights of the members come, 0 when all are 1 from
+    the start.
     """
 
     cell: str
@@ -72,6 +81,11 @@
     departed: tuple[Departed, ...] = ()
     history: tuple[PastView, ...] = ()
     restored: bool = False
+    weights_revision: int = 0
+
+    def shares(self) -> dict[Identity, int]:
+        """Return the weight of each member."""
+        return {member.identity: member.weight for member in self.members}
 
     def member(self, identity: Identity) -> Member | None:
         """Return the member that is this process, None when it is not in the view."""
--- a/rattanrelay/decide/membership.py
+++ b/rattanrelay/decide/membership.py
@@ -7,7 +7,7 @@
 from .evidence import Evidence, replaced
 from .lease import QuorumLease, View, majority
 from .ownership import Identity, Member, owner, score
-from .succession import first_view, with_member, without
+from .succession import Weights, first_view, reweighted, with_member, with_weights, without
 from .takeover import Takeover
 
 __all__ = [
@@ -42,6 +42,9 @@
 MAJORITY_REACH_DELAYS_S = (5.0, 120.0)
 BLIND_DELAYS_S = (15.0, 300.0)
 REJOIN_DELAY_S = 1.0
+#: A process joins without the table from which the weights in the view come after this time. It
+#: would take servers with a wrong weight and give them back.
+TABLE_WAIT_S = 3.0
 REMOVALS_WINDOW_S = 600.0
 #: A process that should leave but cannot write the view stops to dispatch after this time.
 LEAVE_GRACE_S = 1.0
@@ -115,6 +118,9 @@
         self.listed: frozenset[str] | None = None
         self.store_empty = False
         self.quiet_since: float | None = None
+        #: Weights in the table that this process holds, and since when the view has others.
+        self.weights = Weights()
+        self.differs_since: float | None = None
 
     # What other parts ask.
 
@@ -244,6 +250,7 @@
         was_member = self.is_member
         kept = self.takeover.adopt(view, self.evidence, now)
         self.view = view
+        self.me = view.member(self.me.identity) or self.me
         self.owners = {}
         identities = [member.identity for member in view.members]
         self.lease.adopt(view.epoch, identities, now, keep=kept)
@@ -255,6 +262,7 @@
         self.quick = {}
         self.told = set() if self.is_member else self.told
         self.quiet_since = None
+        self.differs_since = None
         self.next_propose = now
         if was_member and not self.is_member:
             self._removed(now)
@@ -278,12 +286,16 @@
         """Take the addresses on the platform's list; it lags behind."""
         self.listed = frozenset(addresses)
 
+    def use_weights(self, weights: Weights) -> None:
+        """Take the weights of a table; they have no effect before they are in the view."""
+        self.weights = weights
+
     def has_left(self) -> bool:
         """Say whether this process is out of the view and the members know that it is idle."""
         if self.is_member:
             return False
         departed = self.view.departed if self.view else ()
-        if all(entry.member != self.me for entry in departed):
+        if all(entry.member.identity != self.me.identity for entry in departed):
             return True
         return all(member.identity in self.told for member in self.members)
 
@@ -369,14 +381,21 @@
     def _joined(self, now: float) -> View | None:
         """Return the view that adds this process, None while it has to wait."""
         if self.view is None:
-            return first_view(self.cell, self.me) if self.store_empty else None
+            first = reweighted(first_view(self.cell, self.me), self.weights)
+            return first if self.store_empty else None
         same = [member for member in self.members if member.instance == self.me.instance]
         self.superseded = bool(same and self.removals and not replaced(same[0], self.me))
         if self.superseded or now < self.join_since + self._join_delay(now):
             return None
-        return with_member(self.view, self.me, self.evidence, now)
+        return reweighted(with_member(self.view, self.me, self.evidence, now), self.weights)
 
     def _join_delay(self, now: float) -> float:
+        """Return how long this process waits before it adds itself to the view."""
+        reach = self._reach_delay(now)
+        has_table = self.weights.revision >= self.view.weights_revision
+        return reach if has_table else max(reach, TABLE_WAIT_S)
+
+    def _reach_delay(self, now: float) -> float:
         others = [member for member in self.members if not self._has_ended(member, now)]
         reached = [member for member in others if self._touched(member.identity, now)]
         if len(reached) == len(others):
@@ -411,7 +430,7 @@
         rank = self.live(now).index(self.me)
         suspects = self.suspects(now)
         if not suspects:
-            return self._clean(now, rank)
+            return self._reweight(now, rank) or self._clean(now, rank)
         effects = []
         if self._removal_due(suspects, rank, now):
             view = without(self.view, suspects, self.evidence, now)
@@ -431,6 +450,17 @@
         wavering = any(SILENT_AFTER_S < silence <= SUSPECT_AFTER_S for silence in silences)
         return now >= due and not wavering
 
+    def _reweight(self, now: float, rank: int) -> list[Effect]:
+        """Put the weights of the table into the view when it has others."""
+        if reweighted(self.view, self.weights) == self.view:
+            self.differs_since = None
+            return []
+        if self.differs_since is None:
+            self.differs_since = now
+        if now < self.differs_since + rank * STAGGER_S:
+            return []
+        return self._propose(now, with_weights(self.view, self.weights, self.evidence, now))
+
     def _clean(self, now: float, rank: int) -> list[Effect]:
         """Remove departed members that have stopped, so that later members need not prove it."""
         quiet = [
--- a/rattanrelay/decide/ownership.py
+++ b/rattanrelay/decide/ownership.py
@@ -1,11 +1,17 @@
-"""Members of a cell and the owner of each backend server, by rendezvous hashing."""
+"""Members of a cell and the owner of each backend server, by weighted rendezvous hashing."""
 
+import math
 from collections.abc import Iterable
 from typing import NamedTuple
 
 import xxhash
 
-__all__ = ["Identity", "Member", "owner", "ranked"]
+__all__ = ["Identity", "Member", "Score", "owner", "ranked", "weighted_score"]
+
+#: Bits of a score that the weighted score uses. The middle of each of these intervals is a float
+#: between 0 and 1, both excluded, so its logarithm is neither 0 nor infinite.
+FRACTION_BITS = 52
+SCORE_BITS = 64
 
 
 class Identity(NamedTuple):
@@ -22,6 +28,8 @@
     incarnation: str
     address: str
     failure_domain: str
+    #: Share of the backend servers relative to the other members; 0 owns none.
+    weight: int = 1
 
     @property
     def identity(self) -> Identity:
@@ -29,18 +37,56 @@
         return Identity(self.instance, self.incarnation)
 
 
+class Score(NamedTuple):
+    """Weighted rendezvous score; scores compare as tuples, and the highest one owns the name.
+
+    `plain` is the score without the weight. It decides between equal values of `weighted`, and
+    with equal weights both have the same order.
+    """
+
+    weighted: float
+    plain: int
+
+
 def score(instance: str, name: str) -> int:
     """Return the rendezvous score of an instance for a name; the highest one owns it."""
     return xxhash.xxh64_intdigest(f"{instance}\0{name}".encode())
 
 
+def weighted_score(instance: str, weight: int, name: str) -> Score:
+    """Return the weighted score -weight / ln(h), where h in (0, 1) comes from `score`.
+
+    The probability to have the highest score is proportional to the weight. Weight 0 gives the
+    lowest score.
+    """
+    if weight <= 0:
+        return Score(0.0, 0)
+    plain = score(instance, name)
+    fraction = ((plain >> (SCORE_BITS - FRACTION_BITS)) + 0.5) / (1 << FRACTION_BITS)
+    return Score(-weight / math.log(fraction), plain)
+
+
 def ranked(instances: Iterable[str], name: str) -> list[str]:
     """Return the instances by falling score for a name; the order of the input is irrelevant."""
     return sorted(instances, key=lambda instance: (-score(instance, name), instance))
 
 
 def owner(members: Iterable[Member], name: str) -> Member | None:
-    """Return the member that owns a backend server or claim bucket, None without members."""
-    return min(
-        members, key=lambda member: (-score(member.instance, name), member.instance), default=None
-    )
+    """Return the member that owns a backend server or claim bucket.
+
+    None when no member has a weight above 0.
+    """
+    able = [member for member in members if member.weight > 0]
+    equal = len({member.weight for member in able}) == 1
+    order = _plain_order if equal else _weighted_order
+    return min(able, key=lambda member: order(member, name), default=None)
+
+
+def _plain_order(member: Member, name: str) -> tuple[int, str]:
+    """Return the sort key for equal weights, which gives the same order in less time."""
+    return -score(member.instance, name), member.instance
+
+
+def _weighted_order(member: Member, name: str) -> tuple[float, int, str]:
+    weighted, plain = weighted_score(member.instance, member.weight, name)
+    return -weighted, -plain, member.instance
--- a/rattanrelay/decide/succession.py
+++ b/rattanrelay/decide/succession.py
@@ -1,12 +1,32 @@
 """Builds the next view of a cell from the adopted one."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from typing import NamedTuple
 
 from .evidence import Evidence, replaced
 from .lease import Departed, PastView, View
 from .ownership import Identity, Member
 
-__all__ = ["first_view", "with_member", "with_stopped", "without"]
+__all__ = [
+    "Weights",
+    "first_view",
+    "reweighted",
+    "with_member",
+    "with_stopped",
+    "with_weights",
+    "without",
+]
+
+
+class Weights(NamedTuple):
+    """Weights of instances in a revision of the table; an instance without a row has 1."""
+
+    revision: int = 0
+    by_instance: Mapping[str, int] = {}
+
+    def of(self, member: Member) -> int:
+        """Return the weight of a member."""
+        return self.by_instance.get(member.instance, 1)
 
 
 def first_view(cell: str, me: Member) -> View:
@@ -40,6 +60,23 @@
     return _next(view, members, removed, (), None, evidence, now)
 
 
+def reweighted(view: View, weights: Weights) -> View:
+    """Return the view with the weights of a table.
+
+    The view itself if it has these weights already or has those of a newer revision: an instance
+    that holds an older table for a moment does not undo a change.
+    """
+    members = tuple(member._replace(weight=weights.of(member)) for member in view.members)
+    if members == view.members or weights.revision < view.weights_revision:
+        return view
+    return view._replace(members=members, weights_revision=weights.revision)
+
+
+def with_weights(view: View, weights: Weights, evidence: Evidence, now: float) -> View:
+    """Return the next view, with the weights of a table."""
+    return reweighted(without(view, (), evidence, now), weights)
+
+
 def with_stopped(
     view: View, instance: str, silent: Iterable[Member], evidence: Evidence, now: float
 ) -> View:
@@ -77,13 +114,20 @@
     departed += [Departed(member, epoch) for member in removed]
     departed += [Departed(member, epoch, gone=True) for member in gone]
     ended = {entry.member.identity for entry in departed if entry.gone}
-    current = PastView(view.epoch, _identities(view), _identities(view))
+    current = PastView(view.epoch, _identities(view), _identities(view), _weights(view))
     history = [
         past._replace(waiting=_without(evidence.waiting(past), ended))
         for past in (*view.history, current)
         if not evidence.over(past, now)
     ]
-    return View(view.cell, epoch, members, tuple(departed), tuple(history))
+    return View(
+        view.cell,
+        epoch,
+        members,
+        tuple(departed),
+        tuple(history),
+        weights_revision=view.weights_revision,
+    )
 
 
 def _marked(entry: Departed, evidence: Evidence, author: Member | None) -> Departed:
@@ -98,5 +142,10 @@
     return tuple(member.identity for member in view.members)
 
 
+def _weights(view: View) -> tuple[int, ...]:
+    weights = tuple(member.weight for member in view.members)
+    return () if set(weights) == {1} else weights
+
+
 def _without(identities: tuple[Identity, ...], ended: set[Identity]) -> tuple[Identity, ...]:
     return tuple(identity for identity in identities if identity not in ended)
--- a/rattanrelay/decide/takeover.py
+++ b/rattanrelay/decide/takeover.py
@@ -4,13 +4,21 @@
 
 from .evidence import Evidence
 from .lease import View
-from .ownership import Identity, score
+from .ownership import Identity, weighted_score
 
 __all__ = ["Takeover"]
 
 MAX_HOLDINGS = 4
 
 
+class Rival(NamedTuple):
+    """Another member of a view with its weight, and the weight of this process in that view."""
+
+    instance: str
+    weight: int
+    own_weight: int
+
+
 class Holding(NamedTuple):
     """Servers held since a completed takeover.
 
@@ -18,7 +26,7 @@
     members of all views since then, except those that were still being given up to it.
     """
 
-    rivals: frozenset[str]
+    rivals: frozenset[Rival]
     excluded: frozenset[str]
 
 
@@ -106,31 +114,43 @@
     def _completed(self, evidence: Evidence, now: float) -> list[Holding]:
         if not self.complete(evidence, now):
             return []
-        rivals = frozenset(member.instance for member in self.view.members)
+        rivals = self._rivals(self.view.shares())
         excluded = frozenset().union(*(held for _, held in self.given_up.values()))
-        return [Holding(rivals - {self.me.instance}, excluded)]
+        return [Holding(rivals, excluded)]
+
+    def _rivals(self, shares: dict[Identity, int]) -> frozenset[Rival]:
+        """Return the other members of a view of which this process is a member."""
+        own = shares[self.me]
+        return frozenset(
+            Rival(identity.instance, weight, own)
+            for identity, weight in shares.items()
+            if identity.instance != self.me.instance
+        )
 
-    def _rivals_between(self, previous: View | None, view: View) -> frozenset[str] | None:
+    def _rivals_between(self, previous: View | None, view: View) -> frozenset[Rival] | None:
         """Return the other members of all views after `previous` up to `view`.
 
         None when this process was not a member of all of them, or when one is not known.
         """
         if previous is None or previous.member(self.me) is None or view.member(self.me) is None:
             return None
-        rivals = {member.instance for member in view.members}
-        past = {past.epoch: past.members for past in view.history}
+        rivals = self._rivals(view.shares())
+        past = {past.epoch: past.shares() for past in view.history}
         for epoch in range(previous.epoch + 1, view.epoch):
-            members = past.get(epoch)
-            if members is None or self.me not in members:
+            shares = past.get(epoch)
+            if shares is None or self.me not in shares:
                 return None
-            rivals |= {identity.instance for identity in members}
-        return frozenset(rivals - {self.me.instance})
+            rivals |= self._rivals(shares)
+        return rivals
 
     def _holds(self, holding: Holding, server: str) -> bool:
         if server in holding.excluded:
             return False
-        mine = score(self.me.instance, server)
-        return all(mine > score(rival, server) for rival in holding.rivals)
+        return all(self._wins(rival, server) for rival in holding.rivals)
+
+    def _wins(self, rival: Rival, server: str) -> bool:
+        mine = weighted_score(self.me.instance, rival.own_weight, server)
+        return mine > weighted_score(rival.instance, rival.weight, server)
 
 
 def _reduced(holdings: list[Holding]) -> list[Holding]:
--- a/rattanrelay/node/documents.py
+++ b/rattanrelay/node/documents.py
@@ -9,6 +9,7 @@
 
 from ..charts.interpreter import Chart
 from ..decide.revision import Held, Readiness, Replicas, settle_write
+from ..decide.succession import Weights
 from ..errors import RelayError
 from ..log import event
 from ..store import Entry, StoreClient
@@ -319,6 +320,7 @@
         current = self.configuration.value
         if isinstance(decoded, Table):
             self.configuration.set(current._replace(table=decoded))
+            self.members.use_weights(_weights(decoded))
             self.members.want(self._in_service(decoded))
             return
         catalogs = {**current.catalogs, decoded.service: decoded}
@@ -447,6 +449,11 @@
         return _stored(name, entry) if entry else _Stored(ABSENT, None)
 
 
+def _weights(table: Table) -> Weights:
+    weights = {name: row.weight for name, row in table.instances.items()}
+    return Weights(table.revision, weights)
+
+
 def _revision(stored: _Stored) -> int:
     return stored.held.revision if stored.held else 0
 
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -12,7 +12,7 @@
 from ..decide.membership import Beat, Effect, Fetch, Membership, Propose, ReadStore
 from ..decide.ownership import Identity, Member
 from ..decide.revision import DigestFeed
-from ..decide.succession import with_stopped
+from ..decide.succession import Weights, with_stopped
 from ..errors import RelayError
 from ..log import event
 from ..store import StoreClient
@@ -190,6 +190,11 @@
         self.core.want(wanted, trio.current_time())
         self._due.set()
 
+    def use_weights(self, weights: Weights) -> None:
+        """Take the weights in the table; the live member of lowest rank puts them into the view."""
+        self.core.use_weights(weights)
+        self._due.set()
+
     async def confirm_stopped(self, instance: str) -> View:
         """Record the operator's statement that the lost processes of an instance have stopped.
 
--- a/rattanrelay/table/capacity.py
+++ b/rattanrelay/table/capacity.py
@@ -124,3 +124,7 @@
 def _instance_warnings(after: Table) -> Iterator[str]:
     if after.instances and not any(_instances(after).values()):
         yield "no instance remains in service"
+    elif after.instances and not any(
+        row.weight and _instance_in(after, row) for row in after.instances.values()
+    ):
+        yield "no instance with a weight above 0 remains, so no server has an owner"
--- a/rattanrelay/table/columns.py
+++ b/rattanrelay/table/columns.py
@@ -86,8 +86,8 @@
     _add(kind, name, int, unit, meaning, minimum=low, maximum=high)
 
 
-def _weight_and_state(kind: str, weight: str) -> None:
-    _count(kind, "weight", "", weight, 1, MAX_WEIGHT)
+def _weight_and_state(kind: str, weight: str, lowest: int = 1) -> None:
+    _count(kind, "weight", "", weight, lowest, MAX_WEIGHT)
     meaning = "in takes work, out takes no new work"
     _add(kind, "state", str, "", meaning, choices=("in", "out"))
 
@@ -169,7 +169,9 @@
 
 _name("instances", "Name of the entry instance, as in its settings")
 _reference("instances", "failure_domain", "domains", "Failure domain of the instance")
-_weight_and_state("instances", "Has no effect at present")
+_weight_and_state(
+    "instances", "Share of the backend servers that the instance owns, 0 owns none", 0
+)
 
 _name("tenants", "Name that callers send in X-Tenant")
 _add(
--- a/tests/decide/lease.feature
+++ b/tests/decide/lease.feature
@@ -35,3 +35,7 @@
   Scenario: A view survives its encoding
     When a view with departed members and history is encoded and decoded
     Then the decoded view is equal to it
+
+  Scenario: A view of an earlier version is read with equal weights
+    When a view without weights, as written by an earlier version, is decoded
+    Then each weight in it is 1
--- a/tests/decide/membership.feature
+++ b/tests/decide/membership.feature
@@ -16,6 +16,29 @@
     When a process leaves gracefully
     Then each server has one owner within 1.0 simulated seconds
 
+  # A sub-request that is under way may last 2.0 s, and its end is told with the next heartbeat.
+  Scenario: An instance whose weight becomes 0 hands over without the wait for a lost one
+    Given a simulated cell of 9
+    When the weight of a process changes to 0 in all tables
+    And 1 simulated seconds pass
+    Then that process owns no server
+    And each server has one owner within 2.0 simulated seconds
+    And the servers of the other processes have kept their owners
+    And the epoch has risen by 1
+
+  Scenario: Instances that hold an older table do not undo a change of weight
+    Given a simulated cell of 9
+    When the weight of a process changes to 0 in one table only
+    And 20 simulated seconds pass
+    Then that process owns no server
+    And each server has one owner within 1.0 simulated seconds
+    And the epoch has risen by 1
+
+  Scenario: A process that skipped a view in which its weight was 0 holds nothing from before
+    Given a process that has taken over its servers under view 1 with two equal members
+    When it adopts view 3 with equal members, and in view 2 its weight was 0
+    Then it has taken over no server before the other member acknowledges view 3
+
   Scenario: Dispatch goes on while the store is down, and views wait for it
     Given a simulated cell of 9
     When the simulated store goes down
--- a/tests/decide/ownership.feature
+++ b/tests/decide/ownership.feature
@@ -9,3 +9,19 @@
     When the owners of 2000 servers are computed for 10 members in random orders
     Then each order gives the same owners
     And each member owns between 120 and 280 of them
+
+  Scenario: Equal weights give the owners that there are without weights
+    When 300 random members with equal weights are ranked for random servers
+    Then the weighted scores give the same order as the scores without weights
+
+  Scenario: Members own servers in proportion to their weights
+    When the owners of 20000 servers are computed for members with the weights 1, 2, 3, 4, 0 and 10
+    Then the share of each member differs from its weight by at most 4 standard deviations
+
+  Scenario: A change of one weight moves only servers to or from that member
+    When one of up to 15 random weights changes in 200 random ways
+    Then a higher weight only takes servers over and a lower one only gives servers up
+
+  Scenario: Members of weight 0 own nothing
+    When the owners of 100 servers are computed for members of weight 0
+    Then no server has an owner
--- a/tests/node/members.feature
+++ b/tests/node/members.feature
@@ -42,6 +42,53 @@
     And 3.0 s pass in the cell
     Then instance 2 is in state "serving" and each backend server has one owner
 
+  Scenario: A weight takes effect through the view, and 0 leaves an instance without servers
+    Given a running cell of 5 instances
+    And a table in which all rows are in
+    When the weight of instance 2 is set to 0
+    And 1.0 s pass in the cell
+    Then instance 2 dispatches to no server but is a member
+    And each backend server has one owner
+    When the weight of instance 1 is set to 1000
+    And 1.0 s pass in the cell
+    Then instance 1 owns at least 11 of the 12 backend servers
+    And each backend server has one owner
+    When the weight of instance 1 is set to 1
+    And the weight of instance 2 is set to 1
+    And 1.0 s pass in the cell
+    Then the owners are those of equal weights
+    And each backend server has one owner
+
+  Scenario: A server that another weight moves waits for the work at its former owner
+    Given a running cell of 3 instances
+    And a table in which all rows are in
+    And the instance that owns "server-1" has work there
+    When the weight of that instance is set to 0
+    And 1.0 s pass in the cell
+    Then "server-1" has no owner, and all other servers have one
+    When the work at "server-1" ends
+    And 1.0 s pass in the cell
+    Then each backend server has one owner
+
+  Scenario: A weight that cannot be written to the view has no effect on any instance
+    Given a running cell of 3 instances
+    And a table in which all rows are in
+    When the weight of instance 2 is set to 0 and the store goes down
+    And 5.0 s pass in the cell
+    Then the owners are those of equal weights
+    And each backend server has one owner
+    When the store of the cell comes back
+    And 3.0 s pass in the cell
+    Then instance 2 dispatches to no server but is a member
+    And each backend server has one owner
+
+  Scenario: An instance of weight 0 that starts anew takes no server at any time
+    Given a running cell of 3 instances
+    And a table in which all rows are in
+    When the weight of instance 2 is set to 0
+    And instance 2 is killed and starts again
+    Then it dispatches to no server for 10 s although it becomes a member
+
   Scenario: A failure domain that is out takes its instances out of the view
     Given a running cell of 3 instances
     And a table in which all rows are in
--- a/tests/steps/cell_steps.py
+++ b/tests/steps/cell_steps.py
@@ -12,13 +12,14 @@
 from rattanrelay.decide.lease import MAX_SUBREQUEST_S, RestoreWait, decode_view, encode_view
 from rattanrelay.decide.membership import Beat, Fetch, Membership, Propose, ReadStore
 from rattanrelay.decide.ownership import Member
-from rattanrelay.decide.succession import with_stopped
+from rattanrelay.decide.succession import Weights, with_stopped
 
 SERVERS = [f"server-{number}" for number in range(6)]
 TICK_S = 0.1
 STORE_TIMEOUT_S = 1.0
 MAX_CLOCK_DRIFT = 0.03
 SETTLE_S = 90.0
+MAX_TABLE_DELAY_S = 4.0
 
 
 class Process:
@@ -37,6 +38,14 @@
         self.work = {}
         self.store_busy_until = 0.0
         self.restore_wait = RestoreWait()
+        world.at(world.chance.uniform(0, MAX_TABLE_DELAY_S), self.get_table)
+
+    def get_table(self):
+        """Take the newest table; the tables of two processes differ for a moment."""
+        if self.frozen:
+            self.inbox.append((Process.get_table, ()))
+        elif self.alive:
+            self.core.use_weights(self.world.weights)
 
     def clock(self):
         return self.offset + self.rate * self.world.now
@@ -99,6 +108,8 @@
         self.loss = 0.0
         self.max_delay = 0.01
         self.checks = 0
+        #: Weights in the newest table.
+        self.weights = Weights()
 
     # Time.
 
@@ -296,7 +307,8 @@
             silent = core.silent(process.clock())
             lost = [*silent, *(entry.member for entry in core.view.departed)]
             lost = [member for member in lost if member.instance == name]
-            if any(other.member in lost for other in self.live()):
+            ended = {member.identity for member in lost}
+            if any(other.member.identity in ended for other in self.live()):
                 continue
             view = with_stopped(core.view, name, silent, core.evidence, process.clock())
             self.use_store(process, Propose(core.epoch, view))
@@ -312,7 +324,22 @@
     def listed(self, dead):
         view = decode_view(self.stored[1])
         departed = [entry.member for entry in view.departed if not entry.gone]
-        return dead.member in (*departed, *view.members)
+        listed = [member.identity for member in (*departed, *view.members)]
+        return dead.member.identity in listed
+
+    # The table.
+
+    def edit_weight(self, instance, weight, max_delay=MAX_TABLE_DELAY_S):
+        """Change a row; each process gets the new table at a time of its own."""
+        weights = {**self.weights.by_instance, instance: weight}
+        self.weights = Weights(self.weights.revision + 1, weights)
+        for process in self.live():
+            self.at(self.chance.uniform(0, max_delay), process.get_table)
+
+    def weights_in_force(self):
+        """Say whether the stored view has the weights of the newest table."""
+        members = decode_view(self.stored[1]).members
+        return all(member.weight == self.weights.of(member) for member in members)
 
     # Verdicts.
 
@@ -370,6 +397,8 @@
     elif kind == "freeze":
         world.freeze(process)
         world.at(0.2 + second % 9, _thaw, world, process)
+    elif kind == "weight":
+        world.edit_weight(process.member.instance, WEIGHTS[second % len(WEIGHTS)])
     elif kind == "leave" and len(live) > 1:
         process.core.want(False, process.clock())
     elif kind == "return":
@@ -433,12 +462,17 @@
     for process in world.live():
         _thaw(world, process)
         process.core.want(True, process.clock())
+    names = {process.member.instance for process in world.live()}
+    if not any(world.weights.by_instance.get(name, 1) for name in names):
+        world.edit_weight(min(names), 1)
 
 
 OPERATIONS = [
     *("start", "kill", "restart", "replace", "leave", "return", "confirm", "revert"),
+    *("weight",) * 2,
     *("freeze", "cut", "split", "heal", "loss", "store") * 2,
 ]
+WEIGHTS = (0, 1, 2, 5, 100)
 SCHEDULES = st.lists(
     st.tuples(
         st.sampled_from(OPERATIONS),
@@ -466,6 +500,8 @@
         world.run(gap)
     _end_faults(world)
     world.seconds_until_owned(SETTLE_S, confirm=True)
+    world.run(10.0)
+    assert world.weights_in_force() and world.all_owned(), world.describe()
     return world
 
 
@@ -583,6 +619,38 @@
     assert seconds <= limit, seconds
 
 
+@when("the weight of a process changes to {weight:d} in all tables")
+def weight_changes(context, weight):
+    context.process = context.owned[SERVERS[0]][0]
+    context.world.edit_weight(context.process.member.instance, weight, max_delay=0.0)
+
+
+@when("the weight of a process changes to {weight:d} in one table only")
+def weight_changes_in_one(context, weight):
+    world = context.world
+    context.process = context.owned[SERVERS[0]][0]
+    world.weights = Weights(1, {context.process.member.instance: weight})
+    world.live()[-1].get_table()
+
+
+@then("that process owns no server")
+def owns_nothing(context):
+    owners = context.world.owners()
+    assert not any(context.process in found for found in owners.values()), owners
+
+
+@then("the servers of the other processes have kept their owners")
+def others_kept(context):
+    owners = context.world.owners()
+    others = [name for name, found in context.owned.items() if found != [context.process]]
+    assert others and all(owners[name] == context.owned[name] for name in others), owners
+
+
+@then("the epoch has risen by {count:d}")
+def epoch_has_risen(context, count):
+    assert _epoch(context.world) == context.epoch + count, _epoch(context.world)
+
+
 @then("the epoch is as before")
 def same_epoch(context):
     assert _epoch(context.world) == context.epoch
--- a/tests/steps/members_decide_steps.py
+++ b/tests/steps/members_decide_steps.py
@@ -17,7 +17,7 @@
     decode_view,
     encode_view,
 )
-from rattanrelay.decide.ownership import Identity, Member, owner
+from rattanrelay.decide.ownership import Identity, Member, owner, ranked, weighted_score
 from rattanrelay.decide.revision import (
     FULL_DIGEST_EVERY_S,
     DigestFeed,
@@ -26,6 +26,7 @@
     Replicas,
     settle_write,
 )
+from rattanrelay.decide.takeover import Takeover
 
 
 def _member(number):
@@ -74,6 +75,132 @@
     assert len(counts) == 10 and all(least <= n <= most for n in counts.values()), counts
 
 
+# Weights.
+
+
+def _weighted(weights):
+    return [_member(number)._replace(weight=weight) for number, weight in enumerate(weights)]
+
+
+@when("{count:d} random members with equal weights are ranked for random servers")
+def rank_equal(context, count):
+    context.orders = []
+    names = st.text(min_size=1, max_size=20)
+
+    @settings(max_examples=count)
+    @hypothesis_given(st.sets(names, min_size=2, max_size=15), names, st.integers(1, 1000))
+    def run(instances, server, weight):
+        def score(instance):
+            return weighted_score(instance, weight, server)
+
+        weighted = sorted(instances, key=score, reverse=True)
+        members = [Member(one, "i", "10.0.0.1:1", "d", weight) for one in instances]
+        first = owner(members, server).instance
+        context.orders.append((weighted, first, ranked(instances, server)))
+
+    run()
+
+
+@then("the weighted scores give the same order as the scores without weights")
+def same_as_unweighted(context):
+    assert len(context.orders) > 100
+    for weighted, first, plain in context.orders:
+        assert weighted == plain and first == plain[0]
+
+
+@when("the owners of {count:d} servers are computed for members with the weights {weights}")
+def owners_by_weight(context, count, weights):
+    context.weights = [int(one) for one in weights.replace(" and ", ", ").split(", ")]
+    owners = _owners(_weighted(context.weights), [f"server-{one}" for one in range(count)])
+    context.owned = list(owners.values())
+
+
+@then("the share of each member differs from its weight by at most {limit:d} standard deviations")
+def proportional(context, limit):
+    for number, weight in enumerate(context.weights):
+        count = context.owned.count(f"entry-{number}")
+        share = weight / sum(context.weights)
+        expected = share * len(context.owned)
+        deviation = (expected * (1 - share)) ** 0.5
+        assert abs(count - expected) <= limit * deviation, (weight, count, expected, deviation)
+
+
+@when("one of up to 15 random weights changes in {count:d} random ways")
+def change_one_weight(context, count):
+    context.moves = []
+    servers = [f"server-{number}" for number in range(40)]
+    weight = st.integers(0, 20) | st.integers(0, 1000)
+
+    @settings(max_examples=count)
+    @hypothesis_given(st.lists(weight, min_size=2, max_size=15), st.integers(0, 14), weight)
+    def run(weights, position, changed):
+        position %= len(weights)
+        after = [*weights]
+        after[position] = changed
+        if any(weights) and any(after):
+            before_owners, after_owners = (
+                _owners(_weighted(one), servers) for one in (weights, after)
+            )
+            moved = [
+                (before_owners[server], after_owners[server])
+                for server in servers
+                if before_owners[server] != after_owners[server]
+            ]
+            context.moves.append((f"entry-{position}", changed - weights[position], moved))
+
+    run()
+
+
+@then("a higher weight only takes servers over and a lower one only gives servers up")
+def only_own_moves(context):
+    assert sum(bool(moved) for _, _, moved in context.moves) > 20
+    for instance, rise, moved in context.moves:
+        for before, after in moved:
+            assert (after if rise > 0 else before) == instance, (instance, rise, before, after)
+
+
+@when("the owners of {count:d} servers are computed for members of weight 0")
+def owners_of_weight_zero(context, count):
+    members = _weighted([0, 0, 0])
+    context.owned = [owner(members, f"server-{number}") for number in range(count)]
+
+
+@then("no server has an owner")
+def no_owner(context):
+    assert context.owned == [None] * 100
+
+
+@given("a process that has taken over its servers under view 1 with two equal members")
+def taken_over(context):
+    context.members = tuple(_weighted([1, 1]))
+    context.servers = [f"server-{number}" for number in range(40)]
+    context.takeover = Takeover(context.members[0].identity)
+    context.takeover.adopt(View("main", 1, context.members), Evidence(), 0.0)
+    context.takeover.acknowledge(context.members[1].identity, 1, frozenset())
+    assert context.takeover.complete(Evidence(), 0.0)
+
+
+@when("it adopts view 3 with equal members, and in view 2 its weight was 0")
+def skips_view(context):
+    identities = tuple(member.identity for member in context.members)
+    history = (
+        PastView(1, identities, identities),
+        PastView(2, identities, identities, weights=(0, 1)),
+    )
+    view = View("main", 3, context.members, (), history, weights_revision=2)
+    context.takeover.adopt(view, Evidence(), 1.0)
+
+
+@then("it has taken over no server before the other member acknowledges view 3")
+def nothing_held(context):
+    def taken():
+        return [one for one in context.servers if context.takeover.taken(one, Evidence(), 1.0)]
+
+    assert taken() == []
+    context.takeover.acknowledge(context.members[1].identity, 2, frozenset())
+    assert taken() == context.servers
+
+
 # The lease.
 
 
@@ -118,12 +245,32 @@
 @when("a view with departed members and history is encoded and decoded")
 def encode(context):
     one, other = Identity("entry-1", "i1"), Identity("entry-2", "i2")
-    past = PastView(6, (one, other), (other,))
+    past = PastView(6, (one, other), (other,), (3, 0))
     departed = Departed(_member(2), 7, gone=True)
-    context.view = View("main", 7, (_member(0), _member(1)), (departed,), (past,))
+    members = (_member(0), _member(1)._replace(weight=0))
+    context.view = View("main", 7, members, (departed,), (past,), weights_revision=4)
     context.decoded = decode_view(encode_view(context.view))
 
 
+@when("a view without weights, as written by an earlier version, is decoded")
+def decode_without_weights(context):
+    data = (
+        b'["main",7,[["entry-0","i0","10.0.0.0:1","d"]],[],[[6,[["entry-1","i1"]],'
+        b'[["entry-1","i1"]]]],false]'
+    )
+    one = Identity("entry-1", "i1")
+    past = PastView(6, (one,), (one,), ())
+    context.view = View("main", 7, (_member(0),), (), (past,), weights_revision=0)
+    context.decoded = decode_view(data)
+
+
+@then("each weight in it is 1")
+def weights_are_one(context):
+    assert context.decoded == context.view
+    shares = [*context.decoded.shares().values(), *context.decoded.history[0].shares().values()]
+    assert shares == [1, 1]
+
+
 @then("the decoded view is equal to it")
 def view_is_equal(context):
     assert context.decoded == context.view
--- a/tests/steps/members_node_steps.py
+++ b/tests/steps/members_node_steps.py
@@ -15,7 +15,7 @@
 
 from rattanrelay.charts.interpreter import load_chart, unanswered
 from rattanrelay.decide.lease import decode_view
-from rattanrelay.decide.ownership import Member
+from rattanrelay.decide.ownership import Member, ranked
 from rattanrelay.errors import RelayError
 from rattanrelay.node.documents import Documents, catalog_name
 from rattanrelay.node.members import Members
@@ -526,11 +526,11 @@
     await cell.node(0).documents.edit("table", lambda _: encode_document(table))
 
 
-async def _set_row(cell, kind, name, state):
+async def _set_row(cell, kind, name, **cells):
     def change(value):
         table = decode_table(value)
         rows = getattr(table, kind)
-        changed = {**rows, name: rows[name]._replace(state=state)}
+        changed = {**rows, name: rows[name]._replace(**cells)}
         table = table._replace(revision=table.revision + 1, **{kind: changed})
         return encode_document(table)
 
@@ -540,20 +540,85 @@
 @when("the row of instance {number:d} is set {state:w}")
 @in_cell
 async def set_instance(context, cell, number, state):
-    await _set_row(cell, "instances", f"entry-{number:02d}", state)
+    await _set_row(cell, "instances", f"entry-{number:02d}", state=state)
 
 
 @when("the row of the domain of instance {number:d} is set {state:w}")
 @in_cell
 async def set_domain(context, cell, number, state):
-    await _set_row(cell, "domains", cell.node(number).domain, state)
+    await _set_row(cell, "domains", cell.node(number).domain, state=state)
 
 
 @when("the row of instance {number:d} is set out and the store goes down")
 @in_cell
 async def set_out_and_down(context, cell, number):
     cell.store.last_key = "table"
-    await _set_row(cell, "instances", f"entry-{number:02d}", "out")
+    await _set_row(cell, "instances", f"entry-{number:02d}", state="out")
+
+
+@when("the weight of instance {number:d} is set to {weight:d}")
+@in_cell
+async def set_weight(context, cell, number, weight):
+    await _set_row(cell, "instances", f"entry-{number:02d}", weight=weight)
+
+
+@when("the weight of that instance is set to {weight:d}")
+@in_cell
+async def set_weight_of_worker(context, cell, weight):
+    await _set_row(cell, "instances", context.node.name, weight=weight)
+
+
+@when("the weight of instance {number:d} is set to {weight:d} and the store goes down")
+@in_cell
+async def set_weight_and_down(context, cell, number, weight):
+    cell.store.last_key = "table"
+    await _set_row(cell, "instances", f"entry-{number:02d}", weight=weight)
+
+
+@when("the store of the cell comes back")
+@in_cell
+async def store_up(context, cell):
+    cell.store.last_key = ""
+    cell.store.down = False
+
+
+@when("instance {number:d} is killed and starts again")
+@in_cell
+async def restart(context, cell, number):
+    cell.kill(number)
+    context.node = await cell.start(number)
+
+
+@then("it dispatches to no server for {seconds:d} s although it becomes a member")
+@in_cell
+async def takes_none(context, cell, seconds):
+    for _ in range(seconds * 20):
+        assert context.node.dispatches() == []
+        await trio.sleep(0.05)
+    assert context.node.members.state == "serving"
+    owners = cell.owners()
+    assert all(len(found) == 1 for found in owners.values()), owners
+
+
+@then("instance {number:d} dispatches to no server but is a member")
+@in_cell
+async def member_without_servers(context, cell, number):
+    assert cell.node(number).dispatches() == []
+    assert cell.node(number).members.state == "serving"
+
+
+@then("instance {number:d} owns at least {least:d} of the 12 backend servers")
+@in_cell
+async def owns_most(context, cell, number, least):
+    assert len(SERVERS) == 12
+    assert len(cell.node(number).dispatches()) >= least, cell.owners()
+
+
+@then("the owners are those of equal weights")
+@in_cell
+async def plain_owners(context, cell):
+    expected = {server: [ranked(cell.nodes, server)[0]] for server in SERVERS}
+    assert cell.owners() == expected, cell.owners()
 
 
 @then('the charts "{one}" and "{other}" leave no event open')
--- a/tests/steps/operator_race_steps.py
+++ b/tests/steps/operator_race_steps.py
@@ -93,6 +93,7 @@
         members=[Member(other, "i", "", "oviedo") for other in names],
         key="view",
         want=lambda wanted: None,
+        use_weights=lambda weights: None,
         me=SimpleNamespace(failure_domain="oviedo"),
     )
     documents = Documents(store, peers, members)
