Serve metrics to their own scope only, and give unknown action codes a status

The callers' interface served /metrics without a token, and its labels name the tenants of all teams. It now answers 404 there and keeps /healthz and /readyz. The administration interface serves /metrics to a token that covers all rows and has the new scope metrics; read does not include it. The gauge of the admission limits was set by the removed handler, so the report task sets it each second.

A non-idempotent request whose code is not in CODES got status 500. Within one version this cannot happen: an owner replaces such a reason, links replace such a code, and all others come from CODES. An instance of a later version can still send one, or have stored it as an outcome. The status then follows the outcome: 503 for not_run, 504 for unknown, 502 for done.

The metrics of the latency test are read from the collectors, since the callers' interface has no such path any more. The step for token files computes the index of the last entry in place of a constant, as the scenario has two more tokens.

--- a/rattanrelay/node/admin_fleet.py
+++ b/rattanrelay/node/admin_fleet.py
@@ -26,7 +26,7 @@
     return Response(200, {"content-type": "application/json"}, admin.openapi)
 
 
-@route("GET", "/metrics", "read")
+@route("GET", "/metrics", "metrics")
 async def get_metrics(admin, call: Call) -> Response:
     """Return the metrics of this instance; their labels name the tenants of all teams."""
     call.access.require_fleet_wide("reading the metrics")
--- a/rattanrelay/node/callers.py
+++ b/rattanrelay/node/callers.py
@@ -24,6 +24,10 @@
 MAX_CLASSES = 16
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
 NUMBER = re.compile(r"[0-9]{1,9}")
+#: Status by outcome for a code that this version lacks: another instance of a later version may
+#: send one, or have stored it with the outcome of a request.
+UNKNOWN_CODE_STATUS = {"not_run": 503, "done": 502}
+OTHER_OUTCOME_STATUS = 504
 SERVICE_PATH = re.compile(r"/v1/services/([^/]+)/(query|actions)")
 
 
@@ -104,18 +108,12 @@
 
     def _probe(self, request: Request) -> Response | None:
         path = _path(request)
-        if path not in ("/healthz", "/readyz", "/metrics"):
+        if path not in ("/healthz", "/readyz"):
             return None
         if request.method != "GET":
             raise RelayError("method_not_allowed", f"{path} takes GET", step="route")
         if path == "/healthz":
             return json_response(200, {"status": "ok"})
-        if path == "/metrics":
-            for name, state in self.entry.services.items():
-                limit = state.admission.limit.value
-                self.metrics.admission_limit.set({"service": name}, limit)
-            body, headers = self.metrics.text(request.headers.get("accept", "text/plain"))
-            return Response(200, headers, body)
         reason = self.not_ready_reason()
         return json_response(503 if reason else 200, {"ready": not reason, "reason": reason})
 
@@ -268,7 +266,14 @@
     body: dict[str, Any] = {"request_id": request_id, "outcome": result.outcome}
     if result.code or result.outcome != "done":
         code = result.code or "outcome_unknown"
-        status = CODES[code].status if code in CODES else 500
+        status = _action_status(code, result.outcome)
         return json_response(status, {**body, "code": code, "message": result.message})
     body["result"] = msgspec.Raw(result.payload or b"null")
     return json_response(200, body)
+
+
+def _action_status(code: str, outcome: str) -> int:
+    known = CODES.get(code)
+    if known is not None:
+        return known.status
+    return UNKNOWN_CODE_STATUS.get(outcome, OTHER_OUTCOME_STATUS)
--- a/rattanrelay/node/report.py
+++ b/rattanrelay/node/report.py
@@ -79,6 +79,8 @@
             metrics.store_calls.set({"kind": kind}, count)
         for name, revision in daemon.documents.digest().items():
             metrics.revision.set({"document": name}, revision)
+        for name, state in daemon.entry.services.items():
+            metrics.admission_limit.set({"service": name}, state.admission.limit.value)
         held = self.degraded()
         for reason in ("no_table", "no_view", "no_quorum", "store_down"):
             metrics.degraded.set({"reason": reason}, int(reason in held))
--- a/rattanrelay/settings.py
+++ b/rattanrelay/settings.py
@@ -27,7 +27,7 @@
 
     team: Name
     file: str
-    scopes: list[Annotated[str, msgspec.Meta(pattern=r"^(read|edit|operate)$")]]
+    scopes: list[Annotated[str, msgspec.Meta(pattern=r"^(read|edit|operate|metrics)$")]]
     services: list[str] = []
 
 
--- a/tests/node/admin.feature
+++ b/tests/node/admin.feature
@@ -7,9 +7,11 @@
       | token     | team      | scopes              | services |
       | fleet     | operators | read, edit, operate |          |
       | viewer    | operators | read                |          |
+      | monitor   | operators | metrics             |          |
       | north     | north     | read, edit, operate | logging  |
       | editor    | north     | read, edit          | logging  |
       | south     | south     | read, edit, operate | booking  |
+      | gauges    | south     | read, metrics       | booking  |
       | dayshift  | operators | read, edit, operate | booking  |
 
   Scenario Outline: A token permits its scopes and the rows of its team
@@ -49,6 +51,12 @@
       | north    | POST   | /v1/instances/entry-1/out           | null                         | 403    | forbidden    |
       | north    | POST   | /v1/instances/entry-1/confirm-stopped | null                       | 403    | forbidden    |
       | north    | GET    | /metrics                            | null                         | 403    | forbidden    |
+      | gauges   | GET    | /metrics                            | null                         | 403    | forbidden    |
+      | fleet    | GET    | /metrics                            | null                         | 403    | forbidden    |
+      | nobody   | GET    | /metrics                            | null                         | 401    | unauthorized |
+      | monitor  | GET    | /metrics                            | null                         | 200    |              |
+      | monitor  | GET    | /v1/table                           | null                         | 403    | forbidden    |
+      | monitor  | GET    | /v1/status                          | null                         | 403    | forbidden    |
       | editor   | PUT    | /v1/table/servers/log-1/state       | {"value": "out"}             | 403    | forbidden    |
       | editor   | POST   | /v1/import/servers                  | "name,state\nlog-1,out\n"    | 403    | forbidden    |
       | north    | POST   | /v1/import/servers                  | "name,slots\nbook-1,4\n"     | 400    | bad_table    |
--- a/tests/node/callers.feature
+++ b/tests/node/callers.feature
@@ -15,6 +15,7 @@
       | POST   | /v1/services/none/query  | x-tenant=hog                             | {"filter":{}}  | 404    | unknown_service    |
       | POST   | //[/query                | x-tenant=hog                             | {"filter":{}}  | 400    | bad_request        |
       | POST   | /readyz                  | x-tenant=hog                             | {"filter":{}}  | 405    | method_not_allowed |
+      | GET    | /metrics                 | none                                     | {}             | 404    | not_found          |
       | POST   | /v1/services/log/query   | none                                     | {"filter":{}}  | 400    | bad_header         |
       | POST   | /v1/services/log/query   | x-tenant=a/b                             | {"filter":{}}  | 400    | bad_header         |
       | POST   | /v1/services/log/query   | x-tenant=else                            | {"filter":{}}  | 403    | unknown_tenant     |
@@ -54,6 +55,27 @@
     When an action is sent with a key
     Then the coordinator gets it once, and the answer is done with its result
 
+  Scenario Outline: The result of a non-idempotent request gets the status of its code
+    When the coordinator answers an action with "<code>" and outcome "<outcome>"
+    Then the status is <status> with that code and outcome
+
+    Examples: codes of this version
+      | code             | outcome | status |
+      | key_reused       | not_run | 409    |
+      | request_blocked  | not_run | 422    |
+      | outcome_unknown  | unknown | 504    |
+      | no_owner         | not_run | 503    |
+
+    Examples: codes of a later version on another instance
+      | code             | outcome | status |
+      | a_later_code     | not_run | 503    |
+      | a_later_code     | unknown | 504    |
+      | a_later_code     | done    | 502    |
+
+  Scenario: Only the metrics of the administration interface have the admission limits
+    When the report of the instance refreshes the metrics after a query
+    Then the metrics have the admission limit of the service
+
   Scenario: Latency is kept by service, tenant and class, and classes are bounded
     When queries of 40 classes are sent
     Then the metrics have the latency of at most 17 classes
--- a/tests/node/openapi.feature
+++ b/tests/node/openapi.feature
@@ -3,11 +3,12 @@
 
   Background:
     Given an administration API for these tokens
-      | token     | team      | scopes              | services |
-      | fleet     | operators | read, edit, operate |          |
-      | viewer    | operators | read                |          |
-      | north     | north     | read, edit, operate | logging  |
-      | writer    | operators | edit, operate       |          |
+      | token     | team      | scopes                       | services |
+      | fleet     | operators | read, edit, operate, metrics |          |
+      | viewer    | operators | read                         |          |
+      | north     | north     | read, edit, operate          | logging  |
+      | gauges    | north     | metrics                      | logging  |
+      | writer    | operators | edit, operate                |          |
 
   Scenario: Paths and methods are those of the handler
     Then the file lists exactly the registered paths and methods
--- a/tests/steps/entry_callers_steps.py
+++ b/tests/steps/entry_callers_steps.py
@@ -3,6 +3,7 @@
 import random
 import re
 import uuid
+from types import SimpleNamespace
 
 import uuid6
 from behave import then, when
@@ -11,6 +12,9 @@
 from rattanrelay.errors import CODES
 from rattanrelay.http import Request
 from rattanrelay.node.callers import CallerApi
+from rattanrelay.node.ports import Configuration, Latest
+from rattanrelay.node.report import Report
+from rattanrelay.wire import ActionResult
 
 QUERY_PATH = "/v1/services/log/query"
 ACTION_PATH = "/v1/services/log/actions"
@@ -36,6 +40,7 @@
     async def main():
         entry, context.owners = make_entry(_answer)
         context.claims = entry.claims
+        context.metrics = entry.metrics
         api = CallerApi(entry, entry.metrics)
         context.responses = []
         for request in requests:
@@ -68,7 +73,9 @@
 
 def _random_request(chance):
     method = chance.choice(["GET", "POST", "POST", "POST", "PUT"])
-    path = chance.choice([QUERY_PATH, ACTION_PATH, "/metrics", "/healthz", "/v1/%zz", "*", "//[x"])
+    path = chance.choice(
+        [QUERY_PATH, ACTION_PATH, "/readyz", "/metrics", "/healthz", "/v1/%zz", "*", "//[x"]
+    )
     values = ["hog", "", "\xff\x00", "9" * 400, "500", KEYS["version 7"], "none"]
     names = ["x-tenant", "x-request-id", "x-timeout-ms", "x-class", "idempotency-key", "accept"]
     headers = {name: chance.choice(values) for name in names if chance.random() < 0.3}
@@ -169,15 +176,69 @@
 
 @when("queries of {count:d} classes are sent")
 def entry_classes(context, count):
-    queries = [_query({"x-class": f"class{number}"}) for number in range(count)]
-    _send(context, [*queries, Request("GET", "/metrics")])
+    _send(context, [_query({"x-class": f"class{number}"}) for number in range(count)])
 
 
 @then("the metrics have the latency of at most {count:d} classes")
 def entry_class_metrics(context, count):
-    text = context.responses[-1].body.decode()
+    text = context.metrics.text()[0].decode()
     pattern = r"rattanrelay_query_latency_seconds_count\{([^}]*)\}"
     labels = re.findall(pattern, text)
     assert all('service="log"' in one and 'tenant="hog"' in one for one in labels), labels
     classes = {re.search(r'class="([^"]*)"', one)[1] for one in labels}
     assert {"class0", "other"} <= classes and len(classes) <= count, classes
+
+
+@when('the coordinator answers an action with "{code}" and outcome "{outcome}"')
+def entry_coordinator_answers(context, code, outcome):
+    context.expected = (code, outcome)
+
+    async def main():
+        entry, _ = make_entry(_answer)
+
+        async def submit(action):
+            return ActionResult(outcome, code, "text")
+
+        entry.claims.submit = submit
+        headers = {"x-tenant": "hog", "idempotency-key": KEYS["version 7"]}
+        request = Request("POST", ACTION_PATH, headers, BODIES["action"])
+        context.responses = [await CallerApi(entry, entry.metrics).handle(request)]
+
+    run_entry(main)
+
+
+@then("the status is {status:d} with that code and outcome")
+def entry_action_status(context, status):
+    response = context.responses[0]
+    body = response.json()
+    assert response.status == status, response.status
+    assert (body["code"], body["outcome"]) == context.expected, body
+
+
+@when("the report of the instance refreshes the metrics after a query")
+def entry_report(context):
+    async def main():
+        entry, _ = make_entry(_answer)
+        api = CallerApi(entry, entry.metrics)
+        assert (await api.handle(_query({}))).status == 200
+        before = entry.metrics.text()[0].decode()
+        assert "rattanrelay_admission_limit{" not in before
+        daemon = SimpleNamespace(
+            entry=entry,
+            metrics=entry.metrics,
+            store=SimpleNamespace(calls={}, failing=False),
+            documents=SimpleNamespace(digest=dict, configuration=Latest(Configuration())),
+            members=SimpleNamespace(epoch=0),
+        )
+        Report(daemon)._refresh()
+        context.metrics = entry.metrics
+        context.limit = entry.services["log"].admission.limit.value
+
+    run_entry(main)
+
+
+@then("the metrics have the admission limit of the service")
+def entry_admission_limit(context):
+    lines = context.metrics.text()[0].decode().splitlines()
+    (line,) = [line for line in lines if line.startswith("rattanrelay_admission_limit{")]
+    assert 'service="log"' in line and float(line.split()[-1]) == context.limit, line
--- a/tests/steps/operator_admin_steps.py
+++ b/tests/steps/operator_admin_steps.py
@@ -147,7 +147,8 @@
         context.lab.start()
     except RelayError as error:
         assert error.code == code and reason in error.message, error
-        assert "admin_tokens[6].file" in error.message, error
+        last = len(context.lab.tokens) - 1
+        assert f"admin_tokens[{last}].file" in error.message, error
         return
     raise AssertionError("started")
 
--- a/tests/steps/operator_openapi_steps.py
+++ b/tests/steps/operator_openapi_steps.py
@@ -198,11 +198,12 @@
         if not entry.scope:
             continue
         probe(401, None, method, path, body)
-        if entry.scope != "read":
+        if path == "/metrics":
+            probe(403, "viewer", method, path, body)
+            probe(403, "gauges", method, path, body)
+        elif entry.scope != "read":
             probe(403, "viewer", method, path, body)
             probe(503, "fleet", method, path, body, prepare=fails_with("store_unavailable"))
-        elif path == "/metrics":
-            probe(403, "north", method, path, body)
         else:
             probe(403, "writer", method, path, body)
         responses = context.prober.document["paths"][entry.path][method.lower()]["responses"]
