Read changed token files at run time, and ask for operate to remove a row

Tokens of the administration API were read only at the start, so replacing one took a restart of each instance. Each instance now looks at its token files once a second by trio's clock and reads those whose mtime, size or inode has changed. A file that is missing or cannot be used keeps its old token, is read again at each look, and is logged once for each reason as admin.token_refused; the other files are taken. If two files have the same token, no file is taken.

A token with the scope edit but without operate could take its team's server out of work by removing the row, and put one in that had been taken out by removing and adding it. Removing a row that has a state needs operate as well, also in an import.

--- a/rattanrelay/node/admin.py
+++ b/rattanrelay/node/admin.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import msgspec
+import trio
 import uuid6
 
 from ..errors import CODES, RelayError
@@ -28,6 +29,9 @@
 
 TABLE_NAME = "table"
 
+#: Time between looks at the token files, in seconds.
+TOKEN_POLL_S = 1.0
+
 
 class _AppliedError(Exception):
     """Ends an edit that is found in the history of a newer table."""
@@ -59,6 +63,13 @@
         self.clock = clock
         self.openapi = admin_fleet.openapi_text()
 
+    async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Read the token files that change until cancelled."""
+        task_status.started()
+        while True:
+            await trio.sleep(TOKEN_POLL_S)
+            self.tokens.refresh()
+
     async def handle(self, request: Request) -> Response:
         """Answer one request; errors are problem details."""
         try:
--- a/rattanrelay/node/admin_access.py
+++ b/rattanrelay/node/admin_access.py
@@ -9,11 +9,13 @@
 
 import hashlib
 import hmac
+import os
 from collections.abc import Iterable, Mapping
 from pathlib import Path
 from typing import NamedTuple
 
 from ..errors import RelayError
+from ..log import event
 from ..settings import AdminToken
 from ..table import CellChange, Table
 from ..table.cells import cell_of
@@ -103,7 +105,12 @@
                 self._check_change(table, change)
 
     def _check_state(self, table: Table, change: CellChange) -> None:
-        if change.column == "state":
+        """Raise `forbidden` for a change of state without the scope `operate`.
+
+        Removing a row stops its work as `out` does, and adding it again would put it `in`.
+        """
+        removed = change.column == "" and change.after is None
+        if change.column == "state" or (removed and "state" in KINDS[change.kind]._fields):
             self.require("operate")
 
     def _check_change(self, table: Table, change: CellChange) -> None:
@@ -136,17 +143,76 @@
         return self.sees(change.kind, KINDS[change.kind](*whole))
 
 
+class _TokenFile:
+    """The token file of one entry: the hash of its token and the state of the file when read."""
+
+    def __init__(self, entry: AdminToken, number: int) -> None:
+        self.entry = entry
+        self.number = number
+        self.access = Access(entry.team, frozenset(entry.scopes), frozenset(entry.services))
+        self.stamp = _stamp(entry.file)
+        self.digest = _hash(_read_token(entry.file, number))
+
+    def read_if_changed(self) -> tuple[tuple[int, ...], bytes]:
+        """Return the present stamp and hash of the token; raises `bad_settings`."""
+        stamp = _stamp(self.entry.file)
+        if stamp == self.stamp:
+            return stamp, self.digest
+        return stamp, _hash(_read_token(self.entry.file, self.number))
+
+
 class Tokens:
     """Access by bearer token; only hashes of the tokens are kept."""
 
     def __init__(self, entries: Iterable[AdminToken]) -> None:
-        self.by_hash: dict[bytes, Access] = {}
-        for number, entry in enumerate(entries):
-            digest = _hash(_read_token(entry.file, number))
-            if digest in self.by_hash:
-                raise _bad_file(entry.file, number, "the same token as in another file")
-            scopes = frozenset(entry.scopes)
-            self.by_hash[digest] = Access(entry.team, scopes, frozenset(entry.services))
+        """Read the token files; raises `bad_settings`."""
+        self.files = [_TokenFile(entry, number) for number, entry in enumerate(entries)]
+        self.by_hash: dict[bytes, Access] = self._accesses([file.digest for file in self.files])
+        #: Errors of the last `refresh`, each of which is logged once.
+        self.errors: tuple[str, ...] = ()
+
+    def refresh(self) -> None:
+        """Read the files that have changed; those that cannot be used keep their old tokens."""
+        errors = []
+        found = []
+        for file in self.files:
+            try:
+                found.append(file.read_if_changed())
+            except RelayError as error:
+                errors.append(error.message)
+                found.append((file.stamp, file.digest))
+        try:
+            accesses = self._accesses([digest for _, digest in found])
+        except RelayError as error:
+            errors.append(error.message)
+        else:
+            self._use(found, accesses)
+        self._report(tuple(errors))
+
+    def _use(
+        self, found: list[tuple[tuple[int, ...], bytes]], accesses: dict[bytes, Access]
+    ) -> None:
+        self.by_hash = accesses
+        for file, (stamp, digest) in zip(self.files, found, strict=True):
+            if digest != file.digest:
+                event("admin.token_replaced", team=file.entry.team, file=file.entry.file)
+            file.stamp, file.digest = stamp, digest
+
+    def _report(self, errors: tuple[str, ...]) -> None:
+        for error in errors:
+            if error not in self.errors:
+                event("admin.token_refused", error=error)
+        self.errors = errors
+
+    def _accesses(self, digests: list[bytes]) -> dict[bytes, Access]:
+        """Return the access by hash; raises `bad_settings` if two files have the same token."""
+        accesses = {}
+        for file, digest in zip(self.files, digests, strict=True):
+            if digest in accesses:
+                reason = "the same token as in another file"
+                raise _bad_file(file.entry.file, file.number, reason)
+            accesses[digest] = file.access
+        return accesses
 
     def find(self, headers: Mapping[str, str]) -> Access:
         """Return the access of a request's bearer token; raises `unauthorized`.
@@ -180,6 +246,15 @@
     return hashlib.sha256(token.encode("utf-8", "surrogateescape")).digest()
 
 
+def _stamp(path: str) -> tuple[int, ...]:
+    """Return what changes when a file is written or replaced, empty if there is none."""
+    try:
+        status = os.stat(path)
+    except OSError:
+        return ()
+    return status.st_mtime_ns, status.st_size, status.st_ino
+
+
 def _read_token(path: str, number: int) -> str:
     try:
         token = Path(path).read_text("ascii").strip()
--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -154,8 +154,8 @@
             task.register(self.handlers)
 
     def _tasks(self) -> list[Callable]:
-        tasks = [self.peers, self.documents, self.members, self.dispatch, self.claims, self.report]
-        return [task.serve for task in tasks]
+        tasks = [self.peers, self.documents, self.members, self.dispatch, self.claims]
+        return [task.serve for task in (*tasks, self.report, self.admin)]
 
     def _secured(self, listeners: list[trio.SocketListener]) -> list[trio.abc.Listener]:
         """Wrap the caller listeners in TLS if the settings name a certificate."""
--- a/tests/node/admin.feature
+++ b/tests/node/admin.feature
@@ -58,6 +58,9 @@
       | monitor  | GET    | /v1/table                           | null                         | 403    | forbidden    |
       | monitor  | GET    | /v1/status                          | null                         | 403    | forbidden    |
       | editor   | PUT    | /v1/table/servers/log-1/state       | {"value": "out"}             | 403    | forbidden    |
+      | editor   | DELETE | /v1/table/servers/log-1             | null                         | 403    | forbidden    |
+      | editor   | POST   | /v1/import/servers?remove_missing=true | "name,slots\nlog-1,4\n"   | 403    | forbidden    |
+      | editor   | PUT    | /v1/table/servers/log-9             | {"service": "logging", "failure_domain": "oviedo", "addresses": "10.0.9.1:1"} | 201 | |
       | editor   | POST   | /v1/import/servers                  | "name,state\nlog-1,out\n"    | 403    | forbidden    |
       | north    | POST   | /v1/import/servers                  | "name,slots\nbook-1,4\n"     | 400    | bad_table    |
       | north    | POST   | /v1/import/servers                  | "name,slots\nlog-1,4\n"      | 200    |              |
@@ -93,6 +96,28 @@
       | fleet-token-0123456789 | the same token      |
       | <missing>              | No such file        |
 
+  Scenario: A token file that changes is read again while the instance runs
+    When the token file of "viewer" gets a new token and 1.5 s pass
+    Then "viewer" is refused with its old token and admitted with its new one
+    And "fleet" is admitted with its token
+
+  Scenario Outline: A token file that becomes unusable keeps its old token, and the log says so once
+    When the token file of "viewer" holds "<text>" and that of "editor" a new token, and 5 s pass
+    Then "viewer" is admitted with its token
+    And the log names the file of "viewer" once and says "<reason>"
+    And "editor" is admitted only with its <other> token
+    When the token file of "viewer" gets a new token and 1.5 s pass
+    Then "viewer" is refused with its old token and admitted with its new one
+    And "editor" is refused with its old token and admitted with its new one
+
+    # Two files with one token leave open which of them is wrong, so neither change is taken.
+    Examples:
+      | text                   | reason              | other |
+      | short                  | at least 16         | new   |
+      | two words of a token   | at least 16         | new   |
+      | fleet-token-0123456789 | the same token      | old   |
+      | <missing>              | No such file        | new   |
+
   Scenario: If-Match names the revision that the edit needs
     When "fleet" calls "GET" "/v1/table" with null
     Then the answer has the entity tag "7"
--- a/tests/steps/operator_admin_steps.py
+++ b/tests/steps/operator_admin_steps.py
@@ -1,15 +1,19 @@
 """Steps for the administration API."""
 
 import json
+from pathlib import Path
 from types import SimpleNamespace
 from unittest.mock import patch
 
+import trio
 from behave import given, then, when
 from operator_fakes import Lab, call_admin, live_status, token_of
 from operator_samples import sample_table
+from trio.testing import MockClock
 
 from rattanrelay.errors import RelayError
-from rattanrelay.node import admin
+from rattanrelay.http import Request
+from rattanrelay.node import admin, admin_access
 from rattanrelay.node.documents import MAX_REPORTS, Documents
 from rattanrelay.node.ports import Configuration, Latest
 from rattanrelay.table import Catalog, Shard, Snapshot
@@ -235,3 +239,87 @@
     for number in range(count):
         context.documents.see_digest(f"other-{number}", ())
     assert len(context.documents.reported) <= MAX_REPORTS
+
+
+def _wait(context, seconds):
+    """Let the task of the API run on simulated time."""
+
+    async def main():
+        with trio.move_on_after(seconds):
+            await context.lab.admin.serve()
+
+    recorder = patch.object(
+        admin_access, "event", lambda name, **f: context.logged.append((name, f))
+    )
+    with recorder:
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+def _file_of(context, token):
+    (entry,) = [entry for entry in context.lab.tokens if Path(entry.file).name == token]
+    return Path(entry.file)
+
+
+def _write(context, token, text):
+    file = _file_of(context, token)
+    if text == "<missing>":
+        file.unlink()
+        return
+    # Replaced by a rename, as the writers of secrets do.
+    fresh = file.with_suffix(".new")
+    fresh.write_text(text)
+    fresh.rename(file)
+
+
+def _new_token(token):
+    return f"{token}-replaced-0123456789"
+
+
+@when('the token file of "{token}" gets a new token and {seconds:g} s pass')
+def when_token_replaced(context, token, seconds):
+    _write(context, token, _new_token(token))
+    _wait(context, seconds)
+
+
+@when(
+    'the token file of "{token}" holds "{text}" and that of "{other}" a new token, '
+    "and {seconds:g} s pass"
+)
+def when_token_unusable(context, token, text, other, seconds):
+    context.logged.clear()
+    _write(context, token, text)
+    _write(context, other, _new_token(other))
+    _wait(context, seconds)
+
+
+def _status(context, token):
+    headers = {"authorization": f"Bearer {token}"}
+    request = Request("GET", "/v1/table", headers, b"", "10.9.9.9:1")
+    return trio.run(context.lab.admin.handle, request).status
+
+
+@then('"{token}" is refused with its old token and admitted with its new one')
+def then_replaced(context, token):
+    assert _status(context, token_of(token)) == 401
+    assert _status(context, _new_token(token)) == 200
+
+
+@then('"{token}" is admitted with its token')
+def then_admitted(context, token):
+    assert _status(context, token_of(token)) == 200
+
+
+@then('"{token}" is admitted only with its {which:w} token')
+def then_admitted_only(context, token, which):
+    texts = {"old": token_of(token), "new": _new_token(token)}
+    admitted = texts.pop(which)
+    (refused,) = texts.values()
+    assert (_status(context, admitted), _status(context, refused)) == (200, 401)
+
+
+@then('the log names the file of "{token}" once and says "{reason}"')
+def then_logged_once(context, token, reason):
+    refused = [fields["error"] for name, fields in context.logged if name == "admin.token_refused"]
+    (error,) = refused
+    assert str(_file_of(context, token)) in error and reason in error, error
+    assert "0123456789" not in repr(context.logged)
