Add --ca-file to the commands query and load

The caller listener can serve TLS, but the commands that act as callers could not use it. With --ca-file they connect with TLS and trust only the certificates of that file. HttpConnection.open takes a TLS context; a failed handshake is connect_failed with its reason, a file without certificates is bad_arguments. Connections without TLS are as before.

--- a/rattanrelay/cli/client.py
+++ b/rattanrelay/cli/client.py
@@ -2,6 +2,7 @@
 
 import getpass
 import os
+import ssl
 from pathlib import Path
 from typing import NamedTuple
 
@@ -20,6 +21,7 @@
     "exchange",
     "open_admin",
     "read_addresses",
+    "read_trust",
 ]
 
 ADMIN_VARIABLE = "RATTANRELAY_ADMIN"
@@ -85,11 +87,11 @@
         return Request(method, path, {**sent, "content-type": "application/json"}, data)
 
 
-async def exchange(place: Place, request: Request) -> Response:
+async def exchange(place: Place, request: Request, tls: ssl.SSLContext | None = None) -> Response:
     """Send one request over a new connection; raises `deadline` when there is no answer."""
     try:
         with trio.fail_after(CALL_TIMEOUT_S):
-            connection = await HttpConnection.open(place.host, place.port)
+            connection = await HttpConnection.open(place.host, place.port, tls)
             try:
                 return await connection.request(request)
             finally:
@@ -135,6 +137,21 @@
     return [_place(source, part.strip()) for part in text.split(",")]
 
 
+def read_trust(ca_file: str) -> ssl.SSLContext | None:
+    """Return a TLS context that trusts the certificates of a PEM file, None without a file.
+
+    Raises `bad_arguments`.
+    """
+    if not ca_file:
+        return None
+    try:
+        return ssl.create_default_context(cafile=ca_file)
+    except OSError as error:
+        reason = "no PEM certificates" if isinstance(error, ssl.SSLError) else error.strerror
+        text = f"--ca-file: value {ca_file!r} is not allowed: {reason}"
+        raise RelayError("bad_arguments", text, step="read arguments") from None
+
+
 def _login_name() -> str:
     """Return the login name, empty for a user without one."""
     try:
--- a/rattanrelay/cli/commands/load.py
+++ b/rattanrelay/cli/commands/load.py
@@ -1,5 +1,6 @@
 """`rattanrelay load`: an open-loop load run against caller listeners."""
 
+from functools import partial
 from pathlib import Path
 
 import trio
@@ -7,6 +8,8 @@
 from ...errors import RelayError
 from ...load import LoadPlan, render_json, render_table, run_load
 from ...load.arrivals import parse_phases, parse_shares
+from ...load.runner import Clients
+from ..client import read_trust
 from ..registry import command
 
 __all__ = ["load"]
@@ -23,6 +26,7 @@
     timeout_ms: int = 1000,
     distinct: int = 50,
     json: str = "",
+    ca_file: str = "",
 ) -> int | None:
     """Send queries on schedule and report latency from the intended send time, and coverage.
 
@@ -34,6 +38,8 @@
     :param timeout_ms: timeout of each query in ms
     :param distinct: number of different query bodies
     :param json: file for the report as JSON
+    :param ca_file: PEM file with the certificates that sign those of the caller listeners; TLS is
+        used if it is given
     """
     try:
         plan = LoadPlan(
@@ -47,8 +53,9 @@
         )
     except ValueError as error:
         raise RelayError("bad_settings", str(error), step="read options") from error
+    clients = Clients(read_trust(ca_file))
     summary = {"service": service, "phases_sent": phases, "seed": seed}
-    summary |= trio.run(run_load, plan).summary()
+    summary |= trio.run(partial(run_load, plan, clients=clients)).summary()
     if json:
         Path(json).write_text(render_json(summary) + "\n", "utf-8")
     print(render_table(summary))
--- a/rattanrelay/cli/commands/query.py
+++ b/rattanrelay/cli/commands/query.py
@@ -9,7 +9,7 @@
 
 from ...errors import RelayError
 from ...http import Request
-from ..client import CALLERS_VARIABLE, checked, exchange, read_addresses
+from ..client import CALLERS_VARIABLE, checked, exchange, read_addresses, read_trust
 from ..registry import command
 from ..show import print_json
 
@@ -29,6 +29,7 @@
     timeout_ms: int = 0,
     json: bool = False,
     callers: str = "",
+    ca_file: str = "",
 ) -> None:
     """Send one query, or a non-idempotent request with --action, and print the answer.
 
@@ -42,8 +43,11 @@
     :param timeout_ms: time limit in ms; the service's row decides if it is not given
     :param json: print JSON
     :param callers: host:port of an instance's caller interface, else RATTANRELAY_CALLERS
+    :param ca_file: PEM file with the certificates that sign those of the caller listeners; TLS is
+        used if it is given
     """
     place = read_addresses("--callers", callers, CALLERS_VARIABLE)[0]
+    tls = read_trust(ca_file)
     headers = {"x-tenant": tenant, "content-type": "application/json"}
     if timeout_ms:
         headers["x-timeout-ms"] = str(timeout_ms)
@@ -58,7 +62,7 @@
         body = {"filter": _object("--filter", filter), "limit": limit}
         path += "query"
     request = Request("POST", path, headers, msgspec.json.encode(body))
-    answer = checked(place, trio.run(exchange, place, request)).json()
+    answer = checked(place, trio.run(exchange, place, request, tls)).json()
     if json:
         print_json(answer)
     else:
--- a/rattanrelay/http/client.py
+++ b/rattanrelay/http/client.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 client connection: one request at a time, with what is known when it breaks."""
 
+import ssl
+
 import h11
 import trio
 
@@ -25,14 +27,18 @@
         self.usable = True
 
     @classmethod
-    async def open(cls, host: str, port: int) -> "HttpConnection":
-        """Connect; raises `connect_failed`."""
+    async def open(
+        cls, host: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> "HttpConnection":
+        """Connect, with TLS if a context is given; raises `connect_failed`."""
         peer = f"{host}:{port}"
         try:
             stream = await trio.open_tcp_stream(host, port)
         except OSError as error:
             raise RelayError("connect_failed", str(error), step="connect", peer=peer) from error
-        return cls(PlainStream.adopt(stream), peer)
+        if tls is None:
+            return cls(PlainStream.adopt(stream), peer)
+        return cls(await _secured(stream, host, peer, tls), peer)
 
     async def request(self, request: Request) -> Response:
         """Send a request and return its response.
@@ -97,3 +103,20 @@
         return RelayError(
             "connection_lost", text, step="read answer", peer=self.peer, ran="unknown"
         )
+
+
+async def _secured(
+    stream: trio.SocketStream, host: str, peer: str, tls: ssl.SSLContext
+) -> trio.SSLStream:
+    """Return the stream under TLS after the check of the server's certificate."""
+    secured = trio.SSLStream(stream, tls, server_hostname=host, https_compatible=True)
+    try:
+        await secured.do_handshake()
+    except trio.BrokenResourceError as error:
+        await trio.aclose_forcefully(stream)
+        text = f"TLS: {error.__cause__ or error}"
+        raise RelayError("connect_failed", text, step="connect", peer=peer) from error
+    except BaseException:
+        await trio.aclose_forcefully(stream)
+        raise
+    return secured
--- a/rattanrelay/load/runner.py
+++ b/rattanrelay/load/runner.py
@@ -1,6 +1,7 @@
 """Sends the arrivals of a plan on time, whatever the answers do."""
 
 import itertools
+import ssl
 from random import Random
 from typing import NamedTuple
 
@@ -34,9 +35,10 @@
 
 
 class Clients:
-    """Sends requests over connections that are kept by target."""
+    """Sends requests over connections that are kept by target, with TLS if a context is given."""
 
-    def __init__(self) -> None:
+    def __init__(self, tls: ssl.SSLContext | None = None) -> None:
+        self.tls = tls
         self.idle: dict[str, list[HttpConnection]] = {}
 
     async def send(self, target: str, request: Request) -> Response:
@@ -56,7 +58,7 @@
 
     async def _open(self, target: str) -> HttpConnection:
         host, _, port = target.rpartition(":")
-        return await HttpConnection.open(host, int(port))
+        return await HttpConnection.open(host, int(port), self.tls)
 
     async def aclose(self) -> None:
         """Close all idle connections."""
--- a/tests/cli/commands.feature
+++ b/tests/cli/commands.feature
@@ -118,6 +118,29 @@
     And it prints "missing b: no_owner"
     And the caller interface has received "/v1/services/logging/query" with {"filter": {"a": 1}, "limit": 5}
 
+  Scenario: The commands of callers check the certificate of a caller interface with TLS
+    Given a caller interface with TLS that answers 200 with
+      """
+      {"request_id": "r1", "outcome": "done", "snapshot": "s4", "count": 0, "hits": [],
+       "coverage": {"shards": 3, "answered": 3, "missing": []}}
+      """
+    When the command line is: query logging --tenant museum --ca-file {ca.pem}
+    Then it exits with 0 and prints "shards 3 of 3"
+    When the command line is: load {callers} logging --phases 1x5 --tenants museum --ca-file {ca.pem} --json {out.csv}
+    Then it exits with 0 and prints "tenant museum     5     5"
+    And the load report "out.csv" says that all 5 queries were answered
+    And the caller interface has received 6 requests
+    When the command line is: query logging --tenant museum --ca-file {other.pem}
+    Then it exits with 1 and one error line that says "connect_failed: TLS: "
+    And the error says "certificate verify failed"
+    When the command line is: query logging --tenant museum
+    Then it exits with 1 and one error line that says "connection_lost"
+    When the command line is: query logging --tenant museum --ca-file {good.csv}
+    Then it exits with 2 and one error line that says "no PEM certificates"
+    When the command line is: load {callers} logging --ca-file /nonexistent
+    Then it exits with 2 and one error line that says "No such file"
+    And the caller interface has received 6 requests
+
   Scenario: A refused non-idempotent request keeps its key for the next attempt
     Given a caller interface that answers 504 with
       """
--- a/tests/steps/operator_cli_steps.py
+++ b/tests/steps/operator_cli_steps.py
@@ -6,6 +6,7 @@
 import os
 import shlex
 import socket
+import ssl
 import subprocess
 import sys
 import tempfile
@@ -15,6 +16,7 @@
 from unittest.mock import patch
 
 import trio
+import trustme
 from behave import given, then, when
 from operator_fakes import Lab, token_of
 from operator_samples import sample_table
@@ -46,8 +48,9 @@
 class Server:
     """Serves a handler on a port of 127.0.0.1 from a thread until it is closed."""
 
-    def __init__(self, handler):
+    def __init__(self, handler, tls=None):
         self.handler = handler
+        self.tls = tls
         self.started = threading.Event()
         self.thread = threading.Thread(target=trio.run, args=(self.serve,))
         self.thread.start()
@@ -56,6 +59,9 @@
     async def serve(self):
         listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
         self.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        if self.tls is not None:
+            secured = [trio.SSLListener(one, self.tls, https_compatible=True) for one in listeners]
+            listeners = secured
         self.token = trio.lowlevel.current_trio_token()
         self.stopping = trio.Event()
         self.started.set()
@@ -190,6 +196,24 @@
     context.places["callers"] = server.address
 
 
+@given("a caller interface with TLS that answers {status:d} with")
+def given_secured_callers(context, status):
+    context.received = []
+    authority = trustme.CA()
+    tls = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    authority.issue_cert("127.0.0.1").configure_cert(tls)
+    authority.cert_pem.write_to_path(str(context.folder / "ca.pem"))
+    trustme.CA().cert_pem.write_to_path(str(context.folder / "other.pem"))
+    server = Server(partial(canned, context.received, status, context.text), tls)
+    context.add_cleanup(server.close)
+    context.places["callers"] = server.address
+
+
+@then("the caller interface has received {count:d} requests")
+def then_received_count(context, count):
+    assert len(context.received) == count, len(context.received)
+
+
 @then('the caller interface has received "{target}" with {body}')
 def then_received(context, target, body):
     (request,) = context.received
@@ -207,3 +231,14 @@
     command = [sys.executable, "-c", code, word, str(context.folder / "good.toml")]
     done = subprocess.run(command, capture_output=True, text=True, check=True, timeout=60)
     assert done.stdout.splitlines()[-1] == f"['rattanrelay.cli.commands.{word}']", done
+
+
+@then('the error says "{text}"')
+def then_error_says(context, text):
+    assert text in context.errors, context.errors
+
+
+@then('the load report "{name}" says that all {count:d} queries were answered')
+def then_load_report(context, name, count):
+    report = json.loads((context.folder / name).read_text())["total"]
+    assert (report["requests"], report["outcomes"]) == (count, {"done": count}), report
