Encode views so that earlier versions read them while all weights are 1

Members, earlier views and the view got fields at the end, and a version without these fields refuses a longer array. In a rolling replacement the instances of the earlier version would not have adopted any view that a new one writes. Fields at the end that have their default are now left out, so only a weight other than 1 makes a view that earlier versions cannot read.

A mixed fleet of two versions was not run.

--- a/rattanrelay/decide/lease.py
+++ b/rattanrelay/decide/lease.py
@@ -2,7 +2,7 @@
 
 import math
 from collections.abc import Iterable
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import msgspec
 
@@ -101,8 +101,25 @@
 
 
 def encode_view(view: View) -> bytes:
-    """Encode a view as JSON: named tuples become arrays in field order."""
-    return msgspec.json.encode(view)
+    """Encode a view as JSON: named tuples become arrays in field order.
+
+    Fields at the end that have their default are left out, so that instances of a version without
+    such a field read the view while nobody uses it.
+    """
+    return msgspec.json.encode(_shortened(view))
+
+
+def _shortened(value: Any) -> Any:
+    """Return a value with each named tuple as a list without defaults at its end."""
+    if not isinstance(value, tuple):
+        return value
+    fields = [_shortened(field) for field in value]
+    defaults = getattr(value, "_field_defaults", {})
+    for name in reversed(getattr(value, "_fields", ())):
+        if name not in defaults or getattr(value, name) != defaults[name]:
+            break
+        fields.pop()
+    return fields
 
 
 def decode_view(data: bytes) -> View:
--- a/tests/decide/lease.feature
+++ b/tests/decide/lease.feature
@@ -36,6 +36,11 @@
     When a view with departed members and history is encoded and decoded
     Then the decoded view is equal to it
 
+  Scenario: A view with equal weights can be read by an earlier version
+    When a view with departed members, history and equal weights is encoded
+    Then members have 4 fields, earlier views 3 and the view at most 6
+    And the decoded view is equal to it
+
   Scenario: A view of an earlier version is read with equal weights
     When a view without weights, as written by an earlier version, is decoded
     Then each weight in it is 1
--- a/tests/steps/members_decide_steps.py
+++ b/tests/steps/members_decide_steps.py
@@ -1,5 +1,6 @@
 """Steps for owners, the quorum lease, the view document, proofs of end and revisions."""
 
+import json
 import random
 
 from behave import given, then, when
@@ -252,6 +253,25 @@
     context.decoded = decode_view(encode_view(context.view))
 
 
+@when("a view with departed members, history and equal weights is encoded")
+def encode_equal(context):
+    one, other = Identity("entry-1", "i1"), Identity("entry-2", "i2")
+    past = PastView(6, (one, other), (other,))
+    departed = Departed(_member(2), 7, gone=True)
+    members = (_member(0), _member(1))
+    context.view = View("main", 7, members, (departed,), (past,), restored=True)
+    context.fields = json.loads(encode_view(context.view))
+    context.decoded = decode_view(encode_view(context.view))
+
+
+@then("members have {count:d} fields, earlier views {past:d} and the view at most {most:d}")
+def few_fields(context, count, past, most):
+    _, _, members, departed, history, *_ = context.fields
+    assert {len(one) for one in (*members, departed[0][0])} == {count}, context.fields
+    assert {len(one) for one in history} == {past}, context.fields
+    assert len(context.fields) <= most, context.fields
+
+
 @when("a view without weights, as written by an earlier version, is decoded")
 def decode_without_weights(context):
     data = (
