Test weights, metrics and replaced tokens on real processes

- system/handover: with 4 instances under load the weight of one becomes 0 and then 3; guards against answers that miss shards for want of an owner and against limits exceeded during the moves.
- system/access: guards against metrics on the callers' interface and against a daemon that does not look at its token files.

The token of the test fleets has the scope metrics for this.

--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -68,7 +68,7 @@
                 {
                     "team": "operators",
                     "file": str(token_file),
-                    "scopes": ["read", "edit", "operate"],
+                    "scopes": ["read", "edit", "operate", "metrics"],
                 }
             ],
         }
--- a/tests/steps/handover_steps.py
+++ b/tests/steps/handover_steps.py
@@ -11,7 +11,7 @@
 from rattanrelay.errors import RelayError
 from rattanrelay.node.scatter import MAX_REROUTES
 from tests.harness import wait_until
-from tests.harness.cell import dispatching, running, table_revision
+from tests.harness.cell import dispatching, running, status, table_revision
 
 #: Replicas of each shard in the fake catalog.
 REPLICAS = 2
@@ -163,3 +163,33 @@
 def _reasons(one):
     coverage = one.answer.get("coverage", {"missing": []})
     return {item["reason"] for item in coverage["missing"]}
+
+
+@when('the weight of instance "{name}" is set to {weight:d} under load')
+def set_weight(context, name, weight):
+    entries = running(context.fleet)
+    before = dispatching(context.fleet.entries[name])
+    context.owned = getattr(context, "owned", before)
+    path = f"/v1/table/instances/{name}/weight"
+    reply = entries[0].admin_client.call("PUT", path, {"value": weight})
+    assert reply.status == 200, reply
+
+    def in_view():
+        members = [member for entry in entries for member in status(entry)["members"]]
+        found = [member["weight"] for member in members if member["instance"] == name]
+        return found == [weight] * len(entries)
+
+    wait_until(in_view, "each instance has a view with the weight")
+
+
+@then('instance "{name}" is a member of the view and dispatches to no server')
+def member_without_servers(context, name):
+    assert context.owned
+    assert dispatching(context.fleet.entries[name]) == set()
+    assert context.fleet.entries[name].caller_client.ready()
+
+
+@then('instance "{name}" dispatches to more servers than with weight 1')
+def more_servers(context, name):
+    entry = context.fleet.entries[name]
+    wait_until(lambda: len(dispatching(entry)) > len(context.owned), "it took servers over")
