--- a/rattanrelay/decide/lease.py
+++ b/rattanrelay/decide/lease.py
@@ -87,7 +87,7 @@
         """Return the weight of each member."""
         return {member.identity: member.weight for member in self.members}
 
-    def member(self, identity: Identity) -> Member | None:
+    def member(self, identity: Identity | None) -> Member | None:
         """Return the member that is this process, None when it is not in the view."""
         for member in self.members:
             if member.identity == identity:
