Try the replicas again when the ownership has just moved

A non-idempotent request was refused with no_owner when its coordinator had sent it to the former owner of the last replica's server, although another instance owned the server an instant later.

The coordinator now waits for other owners, up to 0.5 s and at most half of the remaining time, and tries the replicas once more. The first pass does not wait, so a request that another replica can take is not delayed.

On a scratch copy without the wait, the new scenario with ownership that moves after 0.2 s fails.

--- a/rattanrelay/node/claims.py
+++ b/rattanrelay/node/claims.py
@@ -27,7 +27,7 @@
 from ..table import server_of
 from ..wire import Action, ActionResult, Handlers, RunAction
 from .claim_log import ClaimLog
-from .ports import Configuration, DispatchPort, Latest, MembersPort, PeersPort
+from .ports import Configuration, DispatchPort, Latest, Member, MembersPort, PeersPort
 
 __all__ = ["Claims"]
 
@@ -36,6 +36,11 @@
 #: Share of the remaining time after which this instance coordinates the request itself.
 TAKEOVER_SHARE = 0.8
 CLEANUP_INTERVAL_S = 600.0
+#: When the last replica is refused with `no_owner`, another owner is waited for this long, and for
+#: at most this share of the remaining time: all adopt a view with the next heartbeats.
+OWNER_CHANGE_S = 0.5
+OWNER_CHANGE_SHARE = 0.5
+OWNER_POLL_S = 0.02
 #: A claim is settled this long before the deadline, so that a refusal still reaches the caller.
 ANSWER_RESERVE_S = 0.02
 
@@ -161,7 +166,11 @@
             return _refused("store_unavailable", "the claim could not be stored in time")
         if verdict.kind != "granted":
             return _not_granted(verdict, print_)
+        owners = self._owners(action)
         result = await self._dispatch(action)
+        if (result.outcome, result.code) == ("not_run", "no_owner"):
+            await self._owners_changed(action, owners)
+            result = await self._dispatch(action)
         if result.outcome == "not_run":
             log.record(store_key, Release(action.key, claim.claim_id))
         elif result.outcome == "done":
@@ -191,6 +200,17 @@
                 return result
         return result
 
+    async def _owners_changed(self, action: Action, before: list[Member | None]) -> None:
+        """Wait a short time for other owners; those from before may also be about to take over."""
+        patience = min(OWNER_CHANGE_S, self._remaining(action) * OWNER_CHANGE_SHARE)
+        with trio.move_on_after(max(0.0, patience)):
+            while self._owners(action) == before:  # noqa: ASYNC110
+                await trio.sleep(OWNER_POLL_S)
+
+    def _owners(self, action: Action) -> list[Member | None]:
+        targets = action_targets(self.configuration.value, action.svc, action.route)
+        return [self.members.owner(server_of(searcher)) for _, searcher in targets]
+
     async def _run_at_owner(self, order: RunAction) -> ActionResult:
         owner = self.members.owner(server_of(order.searcher))
         if owner is None:
--- a/tests/node/claims.feature
+++ b/tests/node/claims.feature
@@ -14,3 +14,12 @@
   Scenario: A key with another body
     When a key is sent again with another body
     Then the second body is refused with "key_reused" and did not run
+
+  Scenario Outline: The owner of the backend server refuses a request since it owns it no more
+    When a request is sent with 1 s left and the ownership moves after <seconds> s
+    Then the request is <outcome> after <calls> refusals by the former owner
+
+    Examples:
+      | seconds | outcome  | calls |
+      | 0.2     | done     | 2     |
+      | 5       | no_owner | 4     |
--- a/tests/steps/claims_steps.py
+++ b/tests/steps/claims_steps.py
@@ -331,3 +331,48 @@
             assert records == claims.decode_slice(claims.encode_slice(records))
 
     check()
+
+
+class MovingMembers(StaticMembers):
+    """Ownership of the backend server moves to this instance at a time."""
+
+    def __init__(self, moves_at):
+        super().__init__("self")
+        self.moves_at = moves_at
+
+    def owner(self, name):
+        moved = trio.current_time() >= self.moves_at
+        return self.member if moved or name.startswith("claims/") else Member("former", "1", "", "")
+
+
+class FormerOwner:
+    """Refuses each request and counts them."""
+
+    def __init__(self):
+        self.refusals = 0
+
+    async def call(self, instance, message, timeout):
+        await trio.sleep(0.01)
+        self.refusals += 1
+        return ActionResult("not_run", "no_owner")
+
+
+@when("a request is sent with {left:g} s left and the ownership moves after {seconds:g} s")
+def moving_owner(context, left, seconds):
+    world = context.world = World(1, fault_share=0.0, instances=1, faulty=False)
+    context.former = world.nodes["i0"].peers = FormerOwner()
+    world.nodes["i0"].members = MovingMembers(seconds)
+
+    async def scenario(world):
+        key = new_key(world.chance, wall())
+        context.result = await world.nodes["i0"].submit(make_action(key, b"one", left))
+
+    world.run(scenario)
+
+
+@then("the request is {outcome} after {count:d} refusals by the former owner")
+def moved_outcome(context, outcome, count):
+    result, runs = context.result, context.world.backend.runs
+    assert outcome in (result.outcome, result.code), result
+    assert (result.outcome, runs[b"one"]) in (("done", 1), ("not_run", 0)), (result, runs)
+    assert context.former.refusals == count, context.former.refusals
