Keep the trials of non-idempotent requests at one instance for the fleet

Trials of a crashing reservation ran at the owner of each searcher, and a loss reached the other owners with the next heartbeat, up to 0.5 s later. Until then each of them allowed a trial of its own, and in rare runs a second one.

One member of the view, chosen by rendezvous hashing of the fingerprint, now grants these trials one at a time under a lease (BeginTrial, EndTrial). The member ranked second is asked while it does not answer. A lease that ends without a report counts as a loss. Before a second trial the keeper exchanges losses with all other members (ShareLosses) and refuses the trial unless all answer, so that a later keeper blocks after one more loss. A request without a trial is refused before anything is sent.

--- a/benchmarks/memory.py
+++ b/benchmarks/memory.py
@@ -14,6 +14,7 @@
 from rattanrelay.decide.ownership import Member
 from rattanrelay.metrics import Metrics
 from rattanrelay.node.dispatch import Dispatcher
+from rattanrelay.node.peers import Peers
 from rattanrelay.node.ports import Configuration, Latest
 
 SERVERS = (10, 50, 100, 200)
@@ -43,7 +44,9 @@
 async def _measure(servers: int) -> int:
     """Return the bytes that the searchers of a dispatcher hold while it serves."""
     configuration = Latest(Configuration(build_table(servers), {}))
-    dispatcher = Dispatcher(configuration, Alone(), Metrics("entry-1"), rng=random.Random(1))
+    dispatcher = Dispatcher(
+        configuration, Alone(), Peers("entry-1"), Metrics("entry-1"), rng=random.Random(1)
+    )
     tracemalloc.start()
     async with trio.open_nursery() as nursery:
         await nursery.start(dispatcher.serve)
--- a/benchmarks/owner.py
+++ b/benchmarks/owner.py
@@ -15,6 +15,7 @@
 from rattanrelay.emulator.config import EmulatorConfig, ServerConfig
 from rattanrelay.metrics import Metrics
 from rattanrelay.node.dispatch import Dispatcher
+from rattanrelay.node.peers import Peers
 from rattanrelay.node.ports import Configuration, Latest, Member
 from rattanrelay.table import DomainRow, ServerRow, ServiceRow, Table
 from rattanrelay.wire import SubQuery, Target
@@ -139,7 +140,9 @@
 async def run(addresses: dict[str, str], profile: cProfile.Profile | None) -> None:
     """Run all measurements."""
     latest = Latest(configuration(addresses))
-    dispatcher = Dispatcher(latest, Members(), Metrics("owner"), rng=random.Random(1))
+    dispatcher = Dispatcher(
+        latest, Members(), Peers("owner"), Metrics("owner"), rng=random.Random(1)
+    )
     async with trio.open_nursery() as nursery:
         await nursery.start(dispatcher.serve)
         for number in range(WARM_UP_QUERIES):
--- a/rattanrelay/decide/canary.py
+++ b/rattanrelay/decide/canary.py
@@ -68,6 +68,10 @@
         """Say whether a server was lost with this fingerprint and it has not succeeded since."""
         return any(until > now for until in self.losses.get(name, {}).values())
 
+    def is_proven(self, name: str, now: float) -> bool:
+        """Say whether a fingerprint succeeded recently."""
+        return self.proven.get(name, now) > now
+
     def begin(self, name: str, now: float, *, second: bool = False) -> Verdict:
         """Ask to run a request; after `trial`, one of `succeeded`, `lost`, `ended` must follow.
 
@@ -75,7 +79,7 @@
         """
         if self.is_blocked(name, now):
             return "blocked"
-        if self.proven.get(name, now) > now:
+        if self.is_proven(name, now):
             return "proven"
         if name in self.running:
             return "wait"
@@ -110,10 +114,15 @@
     def shared(self, now: float) -> tuple[SharedEntry, ...]:
         """Return blocks and losses for the heartbeat, the newest first and blocks before losses."""
         entries = [(name, until) for name, until in reversed(self.blocks.items())]
-        for name, losses in reversed(self.losses.items()):
-            entries += [(f"{name}{_LOSS_MARK}{loss}", until) for loss, until in losses.items()]
-        shared = [SharedEntry(name, int(until - now)) for name, until in entries]
-        return tuple(entry for entry in shared if entry.seconds_left > 0)[:MAX_SHARED]
+        for name in reversed(self.losses):
+            entries += self._losses_of(name)
+        return _remaining(entries, now)[:MAX_SHARED]
+
+    def known(self, name: str, now: float) -> tuple[SharedEntry, ...]:
+        """Return the block or the losses of one fingerprint."""
+        if self.is_blocked(name, now):
+            return _remaining([(name, self.blocks[name])], now)
+        return _remaining(self._losses_of(name), now)
 
     def merge(self, entries: Iterable[SharedEntry], now: float) -> None:
         """Take over what another instance shares."""
@@ -124,9 +133,13 @@
                 continue
             if not mark:
                 self._block(name, now + left, now)
-            elif self.proven.get(name, now) <= now:
+            elif not self.is_proven(name, now):
                 self._add_loss(name, loss, now + left, now)
 
+    def _losses_of(self, name: str) -> list[tuple[str, float]]:
+        losses = self.losses.get(name, {})
+        return [(f"{name}{_LOSS_MARK}{loss}", until) for loss, until in losses.items()]
+
     def _add_loss(self, name: str, loss: str, until: float, now: float) -> bool:
         if self.is_blocked(name, now):
             return True
@@ -146,6 +159,11 @@
         self.proven.pop(name, None)
 
 
+def _remaining(entries: Iterable[tuple[str, float]], now: float) -> tuple[SharedEntry, ...]:
+    shared = [SharedEntry(name, int(until - now)) for name, until in entries]
+    return tuple(entry for entry in shared if entry.seconds_left > 0)
+
+
 def _remember(entries: OrderedDict, name: str, value) -> None:
     entries[name] = value
     entries.move_to_end(name)
--- a/rattanrelay/node/batch.py
+++ b/rattanrelay/node/batch.py
@@ -7,6 +7,7 @@
 
 from ..errors import CODES, RelayError
 from ..wire import ActionResult, RunAction, ShardResult, ShardResults, SubQuery, Target
+from .kept_trial import KeptTrial
 from .pool import Pool
 from .server import Searcher
 from .subrequest import Outcome, SubRequest
@@ -146,7 +147,7 @@
     """One run of a non-idempotent request."""
 
     def __init__(
-        self, order: RunAction, searcher: Searcher, deadline: float, trial: Trial | None
+        self, order: RunAction, searcher: Searcher, deadline: float, trial: KeptTrial | None
     ) -> None:
         self.searcher = searcher
         self.deadline = deadline
--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -133,7 +133,9 @@
         )
         self.documents = Documents(self.store, self.peers, self.members, self.rng)
         configuration = self.documents.configuration
-        self.dispatch = Dispatcher(configuration, self.members, self.metrics, rng=self.rng)
+        self.dispatch = Dispatcher(
+            configuration, self.members, self.peers, self.metrics, rng=self.rng
+        )
         self.claims = Claims(
             configuration, self.members, self.peers, self.store, self.dispatch, instance=name
         )
--- a/rattanrelay/node/dispatch.py
+++ b/rattanrelay/node/dispatch.py
@@ -26,7 +26,9 @@
 )
 from .batch import ActionRun, Batch, Emit, OpenJobs, action_result, check_json
 from .connection import Connect
-from .ports import Configuration, Latest, MembersPort
+from .keeper import Keeper
+from .kept_trial import KeptTrial
+from .ports import Configuration, Latest, MembersPort, PeersPort
 from .server import Rows, Searcher, SearcherStatus, Surroundings
 from .subrequest import Outcome
 from .trials import SECOND_TRIAL, Trial, Trials
@@ -50,6 +52,7 @@
         self,
         configuration: Latest[Configuration],
         members: MembersPort,
+        peers: PeersPort,
         metrics: Metrics,
         *,
         wall: Callable[[], float] = time.time,
@@ -76,6 +79,7 @@
         self.gauges: dict[str, tuple[int, int]] = {}
         self._prefix = f"{members.instance}-{rng.getrandbits(64):016x}"
         self.trials = Trials(self._prefix)
+        self.keeper = Keeper(self.trials, members, peers)
         self._numbers = count(1)
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -102,6 +106,7 @@
         """Register the handlers for messages of other instances."""
         handlers.on_stream(SubQuery)(self.run)
         handlers.on(RunAction)(self.act)
+        self.keeper.register(handlers)
 
         @handlers.on(Cancel)
         async def cancel(message: Cancel) -> Accepted:
@@ -135,7 +140,7 @@
         deadline = self.trio_time(order.deadline_ms)
         trial = None
         if searcher.rows.service.canary:
-            trial = Trial(self.trials, order.svc, order.body, second=None)
+            trial = KeptTrial(self.keeper, self.around.nursery, order.svc, order.body)
             reason = await trial.begin(deadline)
             if reason:
                 return action_result(Outcome(reason, "not_run"))
@@ -288,6 +293,7 @@
             self.seen = None
         self.sync()
         self._drop_ended()
+        self.keeper.expire()
         for name, searcher in self.searchers.items():
             searcher.settle()
             self._set_gauges(name, searcher.pool.slots.in_use, searcher.allowance())
--- /dev/null
+++ b/rattanrelay/node/kept_trial.py
@@ -0,0 +1,130 @@
+"""Trials of non-idempotent requests at this instance, under a lease of the fingerprint's keeper."""
+
+import math
+
+import trio
+
+from ..decide.keeper import End, keepers
+from ..decide.proven import request_fingerprint
+from ..errors import RelayError
+from ..log import event
+from ..wire import BeginTrial, EndTrial
+from .keeper import REPORT_MARGIN_S, Keeper
+from .subrequest import Outcome
+from .trials import was_lost
+
+__all__ = ["KeptTrial"]
+
+#: The deputy is asked when the keeper has not answered in this time. It is longer than the waits
+#: at the keeper.
+ASK_TIMEOUT_S = 0.4
+#: Pause after neither the keeper nor its deputy answered, as during a change of the view.
+ASK_RETRY_S = 0.05
+REPORT_TIMEOUT_S = 0.3
+REPORT_RETRY_S = 0.05
+
+#: Why a request may not run, by the verdict of the keeper.
+REFUSALS = {"blocked": "request_blocked", "suspect": "request_suspect"}
+
+
+class KeptTrial:
+    """One non-idempotent request that runs as a trial unless its fingerprint is proven here.
+
+    `begin` returns before anything is sent, and `settle` reports what became of the work.
+    """
+
+    def __init__(self, keeper: Keeper, nursery: trio.Nursery, service: str, body: bytes) -> None:
+        self.keeper = keeper
+        self.trials = keeper.trials
+        self.nursery = nursery
+        self.name = request_fingerprint(service, body)
+        #: The instance that granted the trial and the id of the trial.
+        self.granted: tuple[str, str] | None = None
+        self.deadline = math.inf
+
+    async def begin(self, deadline: float) -> str:
+        """Ask for the trial; return why the request may not run, empty if it may."""
+        self.deadline = deadline
+        reason = "deadline"
+        while trio.current_time() < deadline:
+            now = trio.current_time()
+            if self.trials.canary.is_blocked(self.name, now):
+                return "request_blocked"
+            if self.trials.canary.is_proven(self.name, now):
+                return ""
+            verdict = await self._ask_keepers()
+            if verdict in REFUSALS:
+                return REFUSALS[verdict]
+            if verdict in ("trial", "proven"):
+                return ""
+            reason = "deadline" if verdict == "wait" else "peer_unavailable"
+            if verdict != "wait":
+                await trio.sleep(ASK_RETRY_S)
+        return reason
+
+    def settle(self, outcome: Outcome) -> None:
+        """Note what the trial showed and report it to its keeper; only the first outcome counts."""
+        if self.granted is None:
+            return
+        (instance, trial), self.granted = self.granted, None
+        now = trio.current_time()
+        canary = self.trials.canary
+        end: End = "ended"
+        if not outcome.reason:
+            end = "succeeded"
+            canary.succeeded(self.name, now)
+        elif was_lost(outcome):
+            end = "lost"
+            blocked = canary.lost(self.name, trial, now)
+            event("server_lost_in_trial", fingerprint=self.name, blocked=blocked)
+        self._report(instance, trial, end)
+
+    async def _ask_keepers(self) -> str:
+        """Ask the keeper, and its deputy if the keeper cannot be reached."""
+        members = self.keeper.members
+        verdict = "elsewhere"
+        for instance in keepers([member.instance for member in members.members], self.name):
+            verdict = await self._ask(instance)
+            if verdict not in ("elsewhere", "unreachable"):
+                break
+        return verdict
+
+    async def _ask(self, instance: str) -> str:
+        trial = self.trials.new_id()
+        left = max(0.0, self.deadline - trio.current_time())
+        message = BeginTrial(trial, self.name, math.ceil(left * 1000))
+        verdict = "unknown"
+        try:
+            if instance == self.keeper.members.instance:
+                answer = await self.keeper.begin(message)
+            else:
+                answer = await self.keeper.peers.call(instance, message, min(left, ASK_TIMEOUT_S))
+            verdict = answer.verdict
+        except RelayError as error:
+            if error.ran == "not_run":
+                return "unreachable"
+        finally:
+            # The keeper may have granted the trial although no answer has arrived.
+            if verdict == "unknown":
+                self._report(instance, trial, "ended")
+        if verdict == "trial":
+            self.granted = instance, trial
+        return "unreachable" if verdict == "unknown" else verdict
+
+    def _report(self, instance: str, trial: str, end: End) -> None:
+        message = EndTrial(trial, self.name, end)
+        if instance == self.keeper.members.instance:
+            self.keeper.end(message)
+            return
+        self.nursery.start_soon(self._send_report, instance, message)
+
+    async def _send_report(self, instance: str, message: EndTrial) -> None:
+        """Report until it is accepted or the lease of the trial has ended."""
+        until = max(self.deadline, trio.current_time()) + REPORT_MARGIN_S
+        while trio.current_time() < until:
+            try:
+                await self.keeper.peers.call(instance, message, REPORT_TIMEOUT_S)
+                return
+            except RelayError:
+                await trio.sleep(REPORT_RETRY_S)
+        event("trial_not_reported", peer=instance, fingerprint=self.name, outcome=message.outcome)
--- a/rattanrelay/node/trials.py
+++ b/rattanrelay/node/trials.py
@@ -1,4 +1,4 @@
-"""Trials of requests that may crash servers: who runs one, who waits, and what each showed."""
+"""Trials of queries that may crash servers: who runs one, who waits, and what each showed."""
 
 from itertools import count
 
@@ -9,7 +9,7 @@
 from ..log import event
 from .subrequest import Outcome
 
-__all__ = ["SECOND_TRIAL", "Trial", "Trials"]
+__all__ = ["SECOND_TRIAL", "Trial", "Trials", "was_lost"]
 
 #: Kind of a sub-query whose first trial lost a server; a second loss blocks its fingerprint.
 SECOND_TRIAL = "suspect"
@@ -27,6 +27,10 @@
         self.numbers = count(1)
         self.ended = trio.Event()
 
+    def new_id(self) -> str:
+        """Return an id of a trial, which is also the id of its loss."""
+        return f"{self.prefix}.{next(self.numbers)}"
+
     def wake(self) -> None:
         """Let all who wait for a trial look again."""
         ended, self.ended = self.ended, trio.Event()
@@ -36,13 +40,10 @@
 class Trial:
     """One request that wants to run as a canary.
 
-    `second` says that its first trial lost a server; an earlier loss then counts as well. With
-    `second` None the request has no trial elsewhere to refer to, so it runs although suspect.
+    `second` says that its first trial lost a server; an earlier loss then counts as well.
     """
 
-    def __init__(
-        self, trials: Trials, service: str, body: bytes, *, second: bool | None = False
-    ) -> None:
+    def __init__(self, trials: Trials, service: str, body: bytes, *, second: bool = False) -> None:
         self.trials = trials
         self.name = request_fingerprint(service, body)
         self.second = second
@@ -58,7 +59,7 @@
         while True:
             ended = self.trials.ended
             now = trio.current_time()
-            verdict = self.trials.canary.begin(self.name, now, second=self.second is not False)
+            verdict = self.trials.canary.begin(self.name, now, second=self.second)
             if verdict in REFUSALS:
                 return REFUSALS[verdict]
             if verdict != "wait":
@@ -78,9 +79,9 @@
         canary = self.trials.canary
         if not outcome.reason:
             canary.succeeded(self.name, now)
-        elif (outcome.reason, outcome.ran) == ("connection_lost", "unknown"):
-            loss = f"{self.trials.prefix}.{next(self.trials.numbers)}"
-            blocked = canary.lost(self.name, loss, now, second=bool(self.second))
+        elif was_lost(outcome):
+            loss = self.trials.new_id()
+            blocked = canary.lost(self.name, loss, now, second=self.second)
             event("server_lost_in_trial", fingerprint=self.name, blocked=blocked)
         else:
             canary.ended(self.name)
@@ -89,3 +90,8 @@
     def abandon(self) -> None:
         """Note that nothing was sent."""
         self.settle(Outcome("no_replica", "not_run"))
+
+
+def was_lost(outcome: Outcome) -> bool:
+    """Say whether the server may have crashed while it ran the request."""
+    return (outcome.reason, outcome.ran) == ("connection_lost", "unknown")
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -10,20 +10,25 @@
     "Accepted",
     "Action",
     "ActionResult",
+    "BeginTrial",
     "BlockedRequest",
     "Cancel",
     "Document",
     "DocumentRevision",
+    "EndTrial",
     "Failure",
     "Heartbeat",
     "HeartbeatAck",
+    "KnownLosses",
     "Message",
     "Pull",
     "RunAction",
     "ShardResult",
     "ShardResults",
+    "ShareLosses",
     "SubQuery",
     "Target",
+    "TrialVerdict",
     "message",
     "struct_of",
 ]
@@ -246,3 +251,43 @@
     body: bytes
     deadline_ms: int
     epoch: int
+
+
+@message(14)
+class BeginTrial(NamedTuple):
+    """Asks the keeper of a fingerprint for a trial that ends within `left_ms`."""
+
+    trial: str
+    fingerprint: str
+    left_ms: int
+
+
+@message(15)
+class TrialVerdict(NamedTuple):
+    """Answer of a keeper: a verdict of `decide.keeper`, or `elsewhere` if it is not the keeper."""
+
+    verdict: str
+
+
+@message(16)
+class EndTrial(NamedTuple):
+    """Reports what a trial showed: `succeeded`, `lost` or `ended`."""
+
+    trial: str
+    fingerprint: str
+    outcome: str
+
+
+@message(17)
+class ShareLosses(NamedTuple):
+    """Makes a member take over the losses of a fingerprint and asks for those that it knows."""
+
+    fingerprint: str
+    losses: tuple[BlockedRequest, ...] = ()
+
+
+@message(18)
+class KnownLosses(NamedTuple):
+    """The block or the losses of a fingerprint that a member knows."""
+
+    losses: tuple[BlockedRequest, ...] = ()
--- a/rattanrelay/wire/relay.thrift
+++ b/rattanrelay/wire/relay.thrift
@@ -37,6 +37,12 @@
   6: binary body, 7: i64 deadline_ms, 8: i64 epoch
 }
 
+struct BeginTrial { 1: string trial, 2: string fingerprint, 3: i64 left_ms }
+struct TrialVerdict { 1: string verdict }
+struct EndTrial { 1: string trial, 2: string fingerprint, 3: string outcome }
+struct ShareLosses { 1: string fingerprint, 2: list<BlockedRequest> losses }
+struct KnownLosses { 1: list<BlockedRequest> losses }
+
 struct Pull { 1: string name, 2: i64 revision }
 struct Document { 1: string name, 2: i64 revision, 3: binary value }
 struct Accepted { 1: bool accepted }
--- /dev/null
+++ b/tests/node/keeper.feature
@@ -0,0 +1,33 @@
+Feature: Trials of non-idempotent requests at their keeper
+  Guards against several trials at a time in the fleet, against trials that nobody counts, and
+  against requests that are refused or delayed without need.
+
+  Scenario: One crashing request at each instance
+    Given 3 instances that keep trials
+    When the crashing request is sent 5 times through each instance at once
+    Then it crashed 2 servers and the others were refused with "request_blocked request_blocked"
+
+  Scenario: The keeper does not answer
+    Given 3 instances that keep trials
+    When the keeper does not answer and the crashing request is sent 3 times
+    Then it crashed 1 servers and the others were refused with "request_suspect request_suspect"
+
+  Scenario: No instance answers
+    Given 3 instances that keep trials
+    When neither the keeper nor its deputy answers and the request is sent 1 times
+    Then it crashed 0 servers and the others were refused with "peer_unavailable"
+
+  Scenario: The answer of the keeper is lost
+    Given 3 instances that keep trials
+    When the answers of the keeper are lost and the harmless request is sent twice
+    Then both ran, and no instance counts a loss
+
+  Scenario: The asker dies during its trial
+    Given 3 instances that keep trials
+    When the asker dies during its trial and another one asks with 4 s left
+    Then the second trial begins when the lease of the first one has ended
+
+  Scenario: A proven request
+    Given 3 instances that keep trials
+    When the harmless request is sent 5 times through one instance
+    Then the keeper was asked 1 times
--- a/tests/steps/dispatch_bench.py
+++ b/tests/steps/dispatch_bench.py
@@ -12,6 +12,7 @@
 from rattanrelay.http import HttpConnection, json_response, serve_http
 from rattanrelay.metrics import Metrics
 from rattanrelay.node.dispatch import Dispatcher
+from rattanrelay.node.peers import Peers
 from rattanrelay.node.ports import Configuration, Latest, Member
 from rattanrelay.table import DomainRow, ServerRow, ServiceRow, Table
 from rattanrelay.wire import RunAction, SubQuery, Target
@@ -218,6 +219,7 @@
                 self.dispatcher = Dispatcher(
                     self.configuration,
                     self.members,
+                    Peers("i1"),
                     Metrics("i1"),
                     wall=self.wall,
                     rng=self.rng,
--- a/tests/system/crashing_request.feature
+++ b/tests/system/crashing_request.feature
@@ -1,8 +1,7 @@
 Feature: A request that crashes servers does so only a few times
   Guards against a request that takes one server after another down, and against protection that
-  hurts other callers. The crashes that the searchers recorded are the judge. Trials of
-  non-idempotent requests run at the owner of the searcher of their route, so those that arrive
-  before the first loss is shared may crash one searcher for each owner.
+  hurts other callers. The crashes that the searchers recorded are the judge. The bound of 2 is the
+  one for a view that does not change during the scenario.
 
   Scenario: A crashing query is sent again and again through every instance
     Given a small fleet of "nl-midden" with service "register-search"
@@ -20,5 +19,5 @@
     Given a proxied fleet of 3 searchers of "sample-booking"
     And every searcher crashes on a query that contains "poison"
     When the crashing reservation is sent 12 times through each instance, at first at once
-    Then at most 3 crashes were recorded
+    Then at most 2 crashes were recorded
     And a changed reservation is done through each instance
