--- a/tests/node/claims.feature
+++ b/tests/node/claims.feature
@@ -20,3 +20,12 @@
     after the deadline of the caller.
     When a new key is sent to a searcher that refuses at its deadline, 20 ms away
     Then it is refused with "deadline" as not run
+
+  Scenario Outline: The owner of the backend server refuses a request since it owns it no more
+    When a request is sent with 1 s left and the ownership moves after <seconds> s
+    Then the request is <outcome> after <calls> refusals by the former owner
+
+    Examples:
+      | seconds | outcome  | calls |
+      | 0.2     | done     | 2     |
+      | 5       | no_owner | 4     |
