Give the fake daemon of the report the method that it now asks

Cause: the report asks the daemon whether the store is down; the fake of the new scenario on the admission limits still had the former attribute.

--- a/tests/steps/entry_callers_steps.py
+++ b/tests/steps/entry_callers_steps.py
@@ -226,7 +226,8 @@
         daemon = SimpleNamespace(
             entry=entry,
             metrics=entry.metrics,
-            store=SimpleNamespace(calls={}, failing=False),
+            store=SimpleNamespace(calls={}),
+            store_down=lambda: False,
             documents=SimpleNamespace(digest=dict, configuration=Latest(Configuration())),
             members=SimpleNamespace(epoch=0),
         )
