Kill the keeper of the trials in a system scenario

The change of a keeper was shown only by the model. The new scenario kills the keeper after the first or the second crash and resends the reservation through the other instances; the bound is 3.

RATTANRELAY_RUN_KNOWN_RED unset, python -m behave tests/system/crashing_request.feature, two runs side by side: 6 of 6 runs pass all 4 scenarios. On a copy with trials at the owner of each searcher, 1 of 4 runs of the new scenario fails with 4 crashes. A copy without the exchange of losses and one that runs without a trial while the keeper is away passed once each, so the scenario is weaker than the model.

--- a/tests/steps/answers_steps.py
+++ b/tests/steps/answers_steps.py
@@ -9,10 +9,13 @@
 import msgspec
 from behave import given, then, when
 
+from rattanrelay.decide.keeper import keepers
+from rattanrelay.decide.proven import request_fingerprint
 from rattanrelay.emulator.answers import ANSWER_FAULTS
 from rattanrelay.emulator.corpus import canonical, query_digest
 from rattanrelay.emulator.journal import Run, peak_concurrent
 from tests.harness import ActionKey, Fleet, wait_until
+from tests.harness.cell import running
 from tests.harness.traffic import Traffic, check_query_answer
 
 #: More distinct queries than any scenario sends.
@@ -634,9 +637,23 @@
             send(client)
 
 
+@when("the keeper is killed at crash {count:d} and the reservation is resent for {seconds:g} s")
+def kill_keeper(context, seconds, count):
+    action = {"reserve": context.marker}
+    entries = context.fleet.entries
+    keeper, deputy = keepers(entries, request_fingerprint(context.service, canonical(action)))
+    while crashes(context) < count:
+        act(context, entries[deputy].caller_client, ActionKey.new(), action=action)
+    entries[keeper].process.kill()
+    end = time.time() + seconds
+    while time.time() < end:
+        for entry in running(context.fleet):
+            act(context, entry.caller_client, ActionKey.new(), action=action)
+
+
 @then("a changed reservation is done through each instance")
 def changed_action(context):
-    for client in clients(context):
+    for client in [entry.caller_client for entry in running(context.fleet)]:
         wait_until(
             lambda client=client: act(context, client, ActionKey.new())["outcome"] == "done",
             "a changed reservation is done",
