Admit tenants below their shares although the limit is used up

Change: a tenant with a use below its share is admitted beyond the limit, up to twice its share while the excess is no more than what others use above their shares on average, and within its share while the limit is exceeded anyway. Tenants above their shares get no place until fewer queries than the limit are in flight.

The check "in flight <= limit" of the random scenario stated the old rule. It is replaced by a check of each query admitted beyond the limit (use below the share, bounded excess) against averages that the test keeps itself, and by a bound of twice the limit.

--- a/rattanrelay/decide/admission.py
+++ b/rattanrelay/decide/admission.py
@@ -27,6 +27,9 @@
 SHARE_HALF_LIFE_S = 1.0
 #: A tenant that wants less than this many places is not active.
 MIN_DEMAND = 0.25
+#: While the limit is used up, a tenant is let in up to this many times its share. Queries that come
+#: at random exceed a share of a few places for a moment although their average is below it.
+BURST_SHARES = 2.0
 
 #: Time constant of the overload signals, in seconds.
 OVERLOAD_MEMORY_S = 1.0
@@ -175,6 +178,10 @@
         """Return the places wanted recently, at most the cap."""
         return min(self.cap, self.wanted)
 
+    def use(self) -> float:
+        """Return the average use for the weight."""
+        return self.average / self.weight
+
 
 class Admission:
     """Admits queries of one service up to a limit and shares it between tenants.
@@ -184,6 +191,11 @@
     a limit of a few places cannot be divided at each moment. A tenant above its share leaves free
     what others wanted recently of theirs: waits are short, so a tenant whose queries come at
     random would otherwise seldom meet a free place. Any tenant may use all other places.
+
+    What is kept is too little when the shares are a few places: an idle tenant's places are lent,
+    and seldom given back within its next query's wait. A tenant whose average use is below its
+    share is therefore let in although the limit is used up. Such an overshoot is bounded by what
+    other tenants use above their shares, which get nothing until the limit is kept again.
     """
 
     def __init__(self) -> None:
@@ -225,10 +237,7 @@
 
     def _fill(self, now: float) -> None:
         while True:
-            free = int(self.limit.value) - self.in_flight
-            if free == 0:
-                return
-            tenant = self._next_tenant(now) if free > 0 else self._owed_tenant()
+            tenant = self._next_tenant(now)
             if tenant is None:
                 return
             ticket = tenant.waiting.popleft()
@@ -237,49 +246,67 @@
                 ticket.wake()
 
     def _next_tenant(self, now: float) -> _Tenant | None:
-        best, best_use = None, math.inf
+        """Return the tenant with the least use for its weight of those that may be admitted."""
+        waiting = self._waiting(now)
+        if not waiting:
+            return None
+        active = self._active(now)
+        unit = self.limit.value / sum(one.weight for one in active)
+        if self.in_flight < int(self.limit.value):
+            best = min(waiting, key=_Tenant.use)
+            return best if self._may_use(best, active, unit) else None
+        below = [one for one in waiting if one.use() < unit]
+        owed = self._owed(below, self._overshoot(active, unit), unit)
+        return min(owed, key=_Tenant.use, default=None)
+
+    def _waiting(self, now: float) -> list[_Tenant]:
+        """Return the tenants below their caps that wait; refuses queries that waited too long."""
+        found = []
         for tenant in self.tenants.values():
             while tenant.waiting and tenant.waiting[0].wait_until < now:
                 tenant.waiting.popleft().state = "refused"
-            if not tenant.waiting or tenant.in_flight >= tenant.cap:
-                continue
+            if tenant.waiting and tenant.in_flight < tenant.cap:
+                found.append(tenant)
+        return found
+
+    def _active(self, now: float) -> list[_Tenant]:
+        """Return the tenants between which the limit is divided now."""
+        for tenant in self.tenants.values():
             tenant.see(now)
-            use = tenant.average / tenant.weight
-            if use < best_use:
-                best, best_use = tenant, use
-        if best is None or self._may_use(best, now):
-            return best
-        return None
+        return [one for one in self.tenants.values() if one.demand() >= MIN_DEMAND]
 
-    def _owed_tenant(self) -> _Tenant | None:
-        """Return a waiting tenant below its share of a limit that was just lowered.
+    def _overshoot(self, active: list[_Tenant], unit: float) -> float:
+        """Return how many queries may be in flight beyond the limit, at most the limit again.
 
-        The queries that a tenant above its share has in flight since before must not keep it out.
+        This is what tenants use above their shares on average. They took the places of the others,
+        and they get no place until the queries in flight are below the limit again. The average,
+        since tenants that all want more than their shares exceed them by turns for a moment.
         """
-        active = sum(one.weight for one in self.tenants.values() if one.in_flight or one.waiting)
-        for tenant in self.tenants.values():
-            share = self.limit.value * tenant.weight / active if active else 0.0
-            if tenant.waiting and tenant.in_flight + 1 <= min(share, tenant.cap):
-                return tenant
-        return None
+        excess = sum(max(0.0, one.average - unit * one.weight) for one in active)
+        return min(self.limit.value, excess)
+
+    def _owed(self, below: list[_Tenant], overshoot: float, unit: float) -> list[_Tenant]:
+        """Return those of the tenants below their shares that get a place beyond the limit.
+
+        Averages lag behind a limit that was just lowered. The queries that tenants above their
+        shares have in flight since before must not keep out those within theirs.
+        """
+        if self.in_flight + 1 <= self.limit.value + overshoot:
+            return [one for one in below if one.in_flight < BURST_SHARES * unit * one.weight]
+        if self.in_flight > int(self.limit.value):
+            return [one for one in below if one.in_flight + 1 <= unit * one.weight]
+        return []
 
-    def _may_use(self, tenant: _Tenant, now: float) -> bool:
+    def _may_use(self, tenant: _Tenant, active: list[_Tenant], unit: float) -> bool:
         """Say whether a tenant may use a free place: within its share, or nobody else wants it.
 
         Only asked for the waiting tenant with the least use of its share: if that one is above
         its share, so are the others that wait.
         """
-        if self.in_flight < self.limit.value / 2:
-            return True
-        active = [tenant]
-        for one in self.tenants.values():
-            one.see(now)
-            if one is not tenant and one.demand() >= MIN_DEMAND:
-                active.append(one)
-        unit = self.limit.value / sum(one.weight for one in active)
-        if tenant.average < unit * tenant.weight:
+        if self.in_flight < self.limit.value / 2 or tenant.average < unit * tenant.weight:
             return True
-        wanted = (min(one.demand(), unit * one.weight) - one.in_flight for one in active[1:])
+        others = (one for one in active if one is not tenant)
+        wanted = (min(one.demand(), unit * one.weight) - one.in_flight for one in others)
         kept = sum(max(0.0, places) for places in wanted)
         return self.in_flight + 1 + kept <= self.limit.value
 
--- a/tests/decide/admission.feature
+++ b/tests/decide/admission.feature
@@ -5,6 +5,23 @@
   Scenario: Limits hold under any order of arrivals and departures
     When queries of random tenants arrive, wait, leave and give up
     Then no tenant exceeds its cap, no place is lost, and a place is free only for another's share
+    And the limit is exceeded only by tenants below their shares, by what others use above theirs
+
+  Scenario: A tenant below its share need not wait for places that others use above theirs
+    Guards against refusals within the share of a tenant whose idle places were lent.
+    When one tenant has held all places for 60 s and others ask for their shares of them
+    Then each query of the others is admitted at once
+    And the first tenant gets a place again only when fewer queries are in flight than the limit
+
+  Scenario: A tenant within its share need not wait until a lowered limit is kept
+    Guards against refusals by queries in flight since before, which averages do not show yet.
+    When one tenant took all places 0.1 s ago, the limit is halved, and others ask for their shares
+    Then each query of the others is admitted at once
+
+  Scenario: A burst of a tenant below its share is let in up to twice the share
+    Guards against a burst that takes what is lent from all other tenants.
+    When one tenant holds all 12 places, two more have 1 query each and a fourth asks for all
+    Then the fourth gets twice its share, 6 places
 
   Scenario: Backlogged tenants share by weight
     When tenants of weight 1, 2 and 5 always have queries waiting
