Name the member that grants trials their coordinator

Cause: the names keeper and deputy are not usual terms; claims already have a coordinator, which is chosen in the same way. Change: decide/coordinator.py, node/coordinator.py and node/leased_trial.py in place of keeper.py, keeper.py and kept_trial.py, and the same words in messages, docs and tests. The system features start with those that have the most scenarios, since store_calls.feature has become the longest.

--- a/rattanrelay/decide/keeper.py
+++ b/rattanrelay/decide/coordinator.py
@@ -1,4 +1,4 @@
-"""The keeper of a fingerprint's trials: it grants them one at a time for the whole fleet."""
+"""The coordinator of a fingerprint's trials: it grants them one at a time for the whole fleet."""
 
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -7,11 +7,11 @@
 from .canary import Canary
 from .ownership import ranked
 
-__all__ = ["KEEPERS", "End", "Lease", "TrialKeeper", "Verdict", "keepers"]
+__all__ = ["COORDINATORS", "End", "Lease", "TrialCoordinator", "Verdict", "coordinators"]
 
-#: The keeper and its deputy. The deputy is asked while the keeper cannot be reached. It is also the
-#: one that becomes keeper when the keeper leaves the view.
-KEEPERS = 2
+#: The coordinator and its standby. The standby is asked while the coordinator cannot be reached. It
+#: is also the one that becomes coordinator when the coordinator leaves the view.
+COORDINATORS = 2
 
 #: Reports on trials that are not held which are remembered; the oldest are forgotten first.
 MAX_WITHDRAWN = 1000
@@ -31,12 +31,12 @@
     until: float
 
 
-def keepers(instances: Iterable[str], name: str) -> tuple[str, ...]:
-    """Return the keeper and the deputy of a fingerprint among the members of a view."""
-    return tuple(ranked(instances, name)[:KEEPERS])
+def coordinators(instances: Iterable[str], name: str) -> tuple[str, ...]:
+    """Return the coordinator and the standby of a fingerprint among the members of a view."""
+    return tuple(ranked(instances, name)[:COORDINATORS])
 
 
-class TrialKeeper:
+class TrialCoordinator:
     """Trials that this instance has granted; times are seconds on the caller's clock.
 
     Blocks and losses are those of `canary`. A lease that ends without a report counts as a loss:
@@ -71,8 +71,8 @@
         """Decide on a reserved second trial after the other members were asked.
 
         `complete` says that each other member has taken over the first loss and that the losses
-        they know were merged. A later keeper then knows of the first loss, so it cannot grant two
-        trials as well.
+        they know were merged. A later coordinator then knows of the first loss, so it cannot grant
+        two trials as well.
         """
         blocked = self.canary.is_blocked(name, now)
         if complete and not blocked and self._holds(name, trial):
--- a/rattanrelay/node/batch.py
+++ b/rattanrelay/node/batch.py
@@ -7,7 +7,7 @@
 
 from ..errors import CODES, RelayError
 from ..wire import ActionResult, RunAction, ShardResult, ShardResults, SubQuery, Target
-from .kept_trial import KeptTrial
+from .leased_trial import LeasedTrial
 from .pool import Pool
 from .server import Searcher
 from .subrequest import Outcome, SubRequest
@@ -147,7 +147,7 @@
     """One run of a non-idempotent request."""
 
     def __init__(
-        self, order: RunAction, searcher: Searcher, deadline: float, trial: KeptTrial | None
+        self, order: RunAction, searcher: Searcher, deadline: float, trial: LeasedTrial | None
     ) -> None:
         self.searcher = searcher
         self.deadline = deadline
--- a/rattanrelay/node/keeper.py
+++ b/rattanrelay/node/coordinator.py
@@ -3,7 +3,7 @@
 import trio
 
 from ..decide.canary import SharedEntry
-from ..decide.keeper import TrialKeeper, Verdict, keepers
+from ..decide.coordinator import TrialCoordinator, Verdict, coordinators
 from ..decide.lease import CLOCK_MARGIN_S
 from ..errors import RelayError
 from ..log import event
@@ -21,7 +21,7 @@
 from .server import CONFIRM_S
 from .trials import Trials
 
-__all__ = ["REPORT_MARGIN_S", "Keeper"]
+__all__ = ["REPORT_MARGIN_S", "Coordinator"]
 
 #: How long an asker is kept waiting for the end of another trial before it is told to ask again.
 WAIT_S = 0.1
@@ -33,14 +33,14 @@
 TRIAL_MARGIN_S = CLOCK_MARGIN_S + CONFIRM_S + REPORT_MARGIN_S
 
 
-class Keeper:
+class Coordinator:
     """The trials that this instance keeps, and the losses that it exchanges with the others."""
 
     def __init__(self, trials: Trials, members: MembersPort, peers: PeersPort) -> None:
         self.trials = trials
         self.members = members
         self.peers = peers
-        self.core = TrialKeeper(trials.canary)
+        self.core = TrialCoordinator(trials.canary)
 
     def register(self, handlers: Handlers) -> None:
         """Register the handlers for messages of other instances."""
@@ -90,9 +90,9 @@
             self.trials.wake()
 
     def _keeps(self, name: str) -> bool:
-        """Say whether this instance is keeper or deputy under a view that still holds."""
+        """Say whether this instance is coordinator or standby under a view that still holds."""
         instances = [member.instance for member in self.members.members]
-        chosen = self.members.instance in keepers(instances, name)
+        chosen = self.members.instance in coordinators(instances, name)
         return chosen and self.members.lease_left() > 0
 
     async def _confirm(self, name: str, trial: str) -> Verdict:
--- a/rattanrelay/node/dispatch.py
+++ b/rattanrelay/node/dispatch.py
@@ -25,8 +25,8 @@
 )
 from .batch import ActionRun, Batch, Emit, OpenJobs, action_result, check_json
 from .connection import Connect
-from .keeper import Keeper
-from .kept_trial import KeptTrial
+from .coordinator import Coordinator
+from .leased_trial import LeasedTrial
 from .ports import Configuration, Latest, MembersPort, PeersPort
 from .server import Rows, Searcher, SearcherStatus, Surroundings
 from .subrequest import Outcome
@@ -79,7 +79,7 @@
         self.gauges: dict[str, tuple[int, int]] = {}
         self._prefix = f"{members.instance}-{rng.getrandbits(64):016x}"
         self.trials = Trials(self._prefix)
-        self.keeper = Keeper(self.trials, members, peers)
+        self.coordinator = Coordinator(self.trials, members, peers)
         self._numbers = count(1)
 
     async def serve(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
@@ -106,7 +106,7 @@
         """Register the handlers for messages of other instances."""
         handlers.on_stream(SubQuery)(self.run)
         handlers.on(RunAction)(self.act)
-        self.keeper.register(handlers)
+        self.coordinator.register(handlers)
 
         @handlers.on(Cancel)
         async def cancel(message: Cancel) -> Accepted:
@@ -140,7 +140,7 @@
         deadline = self.trio_time(order.deadline_ms)
         trial = None
         if searcher.rows.service.canary:
-            trial = KeptTrial(self.keeper, self.around.nursery, order.svc, order.body)
+            trial = LeasedTrial(self.coordinator, self.around.nursery, order.svc, order.body)
             reason = await trial.begin(deadline)
             if reason:
                 return action_result(Outcome(reason, "not_run"))
@@ -303,7 +303,7 @@
             self.seen = None
         self.sync()
         self._drop_ended()
-        self.keeper.expire()
+        self.coordinator.expire()
         for name, searcher in self.searchers.items():
             searcher.settle()
             self._set_gauges(name, searcher.pool.slots.in_use, searcher.allowance())
--- a/rattanrelay/node/kept_trial.py
+++ b/rattanrelay/node/leased_trial.py
@@ -1,41 +1,43 @@
-"""Trials of non-idempotent requests at this instance, under a lease of the fingerprint's keeper."""
+"""Trials of non-idempotent requests at this instance, under a lease of their coordinator."""
 
 import math
 
 import trio
 
-from ..decide.keeper import End, keepers
+from ..decide.coordinator import End, coordinators
 from ..decide.proven import request_fingerprint
 from ..errors import RelayError
 from ..log import event
 from ..wire import BeginTrial, EndTrial
-from .keeper import REPORT_MARGIN_S, Keeper
+from .coordinator import REPORT_MARGIN_S, Coordinator
 from .subrequest import Outcome
 from .trials import was_lost
 
-__all__ = ["KeptTrial"]
+__all__ = ["LeasedTrial"]
 
-#: The deputy is asked when the keeper has not answered in this time. It is longer than the waits
-#: at the keeper.
+#: The standby is asked when the coordinator has not answered in this time. It is longer than the
+#: waits at the coordinator.
 ASK_TIMEOUT_S = 0.4
-#: Pause after neither the keeper nor its deputy answered, as during a change of the view.
+#: Pause after neither the coordinator nor its standby answered, as during a change of the view.
 ASK_RETRY_S = 0.05
 REPORT_TIMEOUT_S = 0.3
 REPORT_RETRY_S = 0.05
 
-#: Why a request may not run, by the verdict of the keeper.
+#: Why a request may not run, by the verdict of the coordinator.
 REFUSALS = {"blocked": "request_blocked", "suspect": "request_suspect"}
 
 
-class KeptTrial:
+class LeasedTrial:
     """One non-idempotent request that runs as a trial unless its fingerprint is proven here.
 
     `begin` returns before anything is sent, and `settle` reports what became of the work.
     """
 
-    def __init__(self, keeper: Keeper, nursery: trio.Nursery, service: str, body: bytes) -> None:
-        self.keeper = keeper
-        self.trials = keeper.trials
+    def __init__(
+        self, coordinator: Coordinator, nursery: trio.Nursery, service: str, body: bytes
+    ) -> None:
+        self.coordinator = coordinator
+        self.trials = coordinator.trials
         self.nursery = nursery
         self.name = request_fingerprint(service, body)
         #: The instance that granted the trial and the id of the trial.
@@ -52,7 +54,7 @@
                 return "request_blocked"
             if self.trials.canary.is_proven(self.name, now):
                 return ""
-            verdict = await self._ask_keepers()
+            verdict = await self._ask_coordinators()
             if verdict in REFUSALS:
                 return REFUSALS[verdict]
             if verdict in ("trial", "proven"):
@@ -63,7 +65,7 @@
         return reason
 
     def settle(self, outcome: Outcome) -> None:
-        """Note what the trial showed and report it to its keeper; only the first outcome counts."""
+        """Note what the trial showed and report it; only the first outcome counts."""
         if self.granted is None:
             return
         (instance, trial), self.granted = self.granted, None
@@ -79,11 +81,11 @@
             event("server_lost_in_trial", fingerprint=self.name, blocked=blocked)
         self._report(instance, trial, end)
 
-    async def _ask_keepers(self) -> str:
-        """Ask the keeper, and its deputy if the keeper cannot be reached."""
-        members = self.keeper.members
+    async def _ask_coordinators(self) -> str:
+        """Ask the coordinator, and its standby if the coordinator cannot be reached."""
+        members = self.coordinator.members
         verdict = "elsewhere"
-        for instance in keepers([member.instance for member in members.members], self.name):
+        for instance in coordinators([member.instance for member in members.members], self.name):
             verdict = await self._ask(instance)
             if verdict not in ("elsewhere", "unreachable"):
                 break
@@ -95,16 +97,18 @@
         message = BeginTrial(trial, self.name, math.ceil(left * 1000))
         verdict = "unknown"
         try:
-            if instance == self.keeper.members.instance:
-                answer = await self.keeper.begin(message)
+            if instance == self.coordinator.members.instance:
+                answer = await self.coordinator.begin(message)
             else:
-                answer = await self.keeper.peers.call(instance, message, min(left, ASK_TIMEOUT_S))
+                answer = await self.coordinator.peers.call(
+                    instance, message, min(left, ASK_TIMEOUT_S)
+                )
             verdict = answer.verdict
         except RelayError as error:
             if error.ran == "not_run":
                 return "unreachable"
         finally:
-            # The keeper may have granted the trial although no answer has arrived.
+            # The coordinator may have granted the trial although no answer has arrived.
             if verdict == "unknown":
                 self._report(instance, trial, "ended")
         if verdict == "trial":
@@ -113,8 +117,8 @@
 
     def _report(self, instance: str, trial: str, end: End) -> None:
         message = EndTrial(trial, self.name, end)
-        if instance == self.keeper.members.instance:
-            self.keeper.end(message)
+        if instance == self.coordinator.members.instance:
+            self.coordinator.end(message)
             return
         self.nursery.start_soon(self._send_report, instance, message)
 
@@ -123,7 +127,7 @@
         until = max(self.deadline, trio.current_time()) + REPORT_MARGIN_S
         while trio.current_time() < until:
             try:
-                await self.keeper.peers.call(instance, message, REPORT_TIMEOUT_S)
+                await self.coordinator.peers.call(instance, message, REPORT_TIMEOUT_S)
                 return
             except RelayError:
                 await trio.sleep(REPORT_RETRY_S)
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -270,7 +270,7 @@
 
 @message(14)
 class BeginTrial(NamedTuple):
-    """Asks the keeper of a fingerprint for a trial that ends within `left_ms`."""
+    """Asks the coordinator of a fingerprint for a trial that ends within `left_ms`."""
 
     trial: str
     fingerprint: str
@@ -279,7 +279,7 @@
 
 @message(15)
 class TrialVerdict(NamedTuple):
-    """Answer of a keeper: a verdict of `decide.keeper`, or `elsewhere` if it is not the keeper."""
+    """A verdict of `decide.coordinator`, or `elsewhere` if the sender is not the coordinator."""
 
     verdict: str
 
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -22,6 +22,8 @@
 SYSTEM_WORKERS = 3
 #: Features with this tag measure load or latency and run while nothing else does.
 ALONE = re.compile(r"^@alone$", re.MULTILINE)
+#: Scenarios and rows of examples, of which a feature with many takes long.
+SIZE = re.compile(r"^ *(?:Scenario|\|)", re.MULTILINE)
 SCENARIOS = re.compile(r"^(\d+ scenarios? passed.*)$", re.MULTILINE)
 COUNT = re.compile(r"(\d+) (?:scenarios? )?(passed|failed|error|skipped)")
 
@@ -75,6 +77,8 @@
     system = sorted(SYSTEM.glob("*.feature"))
     alone = [path for path in system if ALONE.search(path.read_text("utf-8"))]
     shared = [path for path in system if path not in alone]
+    # The longest first, so that no worker is left alone with one at the end.
+    shared.sort(key=lambda path: len(SIZE.findall(path.read_text("utf-8"))), reverse=True)
     unit_ports, *ranges = port_ranges(SYSTEM_WORKERS + 1)
     free = SimpleQueue()
     for ports in ranges:
--- a/tests/decide/keeper.feature
+++ b/tests/decide/coordinator.feature
@@ -1,20 +1,20 @@
-Feature: The keeper of a fingerprint's trials
-  Guards against more crashes than the bound when messages are lost, askers die and keepers change.
+Feature: The coordinator of a fingerprint's trials
+  Guards against more crashes than the bound when messages are lost, askers die and coordinators change.
 
-  Scenario: One keeper that can be reached
+  Scenario: One coordinator that can be reached
     Then a crashing request crashes at most 2 servers while askers die and reports are lost
 
-  Scenario: Keepers that change, restart or cannot be reached
-    Then each change of the keeper and each deputy allows at most one more crash
+  Scenario: Coordinators that change, restart or cannot be reached
+    Then each change of the coordinator and each standby allows at most one more crash
 
   Scenario: An asker that dies
-    Given a keeper that granted a trial for 3 s
+    Given a coordinator that granted a trial for 3 s
     Then another asker waits for 3 s, and the fingerprint is suspect after that
 
   Scenario: A report that overtakes its request
-    Given a keeper that got the report on a trial before the request for it
+    Given a coordinator that got the report on a trial before the request for it
     Then it does not grant that trial, and another asker does not wait
 
   Scenario: A late report of success
-    Given a keeper that granted a trial for 3 s
+    Given a coordinator that granted a trial for 3 s
     Then a success that is reported after 4 s does not clear the loss
--- a/tests/node/keeper.feature
+++ b/tests/node/coordinator.feature
@@ -1,4 +1,4 @@
-Feature: Trials of non-idempotent requests at their keeper
+Feature: Trials of non-idempotent requests at their coordinator
   Guards against several trials at a time in the fleet, against trials that nobody counts, and
   against requests that are refused or delayed without need.
 
@@ -7,19 +7,19 @@
     When the crashing request is sent 5 times through each instance at once
     Then it crashed 2 servers and the others were refused with "request_blocked request_blocked"
 
-  Scenario: The keeper does not answer
+  Scenario: The coordinator does not answer
     Given 3 instances that keep trials
-    When the keeper does not answer and the crashing request is sent 3 times
+    When the coordinator does not answer and the crashing request is sent 3 times
     Then it crashed 1 servers and the others were refused with "request_suspect request_suspect"
 
   Scenario: No instance answers
     Given 3 instances that keep trials
-    When neither the keeper nor its deputy answers and the request is sent 1 times
+    When neither the coordinator nor its standby answers and the request is sent 1 times
     Then it crashed 0 servers and the others were refused with "peer_unavailable"
 
-  Scenario: The answer of the keeper is lost
+  Scenario: The answer of the coordinator is lost
     Given 3 instances that keep trials
-    When the answers of the keeper are lost and the harmless request is sent twice
+    When the answers of the coordinator are lost and the harmless request is sent twice
     Then both ran, and no instance counts a loss
 
   Scenario: The asker dies during its trial
@@ -30,4 +30,4 @@
   Scenario: A proven request
     Given 3 instances that keep trials
     When the harmless request is sent 5 times through one instance
-    Then the keeper was asked 1 times
+    Then the coordinator was asked 1 times
--- a/tests/steps/answers_steps.py
+++ b/tests/steps/answers_steps.py
@@ -9,7 +9,7 @@
 import msgspec
 from behave import given, then, when
 
-from rattanrelay.decide.keeper import keepers
+from rattanrelay.decide.coordinator import coordinators
 from rattanrelay.decide.proven import request_fingerprint
 from rattanrelay.emulator.answers import ANSWER_FAULTS
 from rattanrelay.emulator.corpus import canonical, query_digest
@@ -637,14 +637,18 @@
             send(client)
 
 
-@when("the keeper is killed at crash {count:d} and the reservation is resent for {seconds:g} s")
-def kill_keeper(context, seconds, count):
+@when(
+    "the coordinator is killed at crash {count:d} and the reservation is resent for {seconds:g} s"
+)
+def kill_coordinator(context, seconds, count):
     action = {"reserve": context.marker}
     entries = context.fleet.entries
-    keeper, deputy = keepers(entries, request_fingerprint(context.service, canonical(action)))
+    coordinator, standby = coordinators(
+        entries, request_fingerprint(context.service, canonical(action))
+    )
     while crashes(context) < count:
-        act(context, entries[deputy].caller_client, ActionKey.new(), action=action)
-    entries[keeper].process.kill()
+        act(context, entries[standby].caller_client, ActionKey.new(), action=action)
+    entries[coordinator].process.kill()
     end = time.time() + seconds
     while time.time() < end:
         for entry in running(context.fleet):
--- a/tests/steps/keeper_decide_steps.py
+++ b/tests/steps/coordinator_decide_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the decisions of the keeper of trials: a model fleet whose request always crashes."""
+"""Steps for the coordinator of trials: a model fleet whose request always crashes."""
 
 import math
 
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from rattanrelay.decide.canary import BLOCK_S, Canary
-from rattanrelay.decide.keeper import TrialKeeper, keepers
+from rattanrelay.decide.coordinator import TrialCoordinator, coordinators
 from rattanrelay.decide.lease import LEASE_S, majority
 
 NAME = "f"
@@ -26,7 +26,7 @@
 
     def __init__(self, view):
         self.canary = Canary()
-        self.keeper = TrialKeeper(self.canary)
+        self.coordinator = TrialCoordinator(self.canary)
         self.view = view
         self.quorum_at = 0.0
 
@@ -43,9 +43,9 @@
         self.view = (0, NAMES[:3])
         self.fleet = {name: Process(self.view) for name in NAMES}
         self.cut = None
-        #: Start and end of each time in which a deputy answered, and the deputies of now.
+        #: Start and end of each time in which a standby answered, and the standbys of now.
         self.spells = []
-        self.deputies = set()
+        self.standbys = set()
         self.newcomer = None
         self.running = []
         self.numbers = 0
@@ -53,19 +53,19 @@
         self.allowed = []
 
     def ask(self, asker, answered):
-        """Ask the keeper, then its deputy; without an answer a trial may be granted in vain."""
-        for rank, name in enumerate(keepers(self.fleet[asker].view[1], NAME)):
+        """Ask the coordinator, then its standby; unanswered, a trial may be granted in vain."""
+        for rank, name in enumerate(coordinators(self.fleet[asker].view[1], NAME)):
             if self._begin(asker, name, answered) != "unreachable":
                 self._note_answer(name, rank)
                 return
 
     def _note_answer(self, name, rank):
-        """Note which deputies answer until the keeper does so again."""
-        if rank and name not in self.deputies:
-            self.deputies.add(name)
+        """Note which standbys answer until the coordinator does so again."""
+        if rank and name not in self.standbys:
+            self.standbys.add(name)
             self.spells.append([self.now, math.inf])
-        elif not rank and self.deputies:
-            self.deputies.clear()
+        elif not rank and self.standbys:
+            self.standbys.clear()
             for spell in self.spells:
                 spell[1] = min(spell[1], self.now)
 
@@ -73,14 +73,17 @@
         if asker != name and self._apart(asker, name):
             return "unreachable"
         process = self.fleet[name]
-        if name not in keepers(process.view[1], NAME) or self.now > process.quorum_at + LEASE_S:
+        if (
+            name not in coordinators(process.view[1], NAME)
+            or self.now > process.quorum_at + LEASE_S
+        ):
             return "unreachable"
         self.numbers += 1
         trial = f"t{self.numbers}"
-        verdict = process.keeper.begin(NAME, trial, RUN_S + MARGIN_S, self.now)
+        verdict = process.coordinator.begin(NAME, trial, RUN_S + MARGIN_S, self.now)
         if verdict == "confirm":
             complete = self._share(name)
-            verdict = process.keeper.confirm(NAME, trial, self.now, complete=complete)
+            verdict = process.coordinator.confirm(NAME, trial, self.now, complete=complete)
         if verdict == "trial" and answered:
             self.running.append((asker, name, trial, self.now + RUN_S))
         if not answered:
@@ -93,7 +96,7 @@
             if self._apart(name, other):
                 complete = False
                 continue
-            self.fleet[other].keeper.expire(self.now)
+            self.fleet[other].coordinator.expire(self.now)
             mine, theirs = self.fleet[name].canary, self.fleet[other].canary
             theirs.merge(mine.known(NAME, self.now), self.now)
             mine.merge(theirs.known(NAME, self.now), self.now)
@@ -105,14 +108,14 @@
             return
         asker, name, trial, _ = self.running.pop(pick % len(self.running))
         if kind == "not run":
-            self.fleet[name].keeper.end(NAME, trial, "ended", self.now)
+            self.fleet[name].coordinator.end(NAME, trial, "ended", self.now)
             return
         self.crashes.append(self.now)
         if kind == "asker died":
             return
         self.fleet[asker].canary.lost(NAME, trial, self.now)
         if kind == "reported" and not self._apart(asker, name):
-            self.fleet[name].keeper.end(NAME, trial, "lost", self.now)
+            self.fleet[name].coordinator.end(NAME, trial, "lost", self.now)
 
     def run(self, asker):
         """Send a request; a trial crashes at once and is reported."""
@@ -147,7 +150,7 @@
         changed = (*members, name) if joins else tuple(one for one in members if one != name)
         if len(changed) < 2:
             return
-        if keepers(changed, NAME)[0] != keepers(members, NAME)[0]:
+        if coordinators(changed, NAME)[0] != coordinators(members, NAME)[0]:
             self._allow()
         self.view = (epoch + 1, changed)
         if joins:
@@ -156,11 +159,11 @@
     def restart(self, name):
         """Replace a process; what it knew is lost."""
         self._welcome()
-        if name == keepers(self.view[1], NAME)[0]:
+        if name == coordinators(self.view[1], NAME)[0]:
             self._allow()
         self.fleet[name] = Process(self.view)
         self.newcomer = name
-        self.deputies.discard(name)
+        self.standbys.discard(name)
 
     def cut_off(self, name):
         """Cut a process off from the others, or end that."""
@@ -175,9 +178,9 @@
         for name in NAMES:
             self.adopt(name)
 
-    def replace_keeper(self):
-        """Remove the keeper; all processes adopt the view at once."""
-        self.change(keepers(self.view[1], NAME)[0])
+    def replace_coordinator(self):
+        """Remove the coordinator; all processes adopt the view at once."""
+        self.change(coordinators(self.view[1], NAME)[0])
         self.adopt_all()
 
     def check(self):
@@ -229,12 +232,12 @@
 )
 
 
-#: Short runs in which the keeper is replaced between reported losses, the case that the exchange of
-#: losses before a second trial guards against.
+#: Short runs in which the coordinator is replaced between reported losses, the case that the
+#: exchange of losses before a second trial guards against.
 REPLACEMENTS = (
     st.tuples(st.just("run"), ASKER),
     st.tuples(st.just("run"), ASKER),
-    st.tuples(st.just("replace_keeper")),
+    st.tuples(st.just("replace_coordinator")),
     st.tuples(st.just("cut_off"), ASKER),
 )
 
@@ -263,7 +266,7 @@
     assert max(most) == count, max(most)
 
 
-@then("each change of the keeper and each deputy allows at most one more crash")
+@then("each change of the coordinator and each standby allows at most one more crash")
 def changing_bound(context):
     longer = st.lists(st.one_of(*STEADY, ASKS, ASKS, *CHANGES), min_size=10, max_size=80)
     shorter = st.lists(st.one_of(*REPLACEMENTS), min_size=5, max_size=20)
@@ -277,38 +280,38 @@
         check()
 
 
-@given("a keeper that granted a trial for {seconds:g} s")
+@given("a coordinator that granted a trial for {seconds:g} s")
 def granted(context, seconds):
-    context.keeper = TrialKeeper(Canary())
-    assert context.keeper.begin(NAME, "t1", seconds, 0.0) == "trial"
+    context.coordinator = TrialCoordinator(Canary())
+    assert context.coordinator.begin(NAME, "t1", seconds, 0.0) == "trial"
 
 
 @then("another asker waits for {seconds:g} s, and the fingerprint is suspect after that")
 def waits_for_lease(context, seconds):
-    keeper = context.keeper
-    assert keeper.begin(NAME, "t2", 1.0, seconds - 0.01) == "wait"
-    assert keeper.expire(seconds) == [NAME]
-    assert keeper.begin(NAME, "t3", 1.0, seconds) == "confirm"
-    assert keeper.confirm(NAME, "t3", seconds, complete=False) == "suspect"
-    assert keeper.begin(NAME, "t4", 1.0, seconds) == "confirm"
-    assert keeper.confirm(NAME, "t4", seconds, complete=True) == "trial"
+    coordinator = context.coordinator
+    assert coordinator.begin(NAME, "t2", 1.0, seconds - 0.01) == "wait"
+    assert coordinator.expire(seconds) == [NAME]
+    assert coordinator.begin(NAME, "t3", 1.0, seconds) == "confirm"
+    assert coordinator.confirm(NAME, "t3", seconds, complete=False) == "suspect"
+    assert coordinator.begin(NAME, "t4", 1.0, seconds) == "confirm"
+    assert coordinator.confirm(NAME, "t4", seconds, complete=True) == "trial"
 
 
-@given("a keeper that got the report on a trial before the request for it")
+@given("a coordinator that got the report on a trial before the request for it")
 def overtaken(context):
-    context.keeper = TrialKeeper(Canary())
-    context.keeper.end(NAME, "t1", "ended", 0.0)
+    context.coordinator = TrialCoordinator(Canary())
+    context.coordinator.end(NAME, "t1", "ended", 0.0)
 
 
 @then("it does not grant that trial, and another asker does not wait")
 def not_granted(context):
-    assert context.keeper.begin(NAME, "t1", 3.0, 0.1) == "wait"
-    assert context.keeper.begin(NAME, "t2", 3.0, 0.1) == "trial"
+    assert context.coordinator.begin(NAME, "t1", 3.0, 0.1) == "wait"
+    assert context.coordinator.begin(NAME, "t2", 3.0, 0.1) == "trial"
 
 
 @then("a success that is reported after {seconds:g} s does not clear the loss")
 def late_success(context, seconds):
-    context.keeper.expire(seconds)
-    context.keeper.end(NAME, "t1", "succeeded", seconds)
-    assert context.keeper.canary.is_suspect(NAME, seconds)
-    assert not context.keeper.canary.is_proven(NAME, seconds)
+    context.coordinator.expire(seconds)
+    context.coordinator.end(NAME, "t1", "succeeded", seconds)
+    assert context.coordinator.canary.is_suspect(NAME, seconds)
+    assert not context.coordinator.canary.is_proven(NAME, seconds)
--- a/tests/steps/keeper_steps.py
+++ b/tests/steps/coordinator_steps.py
@@ -1,4 +1,4 @@
-"""Steps for the tasks around the keeper of trials: several instances over direct calls."""
+"""Steps for the tasks around the coordinator of trials: several instances over direct calls."""
 
 from collections import Counter
 
@@ -6,11 +6,11 @@
 import trio.testing
 from behave import given, then, when
 
-from rattanrelay.decide.keeper import keepers
+from rattanrelay.decide.coordinator import coordinators
 from rattanrelay.decide.proven import request_fingerprint
 from rattanrelay.errors import RelayError
-from rattanrelay.node.keeper import TRIAL_MARGIN_S, Keeper
-from rattanrelay.node.kept_trial import KeptTrial
+from rattanrelay.node.coordinator import TRIAL_MARGIN_S, Coordinator
+from rattanrelay.node.leased_trial import LeasedTrial
 from rattanrelay.node.ports import Member
 from rattanrelay.node.subrequest import Outcome
 from rattanrelay.node.trials import Trials
@@ -54,25 +54,25 @@
 
 
 class World:
-    """Instances with their keepers, and the servers that a request has crashed."""
+    """Instances with their coordinators, and the servers that a request has crashed."""
 
     def __init__(self, count):
         names = [f"i{number}" for number in range(count)]
-        self.first, self.deputy = keepers(names, NAME)
-        self.other = next(name for name in names if name not in (self.first, self.deputy))
+        self.first, self.standby = coordinators(names, NAME)
+        self.other = next(name for name in names if name not in (self.first, self.standby))
         self.silent, self.mute = set(), set()
         self.counts = Counter()
         self.crashes, self.done, self.begun = 0, 0, []
         self.refusals = []
-        self.keepers, self.handlers = {}, {}
+        self.coordinators, self.handlers = {}, {}
         for name in names:
-            self.keepers[name] = Keeper(Trials(name), View(name, names), Calls(self))
+            self.coordinators[name] = Coordinator(Trials(name), View(name, names), Calls(self))
             self.handlers[name] = Handlers()
-            self.keepers[name].register(self.handlers[name])
+            self.coordinators[name].register(self.handlers[name])
 
     async def send(self, name, *, crash, deadline_s=DEADLINE_S, dies=False):
         """Send the request through an instance."""
-        trial = KeptTrial(self.keepers[name], self.nursery, SERVICE, BODY)
+        trial = LeasedTrial(self.coordinators[name], self.nursery, SERVICE, BODY)
         reason = await trial.begin(trio.current_time() + deadline_s)
         if reason:
             self.refusals.append(reason)
@@ -88,8 +88,8 @@
     async def keep_house(self):
         while True:
             await trio.sleep(0.25)
-            for keeper in self.keepers.values():
-                keeper.expire()
+            for coordinator in self.coordinators.values():
+                coordinator.expire()
 
     def run(self, scenario):
         async def main():
@@ -114,7 +114,7 @@
     async def scenario(world):
         for _ in range(count):
             async with trio.open_nursery() as nursery:
-                for name in world.keepers:
+                for name in world.coordinators:
                     nursery.start_soon(lambda name=name: world.send(name, crash=True))
 
     context.world.run(scenario)
@@ -125,15 +125,15 @@
         await world.send(world.other, crash=True)
 
 
-@when("the keeper does not answer and the crashing request is sent {count:d} times")
-def silent_keeper(context, count):
+@when("the coordinator does not answer and the crashing request is sent {count:d} times")
+def silent_coordinator(context, count):
     context.world.silent = {context.world.first}
     context.world.run(lambda world: _send_in_turn(world, count))
 
 
-@when("neither the keeper nor its deputy answers and the request is sent {count:d} times")
+@when("neither the coordinator nor its standby answers and the request is sent {count:d} times")
 def all_silent(context, count):
-    context.world.silent = {context.world.first, context.world.deputy}
+    context.world.silent = {context.world.first, context.world.standby}
     context.world.run(lambda world: _send_in_turn(world, count))
 
 
@@ -144,13 +144,13 @@
     assert found.refusals[-2:] == reasons.split(), found.refusals
 
 
-@when("the answers of the keeper are lost and the harmless request is sent twice")
-def mute_keeper(context):
+@when("the answers of the coordinator are lost and the harmless request is sent twice")
+def mute_coordinator(context):
     async def scenario(world):
         world.mute = {world.first}
         await world.send(world.other, crash=False, deadline_s=3.0)
         world.mute = set()
-        await world.send(world.deputy, crash=False)
+        await world.send(world.standby, crash=False)
         await trio.sleep(10)
 
     context.world.run(scenario)
@@ -161,14 +161,14 @@
     found = context.world
     assert (found.done, found.refusals) == (2, []), (found.done, found.refusals)
     assert found.counts[EndTrial, found.first] >= 1
-    assert not any(one.trials.canary.known(NAME, 0.0) for one in found.keepers.values())
+    assert not any(one.trials.canary.known(NAME, 0.0) for one in found.coordinators.values())
 
 
 @when("the asker dies during its trial and another one asks with {left:g} s left")
 def dying_asker(context, left):
     async def scenario(world):
         await world.send(world.other, crash=True, dies=True)
-        await world.send(world.deputy, crash=True, deadline_s=left)
+        await world.send(world.standby, crash=True, deadline_s=left)
 
     context.world.run(scenario)
 
@@ -178,7 +178,7 @@
     first, second = context.world.begun
     assert second >= first - HOP_S + DEADLINE_S + TRIAL_MARGIN_S, (first, second)
     assert context.world.crashes == 2
-    assert context.world.keepers[context.world.first].trials.canary.is_blocked(NAME, second)
+    assert context.world.coordinators[context.world.first].trials.canary.is_blocked(NAME, second)
 
 
 @when("the harmless request is sent {count:d} times through one instance")
@@ -190,7 +190,7 @@
     context.world.run(scenario)
 
 
-@then("the keeper was asked {count:d} times")
+@then("the coordinator was asked {count:d} times")
 def asked(context, count):
     found = context.world
     assert found.done == 5
--- a/tests/system/crashing_request.feature
+++ b/tests/system/crashing_request.feature
@@ -1,7 +1,7 @@
 Feature: A request that crashes servers does so only a few times
   Guards against a request that takes one server after another down, and against protection that
   hurts other callers. The crashes that the searchers recorded are the judge. The bound of 2 is the
-  one for a view that does not change during the scenario; each change of the keeper allows one more.
+  one for a view that does not change during the scenario; each change of the coordinator allows one more.
 
   Scenario: A crashing query is sent again and again through every instance
     Given a small fleet of "nl-midden" with service "register-search"
@@ -22,10 +22,10 @@
     Then at most 2 crashes were recorded
     And a changed reservation is done through each instance
 
-  Scenario Outline: The keeper of the trials of a crashing reservation is killed
+  Scenario Outline: The coordinator of the trials of a crashing reservation is killed
     Given a proxied fleet of 3 searchers of "sample-booking"
     And every searcher crashes on a query that contains "poison"
-    When the keeper is killed at crash <count> and the reservation is resent for 8 s
+    When the coordinator is killed at crash <count> and the reservation is resent for 8 s
     Then at most 3 crashes were recorded
     And a changed reservation is done through each instance
 
