--- a/rattanrelay/decide/settling.py
+++ b/rattanrelay/decide/settling.py
@@ -60,18 +60,7 @@
         first = self.table is None
         self.table = table
         replaced: Replaced = {}
-        domains: dict[str, list[str] | None] = {}
-        services: dict[str, set[str] | None] = {}
-        for name in _changed(old.servers, table.servers, _server_cells):
-            before = old.servers.get(name)
-            after = table.servers.get(name)
-            if before is not None:
-                self._remove(before, after, replaced)
-                domains.setdefault(before.failure_domain, [])
-                services.setdefault(before.service, set())
-            if after is not None:
-                self._add(after)
-                domains.setdefault(after.failure_domain, []).append(name)
+        domains, services = self._move_servers(old, table, replaced)
         whole_domains, whole_services = self._affected(old, table)
         domains.update(dict.fromkeys(whole_domains))
         for name, servers in domains.items():
@@ -85,6 +74,28 @@
             self.changes.append((until, replaced))
             self._sum_extra()
 
+    def _move_servers(
+        self, old: Table, new: Table, replaced: Replaced
+    ) -> tuple[dict[str, list[str] | None], dict[str, set[str] | None]]:
+        """Regroup the changed servers.
+
+        Returns the domains with the servers that are new in them, and the services that lost
+        servers with an empty set of searchers.
+        """
+        domains: dict[str, list[str] | None] = {}
+        services: dict[str, set[str] | None] = {}
+        for name in _changed(old.servers, new.servers, _server_cells):
+            before = old.servers.get(name)
+            after = new.servers.get(name)
+            if before is not None:
+                self._remove(before, after, replaced)
+                domains.setdefault(before.failure_domain, [])
+                services.setdefault(before.service, set())
+            if after is not None:
+                self._add(after)
+                domains.setdefault(after.failure_domain, []).append(name)
+        return domains, services
+
     def expire(self, now: float) -> None:
         """Drop the tables that are not in use any more."""
         if now < self.next_expiry():
--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -21,7 +21,7 @@
 
 
 class Handlers:
-    """Handlers of one node by message type, filled by decorators."""
+    """Handlers of one instance by message type, filled by decorators."""
 
     def __init__(self) -> None:
         self.calls: dict[type, Callable] = {}
