Follow documents and the view by one loop

Cause: the loops that watch a key stood twice, in node/documents.py and node/view_store.py, with their constants; the early end of unwanted watches had to be added to both. Change: store.follow holds the loop, the number of watchers and the pauses; the two tasks give it what to do with an entry, a missing key and an error.

--- a/rattanrelay/node/documents.py
+++ b/rattanrelay/node/documents.py
@@ -1,6 +1,7 @@
 """The documents task: table and catalogs, their propagation, and edits in the store."""
 
 from collections.abc import Callable, Iterable
+from functools import partial
 from random import Random
 from typing import Literal, NamedTuple
 
@@ -12,7 +13,7 @@
 from ..decide.succession import Weights
 from ..errors import RelayError
 from ..log import event
-from ..store import Entry, StoreClient, watch_while
+from ..store import WATCHERS, Entry, StoreClient, follow
 from ..store.backoff import Backoff
 from ..store.client import ABSENT
 from ..table import Catalog, Table, decode_catalog, decode_table
@@ -26,8 +27,6 @@
 TABLE_NAME = "table"
 CATALOG_PREFIX = "catalog/"
 
-WATCHERS = 2
-WATCH_PAUSE_S = 1.0
 #: Names of new catalogs are listed this often by the watchers.
 LIST_EVERY_S = 30.0
 PULL_TIMEOUT_S = 1.0
@@ -374,7 +373,7 @@
                 for name in await self.store.list(CATALOG_PREFIX):
                     await self._refresh(name)
             except RelayError as error:
-                event("documents.store_error", code=error.code, error=error.message)
+                _log_failure(error)
                 await trio.sleep(backoff.failed())
                 continue
             self.readiness.store_read = True
@@ -388,7 +387,7 @@
                 for name in await self.store.list(CATALOG_PREFIX):
                     self._start_watch(name)
             except RelayError as error:
-                event("documents.store_error", code=error.code, error=error.message)
+                _log_failure(error)
 
     def _watches(self) -> bool:
         """Say whether this instance is one of the watchers of the documents."""
@@ -401,28 +400,19 @@
 
     async def _watch(self, name: str) -> None:
         """Follow one document in the store while this instance is one of the watchers."""
-        version = ABSENT
-        backoff = Backoff(self.rng)
-        while True:
-            if not self._watches():
-                await trio.sleep(WATCH_PAUSE_S)
-                continue
-            started = trio.current_time()
-            try:
-                entry = await watch_while(self.store, name, version, self._watches)
-                backoff.succeeded()
-                if entry is not None:
-                    await self._take(name, _stored(name, entry))
-                    version = entry.version
-                    continue
-                if trio.current_time() < started + WATCH_PAUSE_S:
-                    # A watch that ends early found no such key.
-                    await self._refresh(name)
-            except RelayError as error:
-                event("documents.store_error", code=error.code, error=error.message)
-                await trio.sleep(backoff.failed())
-                continue
-            await trio.sleep(WATCH_PAUSE_S)
+
+        async def take(entry: Entry) -> None:
+            await self._take(name, _stored(name, entry))
+
+        await follow(
+            self.store,
+            name,
+            wanted=self._watches,
+            take=take,
+            missing=partial(self._refresh, name),
+            failed=_log_failure,
+            backoff=Backoff(self.rng),
+        )
 
     async def _refresh(self, name: str) -> None:
         await self._take(name, await self._read(name))
@@ -454,6 +444,10 @@
         return _stored(name, entry) if entry else _Stored(ABSENT, None)
 
 
+def _log_failure(error: RelayError) -> None:
+    event("documents.store_error", code=error.code, error=error.message)
+
+
 def _weights(table: Table) -> Weights:
     weights = {name: row.weight for name, row in table.instances.items()}
     return Weights(table.revision, weights)
--- a/rattanrelay/node/members.py
+++ b/rattanrelay/node/members.py
@@ -28,7 +28,7 @@
 from .heartbeat import HeartbeatForm, revisions
 from .peers import Peers
 from .ports import Latest
-from .view_store import ViewStore
+from .view_store import ViewStore, log_store_error
 
 __all__ = ["Members"]
 
@@ -411,7 +411,7 @@
                 elif isinstance(order, ReadStore):
                     await self._refresh()
             except RelayError as error:
-                event("members.store_error", code=error.code, error=error.message)
+                log_store_error(error)
 
     async def _refresh(self) -> None:
         """Read the view from the store, and from the platform's contacts while outside."""
--- a/rattanrelay/node/view_store.py
+++ b/rattanrelay/node/view_store.py
@@ -10,14 +10,11 @@
 from ..decide.membership import Propose
 from ..errors import RelayError
 from ..log import event
-from ..store import Entry, StoreClient, watch_while
+from ..store import WATCHERS, Entry, StoreClient, follow
 from ..store.backoff import Backoff
 from ..store.client import ABSENT
 
-__all__ = ["ViewStore"]
-
-WATCHERS = 2
-WATCH_PAUSE_S = 1.0
+__all__ = ["ViewStore", "log_store_error"]
 
 
 class ViewStore:
@@ -77,27 +74,15 @@
 
     async def watch(self) -> None:
         """While this instance is a watcher, adopt each stored view or restore the newer one."""
-        version = ABSENT
-        while True:
-            if not self._watches():
-                await trio.sleep(WATCH_PAUSE_S)
-                continue
-            started = trio.current_time()
-            try:
-                entry = await watch_while(self.store, self.key, version, self._watches)
-                self.backoff.succeeded()
-                if entry is not None:
-                    await self._check(entry)
-                    version = entry.version
-                    continue
-                if trio.current_time() < started + WATCH_PAUSE_S:
-                    # A watch that ends early found no such key.
-                    await self._restore()
-            except RelayError as error:
-                event("members.store_error", code=error.code, error=error.message)
-                await trio.sleep(self.backoff.failed())
-                continue
-            await trio.sleep(WATCH_PAUSE_S)
+        await follow(
+            self.store,
+            self.key,
+            wanted=self._watches,
+            take=self._check,
+            missing=self._restore,
+            failed=log_store_error,
+            backoff=self.backoff,
+        )
 
     def _watches(self) -> bool:
         return self.chosen("watch", WATCHERS)
@@ -144,3 +129,8 @@
         except msgspec.DecodeError as error:
             event("members.bad_view", error=str(error), version=entry.version)
             return None
+
+
+def log_store_error(error: RelayError) -> None:
+    """Log a call that the store did not answer."""
+    event("members.store_error", code=error.code, error=error.message)
--- a/rattanrelay/store/__init__.py
+++ b/rattanrelay/store/__init__.py
@@ -1,6 +1,6 @@
 """Client of the platform's key-value service."""
 
 from .client import Entry, StoreClient
-from .watching import watch_while
+from .watching import WATCHERS, follow, watch_while
 
-__all__ = ["Entry", "StoreClient", "watch_while"]
+__all__ = ["WATCHERS", "Entry", "StoreClient", "follow", "watch_while"]
--- a/rattanrelay/store/watching.py
+++ b/rattanrelay/store/watching.py
@@ -1,18 +1,60 @@
-"""Watches that end when this instance is no longer one of those that should watch."""
+"""Following keys of the store, by the few instances that are chosen to watch them."""
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
 from ..errors import RelayError
-from .client import Entry, StoreClient
+from .backoff import Backoff
+from .client import ABSENT, Entry, StoreClient
 
-__all__ = ["watch_while"]
+__all__ = ["WATCHERS", "follow", "watch_while"]
 
-#: Time between looks whether the watch is still wanted.
+#: Instances of a cell that watch each document.
+WATCHERS = 2
+PAUSE_S = 1.0
+#: Time between looks whether a waiting watch is still wanted.
 LOOK_S = 0.5
 
 
+async def follow(
+    store: StoreClient,
+    key: str,
+    *,
+    wanted: Callable[[], bool],
+    take: Callable[[Entry], Awaitable[None]],
+    missing: Callable[[], Awaitable[None]],
+    failed: Callable[[RelayError], None],
+    backoff: Backoff,
+) -> None:
+    """Give each new entry of a key to `take` while `wanted()` is true, until cancelled.
+
+    `missing` is called when the store has no such key, and `failed` with each error of a call,
+    after which `backoff` sets the pause.
+    """
+    version = ABSENT
+    while True:
+        if not wanted():
+            await trio.sleep(PAUSE_S)
+            continue
+        started = trio.current_time()
+        try:
+            entry = await watch_while(store, key, version, wanted)
+            backoff.succeeded()
+            if entry is not None:
+                await take(entry)
+                version = entry.version
+                continue
+            if trio.current_time() < started + PAUSE_S:
+                # A watch that ends early found no such key.
+                await missing()
+        except RelayError as error:
+            failed(error)
+            await trio.sleep(backoff.failed())
+            continue
+        await trio.sleep(PAUSE_S)
+
+
 async def watch_while(
     store: StoreClient, key: str, after: int, wanted: Callable[[], bool]
 ) -> Entry | None:
