Take out logic that stood twice in trials, stand-ins and stops

Cause: a review of the whole change found the same rules in two places. Change: both kinds of trials use one reading of an outcome, one way to note it and one table of refusals; the emulated store and instance list share the loop that serves again after an outage; a drain phase without a limit of its own has an infinite one in place of None; heartbeats sent are stripped of defaults once instead of twice; a wrapper in cli/options.py is gone, and NEVER is imported from where it is defined.

--- a/rattanrelay/cli/options.py
+++ b/rattanrelay/cli/options.py
@@ -48,11 +48,7 @@
 
 def admin_command(*words: str) -> Callable[[Command], Command]:
     """Register a command whose first parameter is an `AdminClient` from its options."""
-
-    def connect(admin: str, token_file: str) -> AdminClient:
-        return open_admin(admin, token_file)
-
-    return _command(words, ADMIN_OPTIONS, connect)
+    return _command(words, ADMIN_OPTIONS, open_admin)
 
 
 def edit_command(*words: str) -> Callable[[Command], Command]:
--- a/rattanrelay/emulator/endpoint.py
+++ b/rattanrelay/emulator/endpoint.py
@@ -71,6 +71,18 @@
             limits = HttpLimits(max_body=MAX_BODY_BYTES, idle_timeout=IDLE_TIMEOUT_S)
             await serve_http(self.handler, [gate], limits=limits)
 
+    async def serve_whenever_open(
+        self, wait_open: Callable[[], Awaitable[None]], task_status=trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Serve until cancelled; after each `shut`, again once `wait_open()` has returned."""
+        try:
+            await self.serve_until_shut(task_status)
+            while True:
+                await wait_open()
+                await self.serve_until_shut()
+        finally:
+            self.release()
+
     def shut(self) -> None:
         """Reset all connections and refuse new ones; handlers in progress are cancelled."""
         for stream in self.streams.values():
--- a/rattanrelay/emulator/instances.py
+++ b/rattanrelay/emulator/instances.py
@@ -54,13 +54,7 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled, except while it is down."""
-        try:
-            await self.endpoint.serve_until_shut(task_status)
-            while True:
-                await self.reopened.wait()
-                await self.endpoint.serve_until_shut()
-        finally:
-            self.endpoint.release()
+        await self.endpoint.serve_whenever_open(lambda: self.reopened.wait(), task_status)
 
     def set_down(self, down: bool) -> None:
         """Refuse connections, or serve again."""
--- a/rattanrelay/emulator/store.py
+++ b/rattanrelay/emulator/store.py
@@ -73,14 +73,11 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled, except while `down` is `refuse`."""
-        try:
-            await self.endpoint.serve_until_shut(task_status)
-            while True:
-                while self.faults.down == "refuse":
-                    await self.faults_changed.wait()
-                await self.endpoint.serve_until_shut()
-        finally:
-            self.endpoint.release()
+        await self.endpoint.serve_whenever_open(self._wait_open, task_status)
+
+    async def _wait_open(self) -> None:
+        while self.faults.down == "refuse":
+            await self.faults_changed.wait()
 
     def set_faults(self, faults: StoreFaults) -> None:
         """Put faults in force, from the next call on."""
--- a/rattanrelay/node/drain.py
+++ b/rattanrelay/node/drain.py
@@ -1,5 +1,6 @@
 """Planned stop of one instance: runs the phases of the chart `drain`, each in bounded time."""
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple, Protocol
 
@@ -71,8 +72,8 @@
 
 class _Phase(NamedTuple):
     run: Callable[[DrainPort], Awaitable[None]]
-    #: Time limit in seconds, None for that of the settings.
-    limit: float | None
+    #: Time limit in seconds; `stop_timeout` bounds all phases.
+    limit: float
     needs_store: bool
 
 
@@ -80,7 +81,7 @@
 PHASES: dict[str, _Phase] = {}
 
 
-def _phase(state: str, limit: float | None, *, needs_store: bool = False):
+def _phase(state: str, limit: float, *, needs_store: bool = False):
     def register(run: Callable[[DrainPort], Awaitable[None]]):
         PHASES[state] = _Phase(run, limit, needs_store)
         return run
@@ -88,7 +89,7 @@
     return register
 
 
-@_phase("not_ready", None)
+@_phase("not_ready", math.inf)
 async def _wait_for_balancer(port: DrainPort) -> None:
     port.stop_ready()
     await trio.sleep(port.balancer_grace)
@@ -175,8 +176,7 @@
 
     async def _run_phase(self, deadline: float) -> None:
         phase = PHASES[self.state]
-        limit = self._limit(phase)
-        with trio.move_on_at(min(trio.current_time() + limit, deadline)) as scope:
+        with trio.move_on_at(min(trio.current_time() + phase.limit, deadline)) as scope:
             await phase.run(self.port)
         if not scope.cancelled_caught:
             self._end_phase("done")
@@ -185,9 +185,6 @@
         else:
             self._end_phase("timed_out")
 
-    def _limit(self, phase: _Phase) -> float:
-        return self.stop_timeout if phase.limit is None else phase.limit
-
     def _end_phase(self, ended: str) -> None:
         phase = self.state
         seconds = round(trio.current_time() - self.entered, 3)
--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -14,10 +14,11 @@
 from ..metrics import Metrics
 from ..table import ServiceRow, Table, TenantRow
 from ..wire import Action, ActionResult
+from .attempts import NEVER
 from .plan import Plan, build_plan
 from .ports import ClaimsPort, Configuration, DispatchPort, Latest, MembersPort, PeersPort
 from .query import Answer, Query
-from .scatter import NEVER, Scatter, ScatterPorts
+from .scatter import Scatter, ScatterPorts
 from .service_state import ServiceState
 
 __all__ = ["Entry"]
--- a/rattanrelay/node/heartbeat.py
+++ b/rattanrelay/node/heartbeat.py
@@ -35,7 +35,7 @@
 
     def received(self, message: Heartbeat | HeartbeatAck) -> None:
         """Count a message that arrived."""
-        self._count("in", message)
+        self._count("in", _sparse(message))
 
     def answered(self, by: Identity, ack: HeartbeatAck, *, agreed: bool) -> None:
         """Take whether a process has acknowledged the adopted epoch."""
@@ -59,12 +59,13 @@
         )
 
     def _out(self, message):
+        message = _sparse(message)
         self._count("out", message)
-        return _sparse(message)
+        return message
 
     def _count(self, direction: str, message: tuple) -> None:
         self.traffic[f"{direction}_messages"] += 1
-        frame = encode_frame(FrameKind.CALL, 0, _sparse(message))
+        frame = encode_frame(FrameKind.CALL, 0, message)
         self.traffic[f"{direction}_bytes"] += len(frame)
 
 
--- a/rattanrelay/node/leased_trial.py
+++ b/rattanrelay/node/leased_trial.py
@@ -11,7 +11,7 @@
 from ..wire import BeginTrial, EndTrial
 from .coordinator import REPORT_MARGIN_S, Coordinator
 from .subrequest import Outcome
-from .trials import was_lost
+from .trials import REFUSALS, end_of
 
 __all__ = ["LeasedTrial"]
 
@@ -23,9 +23,6 @@
 REPORT_TIMEOUT_S = 0.3
 REPORT_RETRY_S = 0.05
 
-#: Why a request may not run, by the verdict of the coordinator.
-REFUSALS = {"blocked": "request_blocked", "suspect": "request_suspect"}
-
 
 class LeasedTrial:
     """One non-idempotent request that runs as a trial unless its fingerprint is proven here.
@@ -69,16 +66,8 @@
         if self.granted is None:
             return
         (instance, trial), self.granted = self.granted, None
-        now = trio.current_time()
-        canary = self.trials.canary
-        end: End = "ended"
-        if not outcome.reason:
-            end = "succeeded"
-            canary.succeeded(self.name, now)
-        elif was_lost(outcome):
-            end = "lost"
-            blocked = canary.lost(self.name, trial, now)
-            event("server_lost_in_trial", fingerprint=self.name, blocked=blocked)
+        end = end_of(outcome)
+        self.trials.note(self.name, end, trial)
         self._report(instance, trial, end)
 
     async def _ask_coordinators(self) -> str:
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -27,7 +27,7 @@
 from .retries import Retries
 from .service_state import ServiceState
 
-__all__ = ["CONGESTION", "NEVER", "Scatter", "ScatterPorts"]
+__all__ = ["CONGESTION", "Scatter", "ScatterPorts"]
 
 #: Reasons that signal congestion of a service.
 CONGESTION = frozenset({"queue_full", "shedding"})
--- a/rattanrelay/node/trials.py
+++ b/rattanrelay/node/trials.py
@@ -5,16 +5,17 @@
 import trio
 
 from ..decide.canary import Canary
+from ..decide.coordinator import End
 from ..decide.proven import request_fingerprint
 from ..log import event
 from .subrequest import Outcome
 
-__all__ = ["SECOND_TRIAL", "Trial", "Trials", "was_lost"]
+__all__ = ["REFUSALS", "SECOND_TRIAL", "Trial", "Trials", "end_of"]
 
 #: Kind of a sub-query whose first trial lost a server; a second loss blocks its fingerprint.
 SECOND_TRIAL = "suspect"
 
-
+#: Why a request may not run, by the verdict on its trial.
 REFUSALS = {"blocked": "request_blocked", "suspect": "request_suspect"}
 
 
@@ -31,6 +32,15 @@
         """Return an id of a trial, which is also the id of its loss."""
         return f"{self.prefix}.{next(self.numbers)}"
 
+    def note(self, name: str, end: End, loss: str = "", *, second: bool = False) -> None:
+        """Take what a trial showed here; `loss` is the id of a loss, a new one if it is empty."""
+        now = trio.current_time()
+        if end == "succeeded":
+            self.canary.succeeded(name, now)
+        elif end == "lost":
+            blocked = self.canary.lost(name, loss or self.new_id(), now, second=second)
+            event("server_lost_in_trial", fingerprint=name, blocked=blocked)
+
     def wake(self) -> None:
         """Let all who wait for a trial look again."""
         ended, self.ended = self.ended, trio.Event()
@@ -75,16 +85,8 @@
         if not self.running:
             return
         self.running = False
-        now = trio.current_time()
-        canary = self.trials.canary
-        if not outcome.reason:
-            canary.succeeded(self.name, now)
-        elif was_lost(outcome):
-            loss = self.trials.new_id()
-            blocked = canary.lost(self.name, loss, now, second=self.second)
-            event("server_lost_in_trial", fingerprint=self.name, blocked=blocked)
-        else:
-            canary.ended(self.name)
+        self.trials.canary.ended(self.name)
+        self.trials.note(self.name, end_of(outcome), second=self.second)
         self.trials.wake()
 
     def abandon(self) -> None:
@@ -92,6 +94,10 @@
         self.settle(Outcome("no_replica", "not_run"))
 
 
-def was_lost(outcome: Outcome) -> bool:
-    """Say whether the server may have crashed while it ran the request."""
-    return (outcome.reason, outcome.ran) == ("connection_lost", "unknown")
+def end_of(outcome: Outcome) -> End:
+    """Return what the outcome of a trial shows; lost means that the server may have crashed."""
+    if not outcome.reason:
+        return "succeeded"
+    if (outcome.reason, outcome.ran) == ("connection_lost", "unknown"):
+        return "lost"
+    return "ended"
