Open fleets and wait for owners by the harness in all system features

Cause: tests/steps/system_steps.py and answers_steps.py had copies of tests.harness.cell, and the steps of overload and stragglers built their fleet in the same way. Change: the steps call open_fleet, dispatching and wait_owned of tests.harness.cell, and open_for_load of tests.harness.openload. No check, bound or assertion is changed.

--- a/tests/harness/openload.py
+++ b/tests/harness/openload.py
@@ -13,9 +13,22 @@
 from rattanrelay.load.runner import Clients
 
 from .fleet import Fleet
+from .processes import wait_until
 from .traffic import check_query_answer
 
-__all__ = ["Asked", "LoadRecord", "load"]
+__all__ = ["Asked", "LoadRecord", "load", "open_for_load"]
+
+
+def open_for_load(context, service: str, **options) -> Fleet:
+    """Start a fleet of Nl-midden with one service and wait for its first answer."""
+    context.fleet = fleet = Fleet("nl-midden", services=(service,), **options)
+    fleet.__enter__()
+    context.add_cleanup(fleet.close)
+    fleet.start_entries()
+    wait_until(
+        lambda: fleet.balancer.query(service, timeout_ms=2000).status == 200, "a first answer"
+    )
+    return fleet
 
 
 class Asked(NamedTuple):
--- a/tests/steps/answers_steps.py
+++ b/tests/steps/answers_steps.py
@@ -15,7 +15,7 @@
 from rattanrelay.emulator.corpus import canonical, query_digest
 from rattanrelay.emulator.journal import Run, peak_concurrent
 from tests.harness import ActionKey, Fleet, wait_until
-from tests.harness.cell import running
+from tests.harness.cell import running, wait_owned
 from tests.harness.traffic import Traffic, check_query_answer
 
 #: More distinct queries than any scenario sends.
@@ -45,7 +45,7 @@
     fleet.__enter__()
     context.add_cleanup(fleet.close)
     fleet.start_entries()
-    wait_until(lambda: _owned(context), "each backend server has an owner that may dispatch")
+    wait_owned(fleet)
     for client in clients(context):
         wait_until(
             lambda client=client: _is_complete(ask(context, client)[1]),
@@ -53,21 +53,6 @@
         )
 
 
-def _owned(context):
-    """Say whether all instances are in the view and own all servers between them."""
-    fleet = context.fleet
-    found = [one.admin_client.call("GET", "/v1/status").json() for one in fleet.entries.values()]
-    if any(len(status["members"]) != len(found) for status in found):
-        return False
-    held = {
-        name
-        for status in found
-        for name, server in status["servers"].items()
-        if server["dispatching"]
-    }
-    return held == set(fleet.deployment.table.servers)
-
-
 def clients(context):
     """Return the caller clients of all instances."""
     return [entry.caller_client for entry in context.fleet.entries.values()]
--- a/tests/steps/overload_steps.py
+++ b/tests/steps/overload_steps.py
@@ -3,8 +3,7 @@
 from behave import given, then, when
 
 from rattanrelay.decide.admission import WINDOW_S, ConcurrencyLimit
-from tests.harness import Fleet, wait_until
-from tests.harness.openload import load
+from tests.harness.openload import load, open_for_load
 
 SERVICE = "register-search"
 INSTANCES = 2
@@ -25,23 +24,16 @@
 @given("a small fleet whose searchers bear {capacity:d} queries a second")
 def small_fleet(context, capacity):
     assert capacity == CAPACITY
-    fleet = Fleet(
-        "nl-midden",
+    fleet = open_for_load(
+        context,
+        SERVICE,
         entries=INSTANCES,
         backend_processes=1,
-        services=(SERVICE,),
         scale=0.2,
         service_ms=SERVICE_MS,
         service_shape="constant",
     )
-    fleet.__enter__()
-    context.add_cleanup(fleet.close)
     assert len(fleet.deployment.shards(SERVICE)) == SHARDS
-    fleet.start_entries()
-    context.fleet = fleet
-    wait_until(
-        lambda: fleet.balancer.query(SERVICE, timeout_ms=2000).status == 200, "a first answer"
-    )
 
 
 @when("it gets {w:d} s of {a:d}, {x:d} s of {b:d}, {y:d} s of {c:d} and {z:d} s of {d:d} {unit}")
--- a/tests/steps/stragglers_steps.py
+++ b/tests/steps/stragglers_steps.py
@@ -6,8 +6,8 @@
 from behave import given, then, when
 
 from rattanrelay.decide.budget import BURST, RATIO
-from tests.harness import Fleet, wait_until
-from tests.harness.openload import load
+from tests.harness import wait_until
+from tests.harness.openload import load, open_for_load
 from tests.harness.traffic import Traffic
 
 SHARES = {"tenant-1": 1.0, "tenant-2": 1.0}
@@ -25,21 +25,15 @@
 
 @given('a warm fleet for stragglers with services "{service}"')
 def warm_fleet(context, service):
-    fleet = Fleet(
-        "nl-midden",
+    fleet = open_for_load(
+        context,
+        service,
         entries=INSTANCES,
         backend_processes=2,
-        services=(service,),
         scale=0.3,
         service_ms=SERVICE_MS,
     )
-    fleet.__enter__()
-    context.add_cleanup(fleet.close)
-    fleet.start_entries()
-    context.fleet, context.service = fleet, service
-    wait_until(
-        lambda: fleet.balancer.query(service, timeout_ms=2000).status == 200, "a first answer"
-    )
+    context.service = service
     load(fleet, service, [WARM_UP], shares=SHARES, seed=2)
 
 
--- a/tests/steps/system_steps.py
+++ b/tests/steps/system_steps.py
@@ -1,12 +1,12 @@
 """Steps of the features with real processes."""
 
-import json
 import time
 
 from behave import given, then, when
 
 from rattanrelay.emulator.corpus import expected_answer
 from tests.harness import ActionKey, Fleet, wait_until
+from tests.harness.cell import dispatching, open_fleet, wait_owned
 from tests.harness.traffic import Traffic
 
 #: Time in which traffic runs before and after a fault, in seconds; no bound depends on it.
@@ -14,53 +14,16 @@
 OUTAGE_S = 4.0
 
 
-def _open(context, fleet):
-    context.fleet = context.with_fleet = fleet
-    fleet.__enter__()
-    context.add_cleanup(fleet.close)
-    fleet.start_entries()
-    for name in fleet.entries:
-        fleet.list_instance(name)
-    _wait_owned(context)
-
-
-def _status(entry):
-    reply = entry.admin_client.call("GET", "/v1/status")
-    return json.loads(reply.body)
-
-
-def _dispatching(status):
-    return {name for name, server in status["servers"].items() if server["dispatching"]}
-
-
-def _wait_owned(context):
-    """Wait until each backend server has an owner that holds its lease and may dispatch."""
-    fleet = context.fleet
-    running = [one for one in fleet.entries.values() if one.process and one.process.running]
-    servers = set(fleet.deployment.table.servers)
-
-    def owned():
-        held = set()
-        for entry in running:
-            status = _status(entry)
-            if len(status["members"]) != len(running):
-                return False
-            held.update(_dispatching(status))
-        return held == servers
-
-    wait_until(owned, "each backend server has an owner that may dispatch")
-
-
 @given('a fleet of "{deployment}" with {count:d} instances and all services')
 def whole_fleet(context, deployment, count):
-    _open(context, Fleet(deployment, entries=count, backend_processes=2))
+    open_fleet(context, Fleet(deployment, entries=count, backend_processes=2))
 
 
 @given('a fleet of "{deployment}" with {count:d} instances and services "{names}"')
 def some_services(context, deployment, count, names):
     services = tuple(name.strip() for name in names.split(","))
     options = {"services": services, "scale": 0.5, "proxied_store": True}
-    _open(context, Fleet(deployment, entries=count, backend_processes=2, **options))
+    open_fleet(context, Fleet(deployment, entries=count, backend_processes=2, **options))
 
 
 @given("callers that send queries and resend reservations through all instances")
@@ -139,7 +102,7 @@
     servers = set(context.fleet.deployment.table.servers)
 
     def taken_over():
-        held = [_dispatching(_status(entry)) for entry in others]
+        held = [dispatching(entry) for entry in others]
         return set().union(*held) == servers
 
     wait_until(taken_over, "the others own all servers")
@@ -166,7 +129,7 @@
 
 @then("each backend server gets an owner that may dispatch")
 def owned(context):
-    _wait_owned(context)
+    wait_owned(context.fleet)
 
 
 @then("queries through the other instances still get answers")
