Relay requests directly to searchers on the users' platform

Cause: the product had no way to run on the platform's store, entries and wire. Change: rattanrelay/relay serves a request from the entry instance itself: one searcher of a service, or one of each shard, chosen by own observation, hedged within a shared budget and answered shortly before the target. rattanrelay/platform decodes the platform's settings, store and headers. The store's client shares its calls and kept connections with the product's own client. Ruled out for now: owners of searchers, which cost a hop on each sub-request.

--- /dev/null
+++ b/rattanrelay/decide/choice.py
@@ -0,0 +1,109 @@
+"""Which searcher of a service gets a request, by what this instance has observed.
+
+The decisions answer the load of a service whose searchers pause, turn slow or fail one by one: a
+request goes where it is expected to end first.
+"""
+
+from typing import NamedTuple
+
+__all__ = ["Candidate", "Estimate", "cost", "pick"]
+
+#: Weight of the newest latency in an estimate; 0.3 follows a slow searcher after two responses.
+LATENCY_WEIGHT = 0.3
+#: Weight of the newest result in a failure rate.
+FAILURE_WEIGHT = 0.2
+#: Seconds after which an estimate without new latencies has lost 63% of its distance to the usual.
+FORGET_S = 2.0
+#: Each request in flight from here makes another one this much longer, per slot.
+QUEUE_SHARE = 0.8
+#: A searcher that fails always costs this many times its latency more.
+FAILURE_COST = 8.0
+#: A searcher whose departure is not yet certain costs this many seconds more.
+DOUBT_S = 2.0
+#: A searcher in the instance's own failure domain costs this share less.
+OWN_DOMAIN_DISCOUNT = 0.15
+
+
+class Estimate:
+    """Expected latency and failure rate of one searcher; times in seconds."""
+
+    def __init__(self) -> None:
+        self.latency: dict[str, float] = {}
+        self.updated: dict[str, float] = {}
+        self.failure_rate = 0.0
+        self.failed_at = 0.0
+
+    def answered(self, kind: str, latency: float, now: float) -> None:
+        """Add the latency of a complete response to a request of a kind."""
+        known = self.latency.get(kind)
+        self.latency[kind] = (
+            latency if known is None else known + LATENCY_WEIGHT * (latency - known)
+        )
+        self.updated[kind] = now
+        self.failure_rate *= 1.0 - FAILURE_WEIGHT
+
+    def unanswered(self, kind: str, elapsed: float, now: float) -> None:
+        """Add a request that had no response after `elapsed`; shorter ones say nothing."""
+        known = self.latency.get(kind)
+        if known is None or elapsed > known:
+            self.latency[kind] = (
+                elapsed if known is None else known + LATENCY_WEIGHT * (elapsed - known)
+            )
+            self.updated[kind] = now
+
+    def failed(self, now: float) -> None:
+        """Add a failure or refusal."""
+        self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate)
+        self.failed_at = now
+
+    def expected(self, kind: str, usual: float, now: float) -> float:
+        """Return the latency to expect; an old estimate approaches the usual latency."""
+        known = self.latency.get(kind)
+        if known is None:
+            return usual
+        age = max(0.0, now - self.updated[kind])
+        return usual + (known - usual) / (1.0 + (age / FORGET_S) ** 2)
+
+    def failures(self, now: float) -> float:
+        """Return the failure rate; it fades like the latency."""
+        age = max(0.0, now - self.failed_at)
+        return self.failure_rate / (1.0 + (age / FORGET_S) ** 2)
+
+
+class Candidate(NamedTuple):
+    """State of a searcher at the time of a choice; times in seconds."""
+
+    #: Latency to expect from an idle searcher.
+    expected: float
+    #: Share of failed requests.
+    failures: float
+    #: Requests of this instance that it has not answered.
+    in_flight: int
+    slots: int
+    #: Age of the oldest of them beyond what was expected.
+    overdue: float
+    #: Time for a new connection, 0 when one is idle.
+    connect: float
+    own_domain: bool
+    #: Its entry in the store is missing, but may come back.
+    doubtful: bool
+
+
+def cost(candidate: Candidate) -> float:
+    """Return the expected seconds until a response, with a price for doubts."""
+    waiting = QUEUE_SHARE * candidate.in_flight / max(candidate.slots, 1)
+    seconds = candidate.expected * (1.0 + waiting + FAILURE_COST * candidate.failures)
+    if candidate.own_domain:
+        seconds *= 1.0 - OWN_DOMAIN_DISCOUNT
+    seconds += candidate.overdue + candidate.connect
+    return seconds + (DOUBT_S if candidate.doubtful else 0.0)
+
+
+def pick(candidates: list[Candidate], noise: list[float]) -> int:
+    """Return the index of the cheapest candidate; `noise` in 0..1 breaks near ties."""
+    best, best_cost = 0, float("inf")
+    for index, candidate in enumerate(candidates):
+        price = cost(candidate) * (1.0 + 0.1 * noise[index])
+        if price < best_cost:
+            best, best_cost = index, price
+    return best
--- /dev/null
+++ b/rattanrelay/decide/patience.py
@@ -0,0 +1,59 @@
+"""How long a request waits: for a second searcher, and for the last parts of a response.
+
+The decisions answer queries over many shards, of which nearly every one meets a searcher that
+pauses or is slow: a hedge costs one request, and a response just before the caller's target is
+worth more than the whole response after it.
+"""
+
+from statistics import median
+
+__all__ = ["RecentLatency", "answer_by", "hedge_after"]
+
+#: Latencies that are kept for the usual latency of a kind of request.
+SAMPLES = 64
+#: The median is computed again after this many new latencies.
+REFRESH = 8
+#: A hedge is sent after this multiple of the usual latency; 1.6 is its 91st percentile where the
+#: latency is spread by a factor of 1.4.
+HEDGE_FACTOR = 1.6
+#: No hedge is sent earlier, in seconds: two round trips between failure domains and a wake-up.
+MIN_HEDGE_S = 0.006
+#: Share of the target after which a response with enough parts is sent.
+TARGET_SHARE = 0.85
+#: Time for the way to the client and back, and for reading the request, in seconds.
+CLIENT_PATH_S = 0.012
+
+
+class RecentLatency:
+    """Median of the recent latencies of one kind of request, in seconds."""
+
+    def __init__(self, initial: float) -> None:
+        self.samples: list[float] = []
+        self.next = 0
+        self.until_refresh = 1
+        self.usual = initial
+
+    def add(self, latency: float) -> None:
+        """Add the latency of a complete response."""
+        if len(self.samples) < SAMPLES:
+            self.samples.append(latency)
+        else:
+            self.samples[self.next] = latency
+            self.next = (self.next + 1) % SAMPLES
+        self.until_refresh -= 1
+        if self.until_refresh <= 0:
+            self.until_refresh = REFRESH if len(self.samples) >= REFRESH else 1
+            self.usual = median(self.samples)
+
+
+def hedge_after(expected: float, usual: float) -> float:
+    """Return the seconds until a hedge.
+
+    A searcher that is known to be slow gets no more time than the usual one.
+    """
+    return max(MIN_HEDGE_S, HEDGE_FACTOR * min(expected, usual))
+
+
+def answer_by(arrived: float, target: float) -> float:
+    """Return the time at which a response with enough parts is sent."""
+    return arrived + max(target * 0.5, min(TARGET_SHARE * target, target - CLIENT_PATH_S))
--- a/rattanrelay/http/plain.py
+++ b/rattanrelay/http/plain.py
@@ -1,5 +1,7 @@
 """A client's TCP stream without trio's checkpoint at each send and receive."""
 
+import errno
+import os
 import socket
 
 import trio
@@ -23,6 +25,34 @@
         """Take over the socket of a stream, which cannot be used any more."""
         return cls(socket.socket(fileno=stream.socket.detach()))
 
+    @classmethod
+    async def connect(cls, host: str, port: int) -> "PlainStream":
+        """Connect to an IPv4 address; raises `OSError`."""
+        connected = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            connected.setblocking(False)
+            connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if connected.connect_ex((host, port)) not in (0, errno.EINPROGRESS):
+                raise OSError(f"cannot connect to {host}:{port}")
+            await trio.lowlevel.wait_writable(connected)
+            code = connected.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if code:
+                raise OSError(code, os.strerror(code))
+        except BaseException:
+            connected.close()
+            raise
+        return cls(connected)
+
+    def has_input(self) -> bool:
+        """Return whether bytes or the end of the stream have arrived; a closed stream has."""
+        try:
+            self.socket.recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
     async def send_all(self, data: bytes) -> None:
         """Send all bytes; raises `trio.BrokenResourceError` or `trio.ClosedResourceError`."""
         sent = self._send(data)
@@ -49,10 +79,14 @@
 
     async def aclose(self) -> None:
         """Close the socket; a task that waits for it gets `trio.ClosedResourceError`."""
+        self.close()
+        await trio.lowlevel.checkpoint()
+
+    def close(self) -> None:
+        """Close the socket without a checkpoint."""
         if self.socket.fileno() >= 0:
             trio.lowlevel.notify_closing(self.socket)
             self.socket.close()
-        await trio.lowlevel.checkpoint()
 
     def _send(self, data: bytes) -> int:
         self._check_open()
--- /dev/null
+++ b/rattanrelay/platform/__main__.py
@@ -0,0 +1,54 @@
+"""Runs one instance on the users' platform: `python -m rattanrelay.platform`."""
+
+import random
+import sys
+
+import trio
+
+from ..errors import RelayError
+from ..log import start_standard_output
+from ..relay import BootClock, RelayDaemon, RelaySettings
+from .documents import HEADERS
+from .feed import PlatformFeed
+from .settings import load, settings_path
+
+__all__ = ["main"]
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> int:
+    """Run until SIGTERM; settings come from the file that the platform names."""
+    try:
+        path = settings_path()
+        settings = load(path)
+    except RelayError as error:
+        print(error, file=sys.stderr)
+        return EXIT_BAD_SETTINGS
+    trio.run(_run, settings, path, clock=BootClock())
+    return 0
+
+
+async def _run(settings: RelaySettings, path) -> None:
+    rng = random.Random()
+    sink = start_standard_output(instance=settings.instance)
+    feed = PlatformFeed(settings.store.host, settings.store.port, settings.instance, rng)
+    seen = path.stat().st_mtime_ns
+
+    def changed() -> bool:
+        nonlocal seen
+        try:
+            now = path.stat().st_mtime_ns
+        except OSError:
+            return False
+        before, seen = seen, now
+        return now != before
+
+    daemon = RelayDaemon(
+        settings, HEADERS, feed, reload=lambda: load(path), changed=changed, sink=sink, rng=rng
+    )
+    await daemon.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/rattanrelay/platform/feed.py
@@ -0,0 +1,155 @@
+"""Follows the platform's store: configuration, searchers and instances."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+import trio
+
+from ..errors import RelayError
+from ..log import event
+from ..relay import Knowledge
+from ..store.backoff import Backoff
+from . import documents
+from .store import HistoryGone, Item, PlatformStore
+
+__all__ = ["PlatformFeed"]
+
+#: A watch without changes ends after this time; an outage shows at most a second later.
+WATCH_WAIT_S = 3.0
+#: Changes of searchers within this time are read by one call, in seconds.
+GATHER_S = 0.15
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.8
+#: Time for which an instance stays listed without renewal, and how often it renews, in seconds.
+LEASE_S = 10.0
+RENEW_S = 3.0
+INSTANCE_PREFIX = "rattanrelay/instances/"
+
+
+class PlatformFeed:
+    """Implements `Feed` by watches of the store."""
+
+    def __init__(self, host: str, port: int, instance: str, rng: random.Random) -> None:
+        self.store = PlatformStore(host, port)
+        self.instance = instance
+        self.rng = rng
+        self.lease: int | None = None
+        self.leaving = False
+        self.revisions: dict[str, int] = {}
+
+    @property
+    def calls(self) -> dict[str, int]:
+        """Calls to the store by kind."""
+        return self.store.calls
+
+    async def run(self, knowledge: Knowledge) -> None:
+        """Keep the knowledge up to date until cancelled."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                self._follow, knowledge, documents.OPERATOR_PREFIX, self._take_operator, 0.0
+            )
+            nursery.start_soon(
+                self._follow, knowledge, documents.SEARCHER_PREFIX, self._take_searchers, GATHER_S
+            )
+            nursery.start_soon(self._stay_listed, knowledge)
+
+    async def leave(self) -> None:
+        """Take the instance off the list; errors are logged."""
+        self.leaving = True
+        if self.lease is not None:
+            try:
+                await self.store.end(self.lease)
+            except RelayError as error:
+                event("instance.leave_failed", reason=str(error))
+
+    async def _follow(
+        self, knowledge: Knowledge, prefix: str, take: Callable, gather: float
+    ) -> None:
+        """Read everything under a prefix, then its changes; `take` gets both."""
+        backoff = Backoff(self.rng, first=FIRST_PAUSE_S, longest=LONGEST_PAUSE_S)
+        revision: int | None = None
+        while True:
+            try:
+                if revision is None:
+                    page = await self.store.list(prefix)
+                    whole = True
+                else:
+                    page = await self.store.watch(prefix, revision, WATCH_WAIT_S)
+                    whole = False
+            except HistoryGone:
+                event("store.history_gone", prefix=prefix, revision=revision)
+                revision = None
+                continue
+            except RelayError as error:
+                knowledge.lost_store(str(error))
+                await trio.sleep(backoff.failed())
+                continue
+            backoff.succeeded()
+            knowledge.regained_store(trio.current_time())
+            take(knowledge, page.items, whole)
+            revision = page.store_revision if whole else max(revision, page.store_revision)
+            if page.items and not whole and gather:
+                await trio.sleep(gather)
+
+    def _take_operator(self, knowledge: Knowledge, items: list[Item], whole: bool) -> None:
+        out = set() if whole else set(knowledge.out_domains)
+        for item in items:
+            domain = documents.out_domain(item.key)
+            if domain is not None:
+                if item.value is None:
+                    out.discard(domain)
+                else:
+                    out.add(domain)
+            elif item.key == documents.CONFIG_KEY and item.value is not None:
+                self._take_configuration(knowledge, item)
+        knowledge.take_out_domains(frozenset(out))
+
+    def _take_configuration(self, knowledge: Knowledge, item: Item) -> None:
+        try:
+            catalog = documents.catalog(item.value)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            event("configuration.rejected", revision=item.revision, reason=str(error))
+            return
+        knowledge.take_catalog(catalog)
+
+    def _take_searchers(self, knowledge: Knowledge, items: list[Item], whole: bool) -> None:
+        now = trio.current_time()
+        present = set()
+        for item in items:
+            name = item.key.removeprefix(documents.SEARCHER_PREFIX)
+            if item.value is None:
+                knowledge.lose_record(name, now)
+                continue
+            record = documents.searcher_record(item.key, item.value)
+            if record is None:
+                event("searcher.unreadable", searcher=name, revision=item.revision)
+                knowledge.lose_record(name, now)
+                continue
+            present.add(name)
+            knowledge.take_record(record, now)
+        if whole:
+            for name in set(knowledge.searchers) - present:
+                knowledge.lose_record(name, now)
+            if not knowledge.listed:
+                knowledge.listed = True
+                event("searchers.listed", searchers=len(present))
+
+    async def _stay_listed(self, knowledge: Knowledge) -> None:
+        """Keep this instance's entry under a lease, and read the others'."""
+        while True:
+            try:
+                if not self.leaving:
+                    await self._renew()
+                page = await self.store.list(INSTANCE_PREFIX, stale=True)
+                names = [item.key.removeprefix(INSTANCE_PREFIX) for item in page.items]
+                knowledge.take_instances(names, trio.current_time())
+            except RelayError as error:
+                event("instances.unknown", reason=str(error), known=knowledge.instances)
+            await trio.sleep(RENEW_S * self.rng.uniform(0.8, 1.2))
+
+    async def _renew(self) -> None:
+        if self.lease is not None and await self.store.keep(self.lease):
+            return
+        self.lease = await self.store.lease(LEASE_S)
+        await self.store.put(INSTANCE_PREFIX + self.instance, b"{}", self.lease)
--- /dev/null
+++ b/rattanrelay/platform/store.py
@@ -0,0 +1,143 @@
+"""Client of the platform's metadata store."""
+
+import base64
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+
+from ..errors import RelayError
+from ..http import Request, Response
+from ..store import StoreCalls
+
+__all__ = ["HistoryGone", "Item", "Page", "PlatformStore"]
+
+CALL_TIMEOUT_S = 1.0
+#: Time beyond a watch's own wait after which the store counts as away, in seconds.
+WATCH_GRACE_S = 1.0
+JSON = {"content-type": "application/json"}
+
+
+class HistoryGone(Exception):
+    """The store has discarded the changes after the revision asked for."""
+
+
+class Item(NamedTuple):
+    """A stored value; `value` is None for a removed key."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class Page(NamedTuple):
+    """Items or changes, and the revision of the store that they are known to reflect."""
+
+    items: list[Item]
+    store_revision: int
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    #: Base64; missing for a removed key.
+    value: str | None = None
+    #: Present for a removed key.
+    tombstone: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    store_revision: int
+    has_more: bool = False
+
+
+class _Watch(msgspec.Struct):
+    events: list[_Item]
+    store_revision: int
+
+
+class _Lease(msgspec.Struct):
+    lease: int
+    #: Time that applies, which may differ from what was asked for.
+    ttl_ms: int
+
+
+class PlatformStore(StoreCalls):
+    """Reads, watches, writes and leases; each call raises `store_unavailable` for no answer."""
+
+    async def list(self, prefix: str, *, stale: bool = False) -> Page:
+        """Return all items under a prefix, with the oldest revision of the pages."""
+        items: list[Item] = []
+        oldest: int | None = None
+        after = ""
+        while True:
+            query = {"prefix": prefix}
+            if after:
+                query["after"] = after
+            if stale:
+                query["allow_stale"] = "1"
+            kind = "stale_read" if stale else "read"
+            response = await self._get(kind, "/kv-range", query, CALL_TIMEOUT_S)
+            page = self._decode(response, _Range)
+            items += [_item(item) for item in page.items]
+            oldest = page.store_revision if oldest is None else min(oldest, page.store_revision)
+            if not page.has_more or not page.items:
+                return Page(items, oldest)
+            after = page.items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait: float) -> Page:
+        """Wait up to `wait` seconds for changes after a revision; raises `HistoryGone`."""
+        query = {"prefix": prefix, "after": after, "wait_ms": int(wait * 1000)}
+        response = await self._get("watch", "/kv-watch", query, wait + WATCH_GRACE_S)
+        if response.status == 410:
+            raise HistoryGone
+        page = self._decode(response, _Watch)
+        return Page([_item(item) for item in page.events], page.store_revision)
+
+    async def lease(self, seconds: float) -> int:
+        """Return a new lease."""
+        body = msgspec.json.encode({"ttl_ms": int(seconds * 1000)})
+        response = await self.call(
+            "write", Request("POST", "/kv-lease", JSON, body), CALL_TIMEOUT_S
+        )
+        return self._decode(response, _Lease).lease
+
+    async def keep(self, lease: int) -> bool:
+        """Renew a lease; False when it has ended."""
+        request = Request("POST", f"/kv-keep/{lease}", JSON, b"{}")
+        return (await self.call("keep", request, CALL_TIMEOUT_S)).status == 200
+
+    async def end(self, lease: int) -> None:
+        """End a lease, which removes its keys."""
+        request = Request("DELETE", f"/kv-lease-end/{lease}", JSON)
+        await self.call("write", request, CALL_TIMEOUT_S)
+
+    async def put(self, key: str, value: bytes, lease: int) -> bool:
+        """Write a key under a lease; False when the lease has ended."""
+        text = base64.b64encode(value).decode("ascii")
+        body = {"expected_revision": [], "remove": []}
+        body["puts"] = [{"key": key, "value": text, "lease": lease}]
+        request = Request("POST", "/kv-txn", JSON, msgspec.json.encode(body))
+        response = await self.call("write", request, CALL_TIMEOUT_S)
+        return response.status == 200
+
+    async def _get(self, kind: str, path: str, query: dict, timeout: float) -> Response:
+        request = Request("GET", f"{path}?{urlencode(query)}")
+        return await self.call(kind, request, timeout)
+
+    def _decode(self, response: Response, kind: type):
+        if response.status != 200:
+            text = f"status {response.status}"
+            raise RelayError("store_unavailable", text, step="store read", peer=self.peer)
+        try:
+            return msgspec.json.decode(response.body, type=kind)
+        except msgspec.DecodeError as error:
+            text = f"unreadable answer: {error}"
+            raise RelayError("bad_answer", text, step="store read", peer=self.peer) from error
+
+
+def _item(item: _Item) -> Item:
+    if item.tombstone or item.value is None:
+        return Item(item.key, None, item.revision)
+    return Item(item.key, base64.b64decode(item.value), item.revision)
--- /dev/null
+++ b/rattanrelay/relay/daemon.py
@@ -0,0 +1,329 @@
+"""One instance that relays requests: its listeners, its stop and its reports."""
+
+import random
+import signal
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+import trio
+
+from ..decide.refusal import NOT_READY, STOPPING, refusal
+from ..http import Request, Response, serve_http
+from ..http.plain import PlainStream
+from ..log import BoundedSink, event
+from .fleet import Bounds, Knowledge
+from .front import ClientConnection
+from .metrics import RelayMetrics
+from .model import ClientLimits, HeaderNames
+from .scatter import RETURN_S, Scatter, refusal_response
+from .searchers import HOP_HEADERS, SubRequest
+
+__all__ = ["Feed", "Listen", "RelayDaemon", "RelaySettings"]
+
+BACKLOG = 1024
+#: Share of the stop's grace after which new requests are refused; the rest ends what runs.
+ACCEPT_SHARE = 0.6
+#: Share of the stop's grace after which the process ends in any case.
+END_SHARE = 0.93
+#: Period of the removal of missing searchers and old connections, in seconds.
+UPKEEP_S = 0.2
+#: Period of the look at the settings file, in seconds.
+SETTINGS_S = 1.0
+#: Deadline of a request that states none, in seconds.
+DEFAULT_DEADLINE_S = 60.0
+
+
+class Listen(NamedTuple):
+    """An IP address and a TCP port."""
+
+    host: str
+    port: int
+
+
+class RelaySettings(NamedTuple):
+    """Settings of one instance; times in seconds."""
+
+    instance: str
+    domain: str
+    clients: Listen
+    ready: Listen
+    metrics: Listen | None
+    store: Listen
+    bounds: Bounds
+
+
+class Feed(Protocol):
+    """Source of the configuration, the searchers and the list of instances."""
+
+    calls: dict[str, int]
+
+    async def run(self, knowledge: Knowledge) -> None:
+        """Keep the knowledge up to date until cancelled."""
+
+    async def leave(self) -> None:
+        """Take the instance off the list; errors are logged."""
+
+
+class RelayDaemon:
+    """All tasks of one instance; implements `FrontPort`."""
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        names: HeaderNames,
+        feed: Feed,
+        *,
+        reload: Callable[[], RelaySettings] | None = None,
+        changed: Callable[[], bool] = lambda: False,
+        sink: BoundedSink | None = None,
+        rng: random.Random | None = None,
+    ) -> None:
+        self.settings = settings
+        self.names = names
+        self.feed = feed
+        self.reload = reload
+        self.settings_changed = changed
+        self.sink = sink
+        self.rng = rng or random.Random()
+        self.metrics = RelayMetrics(settings.instance)
+        self.knowledge = Knowledge(settings.instance, settings.domain, names, settings.bounds)
+        self.connections: set[ClientConnection] = set()
+        self.handler = self.handle
+        self.stopping = False
+        #: New requests are refused.
+        self.refusing = False
+        self.background: trio.Nursery | None = None
+        self.running = 0
+        self.all_ended = trio.Event()
+
+    @property
+    def closing(self) -> bool:
+        """Whether each response closes its connection."""
+        return self.stopping
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Limits of client connections."""
+        catalog = self.knowledge.catalog
+        return ClientLimits() if catalog is None else catalog.limits
+
+    async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until SIGTERM and the end of what runs."""
+        settings = self.settings
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            async with trio.open_nursery() as self.background:
+                nursery = self.background
+                clients = await _listen(settings.clients)
+                nursery.start_soon(self._accept, clients)
+                ready = await _listen(settings.ready)
+                nursery.start_soon(serve_http, self._answer_ready, [trio.SocketListener(ready)])
+                if settings.metrics is not None:
+                    reports = await _listen(settings.metrics)
+                    nursery.start_soon(
+                        serve_http, self._answer_metrics, [trio.SocketListener(reports)]
+                    )
+                nursery.start_soon(self.feed.run, self.knowledge)
+                nursery.start_soon(self._upkeep)
+                nursery.start_soon(self._watch_settings)
+                event(
+                    "instance.started",
+                    domain=settings.domain,
+                    clients="{}:{}".format(*settings.clients),
+                )
+                task_status.started()
+                await self._follow_signals(signals)
+                await self._drain(clients)
+                nursery.cancel_scope.cancel()
+        event("instance.stopped", unfinished=self.running)
+
+    async def handle(self, request: Request, arrived: float) -> Response:
+        """Answer one request of a client."""
+        self.running += 1
+        try:
+            return await self._serve(request, arrived)
+        finally:
+            self.running -= 1
+            if self.stopping and not self.running:
+                self.all_ended.set()
+
+    async def _serve(self, request: Request, arrived: float) -> Response:
+        names = self.names
+        request_id = request.headers.get(names.request_id, "")
+        knowledge = self.knowledge
+        if not knowledge.complete:
+            return self._refused(request_id, "", NOT_READY, arrived)
+        catalog = knowledge.catalog
+        path = request.target.partition("?")[0]
+        host = request.headers.get("host", "").partition(":")[0].lower()
+        route = catalog.route(host, path)
+        if route is None:
+            self._note(request_id, "", 404, "no_route", arrived, version=catalog.version)
+            return Response(404, {names.request_id: request_id} if request_id else {}, b"")
+        if self.refusing:
+            return self._refused(request_id, route.name, STOPPING, arrived)
+        left = min(self._deadline(request), route.timeout)
+        sub = SubRequest(
+            request_id,
+            request.method,
+            request.target,
+            self._forwarded(request.headers),
+            request.body,
+            arrived + max(left - RETURN_S, 0.5 * left),
+            route.idempotent,
+        )
+        scatter = Scatter(knowledge, self.metrics, self.background, self.rng, route, sub, arrived)
+        status, outcome = 0, "client_left"
+        try:
+            response = await scatter.run()
+            status, outcome = response.status, scatter.report.reason or "answered"
+        finally:
+            report = scatter.report
+            details = {}
+            if report.missing and (status != 200 or route.shards):
+                details["missing"] = report.missing
+            self._note(
+                request_id,
+                route.name,
+                status,
+                outcome,
+                arrived,
+                version=catalog.version,
+                sent=report.sent,
+                hedges=report.hedges,
+                retries=report.retries,
+                store="up" if knowledge.store_back is not None else "away",
+                **details,
+            )
+        return response
+
+    def _refused(self, request_id: str, route: str, reason: str, arrived: float) -> Response:
+        refused = refusal(reason, may_have_run=False)
+        catalog = self.knowledge.catalog
+        version = None if catalog is None else catalog.version
+        self._note(request_id, route, refused.status, reason, arrived, version=version)
+        return refusal_response(refused, request_id, self.knowledge)
+
+    def _note(
+        self, request_id: str, route: str, status: int, outcome: str, arrived: float, **inputs
+    ) -> None:
+        seconds = trio.current_time() - arrived
+        reason = outcome.partition(":")[0]
+        self.metrics.requests.inc({"route": route, "status": str(status), "reason": reason})
+        self.metrics.latency.observe({"route": route, "status": str(status)}, seconds)
+        event(
+            "request",
+            request=request_id,
+            route=route,
+            status=status,
+            outcome=outcome,
+            ms=round(seconds * 1000, 1),
+            **inputs,
+        )
+
+    def _deadline(self, request: Request) -> float:
+        stated = request.headers.get(self.names.deadline_ms, "")
+        try:
+            return max(0.0, float(stated) / 1000.0)
+        except ValueError:
+            return DEFAULT_DEADLINE_S
+
+    def _forwarded(self, headers: dict[str, str]) -> dict[str, str]:
+        named = headers.get("connection", "").lower()
+        dropped = {token.strip() for token in named.split(",")} | HOP_HEADERS
+        dropped |= {"expect", self.names.expected_searcher}
+        return {name: value for name, value in headers.items() if name not in dropped}
+
+    async def _accept(self, listener: trio.socket.SocketType) -> None:
+        while True:
+            try:
+                accepted, _ = await listener.accept()
+            except OSError as error:
+                event("client.accept_failed", reason=str(error))
+                await trio.sleep(UPKEEP_S)
+                continue
+            self.background.start_soon(self._connection, accepted)
+
+    async def _connection(self, accepted: trio.socket.SocketType) -> None:
+        accepted.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+        connection = ClientConnection(PlainStream.adopt(trio.SocketStream(accepted)), self)
+        self.connections.add(connection)
+        try:
+            await connection.run()
+        except Exception as error:
+            event("client.connection_failed", reason=repr(error))
+        finally:
+            self.connections.discard(connection)
+
+    async def _answer_ready(self, request: Request) -> Response:
+        ready = self.knowledge.complete and not self.stopping
+        return Response(200 if ready else 503)
+
+    async def _answer_metrics(self, request: Request) -> Response:
+        knowledge, metrics = self.knowledge, self.metrics
+        metrics.version.set({}, knowledge.catalog.version if knowledge.catalog else 0)
+        metrics.searchers.set({}, len(knowledge.searchers))
+        metrics.store_up.set({}, int(knowledge.store_back is not None))
+        metrics.log_dropped.set({}, self.sink.dropped if self.sink else 0)
+        for kind, calls in self.feed.calls.items():
+            metrics.store_calls.set({"kind": kind}, calls)
+        content, headers = metrics.text()
+        return Response(200, headers, content)
+
+    async def _upkeep(self) -> None:
+        while True:
+            await trio.sleep(UPKEEP_S)
+            self.knowledge.forget_missing(trio.current_time())
+
+    async def _watch_settings(self) -> None:
+        while True:
+            await trio.sleep(SETTINGS_S)
+            if self.settings_changed():
+                self._reload("file changed")
+
+    async def _follow_signals(self, signals) -> None:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                self._reload("SIGHUP")
+                continue
+            event("instance.stopping", signal=signal.Signals(number).name)
+            return
+
+    def _reload(self, cause: str) -> None:
+        if self.reload is None:
+            return
+        try:
+            settings = self.reload()
+        except Exception as error:
+            event("settings.rejected", cause=cause, reason=str(error))
+            return
+        self.settings = settings
+        self.knowledge.bounds = settings.bounds
+        event("settings.reloaded", cause=cause)
+
+    async def _drain(self, clients: trio.socket.SocketType) -> None:
+        """Leave the balancer first, then refuse, then end what runs."""
+        started = trio.current_time()
+        grace = self.settings.bounds.stop_grace
+        self.stopping = True
+        self.background.start_soon(self.feed.leave)
+        await trio.sleep_until(started + ACCEPT_SHARE * grace)
+        self.refusing = True
+        for connection in list(self.connections):
+            connection.close_if_idle()
+        if self.running:
+            with trio.move_on_at(started + END_SHARE * grace):
+                await self.all_ended.wait()
+        # Bytes of the last responses leave before their sockets close.
+        await trio.sleep(0.05)
+
+
+async def _listen(address: Listen) -> trio.socket.SocketType:
+    listener = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
+    listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
+    await listener.bind((address.host, address.port))
+    listener.listen(BACKLOG)
+    return listener
+
+
+#: Starts an instance; used by the adapter's entry point.
+Runner = Callable[[RelaySettings], Awaitable[None]]
--- /dev/null
+++ b/rattanrelay/relay/fleet.py
@@ -0,0 +1,233 @@
+"""What this instance knows: the configuration, the searchers, the instances and the store."""
+
+import trio
+
+from ..decide.departure import doubt_until
+from ..decide.extras import ExtraLimits, ExtraWindow
+from ..decide.patience import RecentLatency
+from ..decide.split import SmoothSplit
+from ..decide.warmth import ColdLimits, Fleet
+from ..log import event
+from .model import Catalog, HeaderNames, Route, SearcherRecord, ServiceRow
+from .searchers import CONNECTION_SHARE, Searcher
+
+__all__ = ["Bounds", "Knowledge"]
+
+from typing import NamedTuple
+
+#: Time for which an instance counts after it was last listed, in seconds; leases of instances that
+#: cannot reach the store lapse although they still serve.
+INSTANCE_MEMORY_S = 30.0
+#: Part of a route's target that its requests are taken to need before one was measured.
+INITIAL_LATENCY_SHARE = 0.2
+
+
+class Bounds(NamedTuple):
+    """Figures that the operators of the platform set for all instances; times in seconds."""
+
+    extra: ExtraLimits
+    cold: ColdLimits
+    #: Time for which a leaving searcher still serves.
+    drain: float
+    #: Time from the request to stop until the process is killed.
+    stop_grace: float
+
+
+class Knowledge:
+    """State of one instance; changes come from the platform's feed, readers are the requests."""
+
+    def __init__(self, instance: str, domain: str, names: HeaderNames, bounds: Bounds) -> None:
+        self.instance = instance
+        self.domain = domain
+        self.names = names
+        self.bounds = bounds
+        self.catalog: Catalog | None = None
+        self.listed = False
+        self.searchers: dict[str, Searcher] = {}
+        self.by_service: dict[str, list[Searcher]] = {}
+        self.out_domains: frozenset[str] = frozenset()
+        #: When the store was last regained; None while it is away.
+        self.store_back: float | None = None
+        self.changed = trio.Event()
+        self._instances: dict[str, float] = {}
+        self._extras: dict[str, ExtraWindow] = {}
+        self._latency: dict[str, RecentLatency] = {}
+        self._splits: dict[str, SmoothSplit] = {}
+
+    @property
+    def complete(self) -> bool:
+        """Whether requests can be served: configuration and searchers have been read."""
+        return self.catalog is not None and self.listed
+
+    def take_catalog(self, catalog: Catalog) -> bool:
+        """Put a newer version in force; an older one is ignored."""
+        if self.catalog is not None and catalog.version <= self.catalog.version:
+            return False
+        before = None if self.catalog is None else self.catalog.version
+        self.catalog = catalog
+        self._splits.clear()
+        event("configuration.in_force", version=catalog.version, before=before)
+        self.wake()
+        return True
+
+    def take_record(self, record: SearcherRecord, now: float) -> None:
+        """Take the entry of a searcher; another address or start is another incarnation."""
+        known = self.searchers.get(record.searcher)
+        if known is not None and _same_process(known.record, record):
+            was = known.record.draining
+            known.update(record, now)
+            if record.draining and not was:
+                known.drop_idle()
+                event("searcher.draining", searcher=record.searcher, service=record.service)
+            return
+        if known is not None:
+            self._remove(known, "restarted")
+        searcher = Searcher(record, self.names, now)
+        self.searchers[record.searcher] = searcher
+        self.by_service.setdefault(record.service, []).append(searcher)
+
+    def lose_record(self, name: str, now: float) -> None:
+        """Note that the entry of a searcher is missing."""
+        searcher = self.searchers.get(name)
+        if searcher is None or searcher.doubt_until is not None:
+            return
+        if searcher.record.draining:
+            self._remove(searcher, "left")
+            return
+        searcher.doubt_until = doubt_until(now, self.store_back, self.bounds.drain)
+        event("searcher.missing", searcher=name, usable_for=round(searcher.doubt_until - now, 3))
+
+    def forget_missing(self, now: float) -> None:
+        """Remove the searchers that stayed missing, and close old connections."""
+        for searcher in list(self.searchers.values()):
+            if searcher.doubt_until is None:
+                searcher.drop_expired(now)
+            elif now >= searcher.doubt_until:
+                if self.store_back is None:
+                    searcher.doubt_until = doubt_until(now, None, self.bounds.drain)
+                else:
+                    self._remove(searcher, "missing")
+
+    def take_out_domains(self, domains: frozenset[str]) -> None:
+        """Set the failure domains whose searchers get no requests."""
+        if domains != self.out_domains:
+            event("domains.out", domains=sorted(domains), before=sorted(self.out_domains))
+            self.out_domains = domains
+
+    def take_instances(self, names: list[str], now: float) -> None:
+        """Note the instances that the store lists."""
+        for name in names:
+            self._instances[name] = now
+        for name, seen in list(self._instances.items()):
+            if now - seen > INSTANCE_MEMORY_S:
+                del self._instances[name]
+
+    def lost_store(self, reason: str) -> None:
+        """Note that the store does not answer this instance."""
+        if self.store_back is not None:
+            event("store.lost", reason=reason)
+        self.store_back = None
+
+    def regained_store(self, now: float) -> None:
+        """Note that the store answers."""
+        if self.store_back is None:
+            event("store.regained")
+            self.store_back = now
+            for searcher in self.searchers.values():
+                if searcher.doubt_until is not None:
+                    searcher.doubt_until = doubt_until(now, now, self.bounds.drain)
+
+    @property
+    def fleet(self) -> Fleet:
+        """The instances that may be sending."""
+        return Fleet(self.instance, tuple(self._instances))
+
+    @property
+    def instances(self) -> int:
+        """Number of instances that may be sending, this one included."""
+        return len(self._instances.keys() | {self.instance})
+
+    def usable(self, service: str, now: float, *, fresh: bool = False) -> list[Searcher]:
+        """Return the searchers of a service that may get a request now."""
+        row = self.catalog.services.get(service) if self.catalog else None
+        limit = self.connection_limit(row)
+        return [
+            searcher
+            for searcher in self.by_service.get(service, ())
+            if searcher.usable(now)
+            and searcher.record.domain not in self.out_domains
+            and searcher.has_room(limit, fresh=fresh)
+            and self._warm_enough(searcher, row, now)
+        ]
+
+    def serves(self, service: str, now: float) -> bool:
+        """Return whether a service has a searcher that may get requests, now or soon."""
+        return any(
+            searcher.usable(now) and searcher.record.domain not in self.out_domains
+            for searcher in self.by_service.get(service, ())
+        )
+
+    def connection_limit(self, row: ServiceRow | None) -> int:
+        """Return the connections that this instance may have to each searcher of a service."""
+        if row is None:
+            return 1
+        return max(1, int(CONNECTION_SHARE * row.max_connections / self.instances))
+
+    def sending(self, searcher: Searcher, now: float) -> None:
+        """Count a request to a searcher where that is limited."""
+        if now < searcher.cold_until:
+            searcher.cold_pace.send(now)
+
+    def extras(self, service: str) -> ExtraWindow:
+        """Return the window of extra requests of a service."""
+        window = self._extras.get(service)
+        if window is None:
+            window = self._extras[service] = ExtraWindow()
+        return window
+
+    def latency(self, route: Route) -> RecentLatency:
+        """Return the recent latencies of the requests of a route."""
+        recent = self._latency.get(route.name)
+        if recent is None:
+            recent = self._latency[route.name] = RecentLatency(INITIAL_LATENCY_SHARE * route.target)
+        return recent
+
+    def next_service(self, route: Route) -> str:
+        """Return the service of a route that gets the next request."""
+        if len(route.split) == 1:
+            return route.split[0].service
+        split = self._splits.get(route.name)
+        if split is None:
+            weights = {part.service: part.weight for part in route.split}
+            split = self._splits[route.name] = SmoothSplit(weights)
+        return split.next()
+
+    def wake(self) -> None:
+        """Wake whoever waits for a change."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+    def _warm_enough(self, searcher: Searcher, row: ServiceRow | None, now: float) -> bool:
+        if now >= searcher.cold_until or row is None:
+            return True
+        return searcher.cold_pace.allows(
+            now, searcher.record.searcher, row.cold_rate, self.bounds.cold, self.fleet
+        )
+
+    def _remove(self, searcher: Searcher, reason: str) -> None:
+        searcher.gone = True
+        searcher.drop_idle()
+        record = searcher.record
+        if self.searchers.get(record.searcher) is searcher:
+            del self.searchers[record.searcher]
+        self.by_service[record.service].remove(searcher)
+        event("searcher.removed", searcher=record.searcher, service=record.service, reason=reason)
+
+
+def _same_process(known: SearcherRecord, new: SearcherRecord) -> bool:
+    return (known.host, known.port, known.service, known.started) == (
+        new.host,
+        new.port,
+        new.service,
+        new.started,
+    )
--- /dev/null
+++ b/rattanrelay/relay/front.py
@@ -0,0 +1,202 @@
+"""Client connections: one request at a time, cancelled when its client leaves."""
+
+from collections.abc import Awaitable, Callable
+from typing import NamedTuple, Protocol
+
+import h11
+import trio
+
+from ..http import Request, Response
+from ..http.plain import PlainStream
+from .model import ClientLimits
+
+__all__ = ["ClientConnection", "FrontPort", "Handler"]
+
+#: Answers one request; the second argument is when its first byte arrived.
+Handler = Callable[[Request, float], Awaitable[Response]]
+
+RECEIVE_BYTES = 65536
+#: Bytes that a client may send ahead while its request is served.
+AHEAD_BYTES = 65536
+#: Time for which a connection that is refused stays open for the client to read why, in seconds.
+LINGER_S = 0.5
+
+
+class FrontPort(Protocol):
+    """What a connection asks its instance."""
+
+    closing: bool
+    handler: Handler
+
+    @property
+    def limits(self) -> ClientLimits:
+        """Limits in force."""
+
+
+class _Bad(NamedTuple):
+    status: int
+    reason: str
+
+
+class ClientConnection:
+    """One connection of a client."""
+
+    def __init__(self, stream: PlainStream, front: FrontPort) -> None:
+        self.stream = stream
+        self.front = front
+        limits = front.limits
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_header)
+        self.buffer = bytearray()
+        self.ended = False
+        self.idle = True
+        self.scope: trio.CancelScope | None = None
+        self._arrived = trio.Event()
+        self._taken = trio.Event()
+        self._whole: trio.CancelScope | None = None
+
+    async def run(self) -> None:
+        """Serve until the client leaves, a limit is passed or the instance closes it."""
+        try:
+            async with trio.open_nursery() as nursery:
+                self._whole = nursery.cancel_scope
+                nursery.start_soon(self._receive)
+                await self._serve()
+                nursery.cancel_scope.cancel()
+        finally:
+            self.stream.close()
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no byte of a request has arrived."""
+        if self.idle and not self.buffer and self._whole is not None:
+            self._whole.cancel()
+
+    async def _receive(self) -> None:
+        """Collect bytes all the time, so that a leaving client is seen during its request."""
+        while True:
+            try:
+                data = await self.stream.receive_some(RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                data = b""
+            if not data:
+                self.ended = True
+                self._arrived.set()
+                if self.scope is not None:
+                    self.scope.cancel()
+                return
+            self.buffer += data
+            self._arrived.set()
+            while len(self.buffer) > AHEAD_BYTES:
+                self._taken = trio.Event()
+                await self._taken.wait()
+
+    async def _serve(self) -> None:
+        while await self._wait_for_request():
+            self.idle = False
+            arrived = trio.current_time()
+            request = await self._read_request(arrived)
+            if isinstance(request, _Bad):
+                await self._reject(request)
+                return
+            if request is None:
+                return
+            response = await self._handle(request, arrived)
+            if response is None:
+                return
+            if not await self._send(response, request.method == "HEAD"):
+                return
+            if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
+                return
+            self.h11.start_next_cycle()
+            self.idle = True
+
+    async def _handle(self, request: Request, arrived: float) -> Response | None:
+        with trio.CancelScope() as self.scope:
+            if self.ended:
+                self.scope.cancel()
+            return await self.front.handler(request, arrived)
+        return None
+
+    async def _wait_for_request(self) -> bool:
+        if self.h11.trailing_data[0] or self.buffer:
+            return True
+        if self.front.closing:
+            return False
+        return await self._more(trio.current_time() + self.front.limits.idle_timeout)
+
+    async def _more(self, until: float) -> bool:
+        """Wait for bytes; False when none came in time or the client has ended."""
+        if not self.buffer and not self.ended:
+            self._arrived = trio.Event()
+            with trio.move_on_at(until):
+                await self._arrived.wait()
+        return bool(self.buffer)
+
+    async def _read_request(self, arrived: float) -> Request | _Bad | None:
+        limits = self.front.limits
+        head: h11.Request | None = None
+        body = bytearray()
+        until = arrived + limits.header_timeout
+        while True:
+            try:
+                event = self.h11.next_event()
+            except h11.RemoteProtocolError as error:
+                return _Bad(error.error_status_hint or 400, str(error))
+            if event is h11.NEED_DATA:
+                if self.h11.they_are_waiting_for_100_continue:
+                    await self._continue()
+                if not await self._more(until):
+                    return None if self.ended else _Bad(408, "the request was not sent in time")
+                self.h11.receive_data(bytes(self.buffer))
+                self.buffer.clear()
+                self._taken.set()
+            elif isinstance(event, h11.Request):
+                head = event
+            elif isinstance(event, h11.Data):
+                body += event.data
+                until = trio.current_time() + limits.idle_timeout
+                if len(body) > limits.max_body:
+                    return _Bad(413, f"the body exceeds {limits.max_body} bytes")
+            elif isinstance(event, h11.EndOfMessage):
+                return _request(head, bytes(body))
+            else:
+                return None
+
+    async def _continue(self) -> None:
+        data = self.h11.send(h11.InformationalResponse(status_code=100, headers=[]))
+        try:
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            self.ended = True
+
+    async def _reject(self, bad: _Bad) -> None:
+        if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        headers = {"connection": "close", "content-type": "text/plain"}
+        if await self._send(Response(bad.status, headers, f"{bad.reason}\n".encode()), False):
+            await trio.sleep(LINGER_S)
+
+    async def _send(self, response: Response, head_only: bool) -> bool:
+        headers = dict(response.headers)
+        headers["content-length"] = str(len(response.body))
+        if self.front.closing:
+            headers["connection"] = "close"
+        encoded = [
+            (name.encode("ascii"), value.encode("latin-1")) for name, value in headers.items()
+        ]
+        try:
+            data = self.h11.send(h11.Response(status_code=response.status, headers=encoded))
+            if response.body and not head_only:
+                data += self.h11.send(h11.Data(data=response.body))
+            data += self.h11.send(h11.EndOfMessage())
+            await self.stream.send_all(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return False
+        return True
+
+
+def _request(head: h11.Request, body: bytes) -> Request:
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in head.headers:
+        name, value = raw_name.decode("ascii"), raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
+    return Request(head.method.decode("ascii"), head.target.decode("ascii"), headers, body)
--- /dev/null
+++ b/rattanrelay/relay/metrics.py
@@ -0,0 +1,35 @@
+"""Counters and latency histograms of the relay."""
+
+from aioprometheus import Counter, Gauge, Histogram
+
+from ..metrics import LATENCY_BUCKETS_S, Collectors
+
+__all__ = ["RelayMetrics"]
+
+
+class RelayMetrics(Collectors):
+    """Collectors of one instance that relays requests."""
+
+    def __init__(self, instance: str) -> None:
+        super().__init__(instance)
+        self.latency = self.add(
+            Histogram,
+            "request_seconds",
+            "Time from a request's first byte to its response, by route and status",
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.requests = self.add(Counter, "requests_total", "Requests by route, status and reason")
+        self.subrequests = self.add(
+            Counter, "subrequests_total", "Requests to searchers by role and outcome"
+        )
+        self.missing = self.add(
+            Counter, "missing_parts_total", "Shards that a response left out, by reason"
+        )
+        self.denied = self.add(
+            Counter, "extra_denied_total", "Hedges and retries that the budget did not allow"
+        )
+        self.version = self.add(Gauge, "configuration_version", "Version in force")
+        self.searchers = self.add(Gauge, "searchers", "Searchers known")
+        self.store_calls = self.add(Gauge, "store_calls_total", "Calls to the store by kind")
+        self.store_up = self.add(Gauge, "store_up", "1 while the store answers this instance")
+        self.log_dropped = self.add(Gauge, "log_lines_dropped", "Log lines that were dropped")
--- a/rattanrelay/store/client.py
+++ b/rattanrelay/store/client.py
@@ -1,14 +1,13 @@
 """Key-value client: reads, compare-and-swap and watches over HTTP, with bounded time."""
 
-from collections import Counter
 from typing import NamedTuple
 from urllib.parse import quote
 
 import msgspec
-import trio
 
 from ..errors import RelayError
-from ..http import HttpConnection, Request, Response
+from ..http import Request, Response
+from .calls import StoreCalls
 
 __all__ = ["ABSENT", "CALL_TIMEOUT_S", "WATCH_TIMEOUT_S", "Entry", "StoreClient"]
 
@@ -18,7 +17,6 @@
 CALL_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 25.0
 WATCH_GRACE_S = 2.0
-MAX_IDLE_CONNECTIONS = 4
 
 
 class Entry(NamedTuple):
@@ -29,26 +27,16 @@
     version: int
 
 
-class StoreClient:
+class StoreClient(StoreCalls):
     """Calls to the store; `calls` counts them by kind, as the store does."""
 
     def __init__(self, host: str, port: int, *, timeout: float = CALL_TIMEOUT_S) -> None:
-        self.host = host
-        self.port = port
+        super().__init__(host, port)
         self.timeout = timeout
-        self.calls: Counter[str] = Counter()
-        #: Whether the last call that ended got no answer.
-        self.failing = False
-        self._idle: list[HttpConnection] = []
-
-    @property
-    def peer(self) -> str:
-        """Address of the store as `host:port`."""
-        return f"{self.host}:{self.port}"
 
     async def get(self, key: str) -> Entry | None:
         """Return the entry, None when there is none; raises `store_unavailable`."""
-        response = await self._call("read", Request("GET", _path(key)), self.timeout)
+        response = await self.call("read", Request("GET", _path(key)), self.timeout)
         return _entry(key, response)
 
     async def put(self, key: str, value: bytes, expected: int | None) -> Entry:
@@ -60,7 +48,7 @@
         target = _path(key)
         if expected is not None:
             target += f"?if_version={expected}"
-        response = await self._call("write", Request("PUT", target, body=value), self.timeout)
+        response = await self.call("write", Request("PUT", target, body=value), self.timeout)
         if response.status == 409:
             raise RelayError("version_conflict", key, step="store write", peer=self.peer)
         version = int(response.headers["x-version"])
@@ -71,61 +59,25 @@
         target = _path(key)
         if expected is not None:
             target += f"?if_version={expected}"
-        response = await self._call("write", Request("DELETE", target), self.timeout)
+        response = await self.call("write", Request("DELETE", target), self.timeout)
         if response.status == 409:
             raise RelayError("version_conflict", key, step="store delete", peer=self.peer)
 
     async def list(self, prefix: str) -> list[str]:
         """Return the keys that start with `prefix`."""
         target = f"/v1/keys?prefix={quote(prefix, safe='')}"
-        response = await self._call("read", Request("GET", target), self.timeout)
+        response = await self.call("read", Request("GET", target), self.timeout)
         return msgspec.json.decode(response.body, type=list[str])
 
     async def watch(self, key: str, after: int) -> Entry | None:
         """Wait for a version other than `after`; None when nothing changed in time."""
         target = f"/v1/watch/{quote(key, safe='')}?after={after}&timeout={WATCH_TIMEOUT_S}"
         limit = WATCH_TIMEOUT_S + WATCH_GRACE_S
-        response = await self._call("watch", Request("GET", target), limit)
+        response = await self.call("watch", Request("GET", target), limit)
         if response.status == 204:
             return None
         return _entry(key, response)
 
-    async def _call(self, kind: str, request: Request, timeout: float) -> Response:
-        self.calls[kind] += 1
-        ran = "unknown" if kind == "write" else "not_run"
-        try:
-            with trio.fail_after(timeout):
-                response = await self._exchange(request)
-        except trio.TooSlowError:
-            raise self._unavailable(kind, f"no answer in {timeout} s", ran) from None
-        except RelayError as error:
-            raise self._unavailable(
-                kind, str(error), error.ran if ran == "unknown" else ran
-            ) from error
-        if response.status >= 500 or response.status == 429:
-            raise self._unavailable(kind, f"status {response.status}", ran)
-        self.failing = False
-        return response
-
-    async def _exchange(self, request: Request) -> Response:
-        connection = self._idle.pop() if self._idle else None
-        if connection is None:
-            connection = await HttpConnection.open(self.host, self.port)
-        try:
-            response = await connection.request(request)
-        except BaseException:
-            await connection.aclose()
-            raise
-        if connection.usable and len(self._idle) < MAX_IDLE_CONNECTIONS:
-            self._idle.append(connection)
-        else:
-            await connection.aclose()
-        return response
-
-    def _unavailable(self, kind: str, text: str, ran: str) -> RelayError:
-        self.failing = True
-        return RelayError("store_unavailable", text, step=f"store {kind}", peer=self.peer, ran=ran)
-
 
 def _path(key: str) -> str:
     return f"/v1/kv/{quote(key, safe='')}"
