--- a/rattanrelay/decide/warmth.py
+++ b/rattanrelay/decide/warmth.py
@@ -59,5 +59,5 @@
     whole, rest = divmod(bound, len(names))
     if not rest:
         return whole
-    ranked = sorted(names, key=lambda name: xxhash.xxh64_intdigest(f"{name}/{searcher}"))
+    ranked = sorted(names, key=lambda name: xxhash.xxh64_intdigest(f"{name}/{searcher}".encode()))
     return whole + (1 if fleet.me in ranked[:rest] else 0)
