Hand shards of other failure domains to an instance there

Change: an instance in the searchers' domain gathers them and sends back the greatest records and the signatures in one thrift message. An instance that the store refuses takes over what another one knows. Errors in one request are logged and answered instead of ending the process.

--- a/rattanrelay/decide/choice.py
+++ b/rattanrelay/decide/choice.py
@@ -21,7 +21,7 @@
 #: A searcher whose departure is not yet certain costs this many seconds more.
 DOUBT_S = 2.0
 #: A searcher in the instance's own failure domain costs this share less.
-OWN_DOMAIN_DISCOUNT = 0.15
+OWN_DOMAIN_DISCOUNT = 0.3
 
 
 class Estimate:
--- /dev/null
+++ b/rattanrelay/decide/grouping.py
@@ -0,0 +1,87 @@
+"""Which shards of a request this instance gathers itself, and which it hands to another instance.
+
+The decision answers two loads. Where the searchers of many shards stand in another failure domain,
+an instance there gathers them and sends one message across instead of one response for each shard.
+Where there are more shards than one instance can ask in time, instances gather a run of them each.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import NamedTuple
+
+__all__ = ["Plan", "Run", "plan_groups"]
+
+#: Fewer shards than this are asked directly; a message costs about as much as four responses.
+MIN_GROUP = 5
+#: Shards that one instance gathers at most; each costs it about 0.4 ms of processor time.
+MAX_GROUP = 30
+
+
+class Run(NamedTuple):
+    """Shards to hand over, and the instances of which one gets them."""
+
+    shards: tuple[str, ...]
+    instances: tuple[str, ...]
+
+
+class Plan(NamedTuple):
+    """Shards to gather here and runs to hand over."""
+
+    direct: tuple[str, ...]
+    runs: tuple[Run, ...]
+
+
+def plan_groups(
+    me: str,
+    domain: str,
+    shards: Sequence[str],
+    domains_of: Mapping[str, frozenset[str]],
+    instances: Mapping[str, str],
+) -> Plan:
+    """Divide shards by the failure domains of their searchers.
+
+    `domains_of` has the domains in which each shard has a usable searcher, and `instances` the
+    domain of each other instance. The same instances get the same run each time, so that their
+    connections to its searchers stay in use.
+    """
+    direct: list[str] = []
+    runs: list[Run] = []
+    for where, group in _by_domain(domain, shards, domains_of, instances).items():
+        members = sorted(name for name, place in instances.items() if place == where)
+        if where == domain:
+            members = sorted([*members, me])
+        count = -(-len(group) // MAX_GROUP)
+        count = min(count, len(members)) if members else 0
+        if not count or (where != domain and len(group) < MIN_GROUP):
+            direct += group
+            continue
+        for number in range(count):
+            run = tuple(group[number::count])
+            candidates = tuple(members[number::count])
+            if me in candidates:
+                direct += run
+            else:
+                runs.append(Run(run, candidates))
+    return Plan(tuple(direct), tuple(runs))
+
+
+def _by_domain(
+    domain: str,
+    shards: Sequence[str],
+    domains_of: Mapping[str, frozenset[str]],
+    instances: Mapping[str, str],
+) -> dict[str, list[str]]:
+    """Return the shards of each domain; one that serves many shards is taken before others."""
+    reach: dict[str, int] = {}
+    for shard in shards:
+        for place in domains_of[shard]:
+            reach[place] = reach.get(place, 0) + 1
+    staffed = frozenset(instances.values())
+    groups: dict[str, list[str]] = {}
+    for shard in shards:
+        places = domains_of[shard]
+        if domain in places or not places & staffed:
+            where = domain
+        else:
+            where = max(places & staffed, key=lambda place: (reach[place], place))
+        groups.setdefault(where, []).append(shard)
+    return groups
--- a/rattanrelay/log.py
+++ b/rattanrelay/log.py
@@ -3,12 +3,20 @@
 import os
 import sys
 import time
+from traceback import format_exception
 from typing import IO
 
 import eliot
 import msgspec
 
-__all__ = ["BoundedSink", "LineSink", "event", "start_logging", "start_standard_output"]
+__all__ = [
+    "BoundedSink",
+    "LineSink",
+    "event",
+    "start_logging",
+    "start_standard_output",
+    "traceback",
+]
 
 #: Lines a second that a bounded sink writes over time; a line costs about 30 us.
 LINES_PER_S = 100.0
@@ -97,3 +105,8 @@
 def event(name: str, **fields) -> None:
     """Log one event; fields must be JSON values or have a text form."""
     eliot.log_message(message_type=name, **fields)
+
+
+def traceback(error: BaseException) -> str:
+    """Return the text of an unexpected error, for the log."""
+    return "".join(format_exception(error))
--- a/rattanrelay/platform/__main__.py
+++ b/rattanrelay/platform/__main__.py
@@ -7,7 +7,7 @@
 
 from ..errors import RelayError
 from ..log import start_standard_output
-from ..relay import BootClock, RelayDaemon, RelaySettings
+from ..relay import BootClock, Instance, RelayDaemon, RelaySettings
 from .documents import HEADERS
 from .feed import PlatformFeed
 from .settings import load, settings_path
@@ -32,7 +32,8 @@
 async def _run(settings: RelaySettings, path) -> None:
     rng = random.Random()
     sink = start_standard_output(instance=settings.instance)
-    feed = PlatformFeed(settings.store.host, settings.store.port, settings.instance, rng)
+    instance = Instance(settings.instance, *settings.peers, settings.domain)
+    feed = PlatformFeed(settings.store, instance, rng)
     seen = path.stat().st_mtime_ns
 
     def changed() -> bool:
--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -8,7 +8,7 @@
 
 from ..errors import RelayError
 from ..log import event
-from ..relay import Knowledge
+from ..relay import Instance, Knowledge, Listen, Peers
 from ..store.backoff import Backoff
 from . import documents
 from .store import HistoryGone, Item, PlatformStore
@@ -30,21 +30,20 @@
 class PlatformFeed:
     """Implements `Feed` by watches of the store."""
 
-    def __init__(self, host: str, port: int, instance: str, rng: random.Random) -> None:
-        self.store = PlatformStore(host, port)
+    def __init__(self, store: Listen, instance: Instance, rng: random.Random) -> None:
+        self.store = PlatformStore(store.host, store.port)
         self.instance = instance
         self.rng = rng
         self.lease: int | None = None
         self.leaving = False
-        self.revisions: dict[str, int] = {}
 
     @property
     def calls(self) -> dict[str, int]:
         """Calls to the store by kind."""
         return self.store.calls
 
-    async def run(self, knowledge: Knowledge) -> None:
-        """Keep the knowledge up to date until cancelled."""
+    async def run(self, knowledge: Knowledge, peers: Peers) -> None:
+        """Keep the knowledge and the list of instances up to date until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
                 self._follow, knowledge, documents.OPERATOR_PREFIX, self._take_operator, 0.0
@@ -52,7 +51,7 @@
             nursery.start_soon(
                 self._follow, knowledge, documents.SEARCHER_PREFIX, self._take_searchers, GATHER_S
             )
-            nursery.start_soon(self._stay_listed, knowledge)
+            nursery.start_soon(self._stay_listed, knowledge, peers)
 
     async def leave(self) -> None:
         """Take the instance off the list; errors are logged."""
@@ -135,15 +134,18 @@
                 knowledge.listed = True
                 event("searchers.listed", searchers=len(present))
 
-    async def _stay_listed(self, knowledge: Knowledge) -> None:
+    async def _stay_listed(self, knowledge: Knowledge, peers: Peers) -> None:
         """Keep this instance's entry under a lease, and read the others'."""
         while True:
             try:
                 if not self.leaving:
                     await self._renew()
                 page = await self.store.list(INSTANCE_PREFIX, stale=True)
-                names = [item.key.removeprefix(INSTANCE_PREFIX) for item in page.items]
-                knowledge.take_instances(names, trio.current_time())
+                instances = _instances(page.items)
+                knowledge.take_instances(
+                    [instance.name for instance in instances], trio.current_time()
+                )
+                peers.take_instances(instances)
             except RelayError as error:
                 event("instances.unknown", reason=str(error), known=knowledge.instances)
             await trio.sleep(RENEW_S * self.rng.uniform(0.8, 1.2))
@@ -152,4 +154,16 @@
         if self.lease is not None and await self.store.keep(self.lease):
             return
         self.lease = await self.store.lease(LEASE_S)
-        await self.store.put(INSTANCE_PREFIX + self.instance, b"{}", self.lease)
+        key = INSTANCE_PREFIX + self.instance.name
+        await self.store.put(key, msgspec.json.encode(self.instance), self.lease)
+
+
+def _instances(items: list[Item]) -> list[Instance]:
+    """Decode the list of instances; an unreadable entry is left out."""
+    instances = []
+    for item in items:
+        try:
+            instances.append(msgspec.json.decode(item.value or b"", type=Instance))
+        except msgspec.DecodeError as error:
+            event("instance.unreadable", key=item.key, reason=str(error))
+    return instances
--- a/rattanrelay/platform/settings.py
+++ b/rattanrelay/platform/settings.py
@@ -48,6 +48,8 @@
     zone: str
     listen_addrs: _Addresses
     platform: _Store
+    #: First and last port of the instances' own messages.
+    internal_ports: list[int]
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
@@ -75,6 +77,7 @@
         clients=clients,
         ready=address(file.listen_addrs.ready),
         metrics=Listen(clients.host, METRICS_PORT),
+        peers=Listen(clients.host, file.internal_ports[0]),
         store=address(file.platform.address),
         bounds=Bounds(
             extra=ExtraLimits(
--- a/rattanrelay/relay/__init__.py
+++ b/rattanrelay/relay/__init__.py
@@ -4,6 +4,7 @@
 from .daemon import Feed, Listen, RelayDaemon, RelaySettings
 from .fleet import Bounds, Knowledge
 from .model import Catalog, ClientLimits, HeaderNames, Route, SearcherRecord, ServiceRow, SplitPart
+from .peers import Instance, Peers
 
 __all__ = [
     "BootClock",
@@ -12,8 +13,10 @@
     "ClientLimits",
     "Feed",
     "HeaderNames",
+    "Instance",
     "Knowledge",
     "Listen",
+    "Peers",
     "RelayDaemon",
     "RelaySettings",
     "Route",
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -2,20 +2,24 @@
 
 import random
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
 import trio
 
 from ..decide.refusal import NOT_READY, STOPPING, refusal
+from ..errors import RelayError
 from ..http import Request, Response, serve_http
 from ..http.plain import PlainStream
-from ..log import BoundedSink, event
+from ..log import BoundedSink, event, traceback
+from ..wire import GatherShards, Handlers, serve_peers
+from ..wire.link import Emit
 from .fleet import Bounds, Knowledge
 from .front import ClientConnection
 from .metrics import RelayMetrics
-from .model import ClientLimits, HeaderNames
-from .scatter import RETURN_S, Scatter, refusal_response
+from .model import ClientLimits, HeaderNames, Route
+from .peers import Peers
+from .scatter import RETURN_S, DelegatedScatter, Scatter, refusal_response
 from .searchers import HOP_HEADERS, SubRequest
 
 __all__ = ["Feed", "Listen", "RelayDaemon", "RelaySettings"]
@@ -48,6 +52,8 @@
     clients: Listen
     ready: Listen
     metrics: Listen | None
+    #: Listener of the other instances.
+    peers: Listen
     store: Listen
     bounds: Bounds
 
@@ -57,8 +63,8 @@
 
     calls: dict[str, int]
 
-    async def run(self, knowledge: Knowledge) -> None:
-        """Keep the knowledge up to date until cancelled."""
+    async def run(self, knowledge: Knowledge, peers: Peers) -> None:
+        """Keep the knowledge and the list of instances up to date until cancelled."""
 
     async def leave(self) -> None:
         """Take the instance off the list; errors are logged."""
@@ -87,6 +93,9 @@
         self.rng = rng or random.Random()
         self.metrics = RelayMetrics(settings.instance)
         self.knowledge = Knowledge(settings.instance, settings.domain, names, settings.bounds)
+        self.peers = Peers(self.knowledge, self.rng)
+        self.handlers = Handlers()
+        self.handlers.on_stream(GatherShards)(self.gather)
         self.connections: set[ClientConnection] = set()
         self.handler = self.handle
         self.stopping = False
@@ -122,7 +131,10 @@
                     nursery.start_soon(
                         serve_http, self._answer_metrics, [trio.SocketListener(reports)]
                     )
-                nursery.start_soon(self.feed.run, self.knowledge)
+                others = trio.SocketListener(await _listen(settings.peers))
+                nursery.start_soon(serve_peers, self.handlers, [others])
+                self.peers.start(nursery, self.handlers)
+                nursery.start_soon(self.feed.run, self.knowledge, self.peers)
                 nursery.start_soon(self._upkeep)
                 nursery.start_soon(self._watch_settings)
                 event(
@@ -141,10 +153,19 @@
         self.running += 1
         try:
             return await self._serve(request, arrived)
+        except Exception as error:
+            request_id = request.headers.get(self.names.request_id, "")
+            event("request.failed", request=request_id, reason=traceback(error))
+            return refusal_response(
+                refusal("internal", may_have_run=True), request_id, self.knowledge
+            )
         finally:
-            self.running -= 1
-            if self.stopping and not self.running:
-                self.all_ended.set()
+            self._ended()
+
+    def _ended(self) -> None:
+        self.running -= 1
+        if self.stopping and not self.running:
+            self.all_ended.set()
 
     async def _serve(self, request: Request, arrived: float) -> Response:
         names = self.names
@@ -171,7 +192,9 @@
             arrived + max(left - RETURN_S, 0.5 * left),
             route.idempotent,
         )
-        scatter = Scatter(knowledge, self.metrics, self.background, self.rng, route, sub, arrived)
+        scatter = Scatter(
+            knowledge, self.peers, self.metrics, self.background, self.rng, route, sub, arrived
+        )
         status, outcome = 0, "client_left"
         try:
             response = await scatter.run()
@@ -196,6 +219,63 @@
             )
         return response
 
+    async def gather(self, message: GatherShards, emit: Emit) -> None:
+        """Gather some shards of a request that another instance serves."""
+        if self.refusing or not self.knowledge.complete:
+            raise RelayError("stopping", "no new work is taken", step="gather")
+        started = trio.current_time()
+        deadline = message.deadline_us / 1e6
+        route = Route(
+            name=message.kind,
+            host="",
+            prefix="",
+            idempotent=True,
+            timeout=deadline,
+            target=message.target_us / 1e6,
+            priority=0,
+            attempts=message.attempts,
+            shards=message.shards,
+            top_k=message.top_k,
+        )
+        sub = SubRequest(
+            message.request_id,
+            message.method,
+            message.target,
+            {field.name: field.value for field in message.headers},
+            message.body,
+            started + deadline,
+            True,
+        )
+        scatter = DelegatedScatter(
+            self.knowledge,
+            self.peers,
+            self.metrics,
+            self.background,
+            self.rng,
+            route,
+            sub,
+            started,
+            answer_at=started + message.answer_us / 1e6,
+            emit=emit,
+        )
+        self.running += 1
+        try:
+            await scatter.gather()
+        finally:
+            self._ended()
+            report = scatter.report
+            event(
+                "gather",
+                request=message.request_id,
+                route=message.kind,
+                shards=len(message.shards),
+                ms=round((trio.current_time() - started) * 1000, 1),
+                sent=report.sent,
+                hedges=report.hedges,
+                retries=report.retries,
+                missing=report.missing,
+            )
+
     def _refused(self, request_id: str, route: str, reason: str, arrived: float) -> Response:
         refused = refusal(reason, may_have_run=False)
         catalog = self.knowledge.catalog
@@ -323,7 +403,3 @@
     await listener.bind((address.host, address.port))
     listener.listen(BACKLOG)
     return listener
-
-
-#: Starts an instance; used by the adapter's entry point.
-Runner = Callable[[RelaySettings], Awaitable[None]]
--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -86,6 +86,18 @@
         self.searchers[record.searcher] = searcher
         self.by_service.setdefault(record.service, []).append(searcher)
 
+    def take_shared_records(self, records: list[SearcherRecord], now: float) -> None:
+        """Take all entries from an instance that reaches the store, while this one does not."""
+        for record in records:
+            # The time for which it stays cold was counted when the other instance read it.
+            self.take_record(record, now)
+        missing = self.searchers.keys() - {record.searcher for record in records}
+        for name in missing:
+            searcher = self.searchers[name]
+            if searcher.doubt_until is None or now < searcher.doubt_until:
+                self._remove(searcher, "not shared")
+        self.listed = True
+
     def lose_record(self, name: str, now: float) -> None:
         """Note that the entry of a searcher is missing."""
         searcher = self.searchers.get(name)
@@ -160,6 +172,16 @@
             and self._warm_enough(searcher, row, now)
         ]
 
+    def domains_of(self, service: str, now: float) -> frozenset[str]:
+        """Return the failure domains in which a service has a searcher to use."""
+        return frozenset(
+            searcher.record.domain
+            for searcher in self.by_service.get(service, ())
+            if searcher.usable(now)
+            and searcher.paused_until <= now
+            and searcher.record.domain not in self.out_domains
+        )
+
     def serves(self, service: str, now: float) -> bool:
         """Return whether a service has a searcher that may get requests, now or soon."""
         return any(
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -6,18 +6,25 @@
 from typing import NamedTuple
 
 import trio
+import xxhash
 
 from ..decide.choice import pick
+from ..decide.grouping import plan_groups
 from ..decide.patience import answer_by, hedge_after
 from ..decide.records import greatest_records, needed_parts
 from ..decide.refusal import NO_SEARCHER, NOT_SERVED, Refusal, refusal
+from ..errors import RelayError
 from ..http import Response
+from ..log import event, traceback
+from ..wire import GatheredPart, GatheredParts, GatherShards, HeaderField
+from ..wire.link import Emit
 from .fleet import Knowledge
 from .metrics import RelayMetrics
 from .model import Route
+from .peers import Peer, Peers
 from .searchers import HOP_HEADERS, Outcome, Searcher, SubRequest
 
-__all__ = ["Report", "Scatter"]
+__all__ = ["DelegatedScatter", "Report", "Scatter", "refusal_response"]
 
 #: A sub-request whose response is not needed any more may end within this time, in seconds, so
 #: that its connection can be used again and its latency is known.
@@ -26,6 +33,10 @@
 REFUSED_PAUSE_S = 0.02
 #: Sub-requests for one shard, refused ones included.
 MAX_SENDS = 6
+#: Time kept of a request's answer time for the way back from another instance, in seconds.
+PEER_RETURN_S = 0.003
+#: Time by which another instance may miss the moment of its first message, in seconds.
+PEER_LATE_S = 0.012
 #: Time kept of a deadline for the way of the response to the caller, in seconds.
 RETURN_S = 0.015
 
@@ -55,6 +66,8 @@
         self.sends = 0
         self.reached = False
         self.may_have_run = False
+        #: Another instance gathers it.
+        self.handed_over = False
         self.over = False
         self.reason = ""
         self.pause = REFUSED_PAUSE_S
@@ -62,7 +75,12 @@
     @property
     def settled(self) -> bool:
         """Whether nothing more will come."""
-        return self.answer is not None or (self.over and not self.flying)
+        return self.answer is not None or (self.over and not self.flying and not self.handed_over)
+
+    @property
+    def open_elsewhere(self) -> bool:
+        """Whether a searcher may be at work on it."""
+        return bool(self.flying) or self.handed_over
 
 
 class Scatter:
@@ -71,6 +89,7 @@
     def __init__(
         self,
         knowledge: Knowledge,
+        peers: Peers,
         metrics: RelayMetrics,
         background: trio.Nursery,
         rng: random.Random,
@@ -79,6 +98,7 @@
         arrived: float,
     ) -> None:
         self.knowledge = knowledge
+        self.peers = peers
         self.metrics = metrics
         self.background = background
         self.rng = rng
@@ -96,6 +116,11 @@
         self.sent = 0
         self.refused: Refusal | None = None
         self.closed = False
+        #: Records of parts that other instances gathered.
+        self.gathered: list[bytes] = []
+        self._handed: list[trio.CancelScope] = []
+        #: Only the first searchers in an order by request get it, as another instance asks too.
+        self.restricted = False
         self._wake = trio.Event()
         self._timers: list[tuple[float, int, _Part, bool]] = []
         self._order = count()
@@ -107,7 +132,7 @@
         if served < self.needed:
             return self._refuse(refusal(NO_SEARCHER, may_have_run=False))
         try:
-            for part in self.parts:
+            for part in self._hand_over(now):
                 self._launch(part, now)
             return await self._until_decided()
         finally:
@@ -151,7 +176,7 @@
             return self._merged()
         open_parts = len(self.parts) - settled
         if late or answered + open_parts < self.needed:
-            may_have_run = any(part.may_have_run or part.flying for part in self.parts)
+            may_have_run = any(part.may_have_run or part.open_elsewhere for part in self.parts)
             reasons = [part.reason for part in self.parts if part.answer is None and part.reason]
             reason = "deadline" if late else _known(reasons[0] if reasons else NO_SEARCHER)
             return self._refuse(refusal(reason, may_have_run=may_have_run, timed_out=late))
@@ -209,7 +234,11 @@
         started = trio.current_time()
         outcome = None
         with scope:
-            outcome = await searcher.exchange(self.sub, self.kind, self.latency.usual)
+            try:
+                outcome = await searcher.exchange(self.sub, self.kind, self.latency.usual)
+            except Exception as error:
+                event("subrequest.failed", request=self.sub.request_id, reason=traceback(error))
+                outcome = Outcome("lost", "internal")
         del part.flying[number]
         role = "hedge" if hedge else "first" if number == 1 else "retry"
         kind = "cancelled" if outcome is None else outcome.kind
@@ -265,6 +294,8 @@
     def _choose(self, part: _Part, now: float) -> Searcher | None:
         fresh = not self.sub.idempotent
         usable = self.knowledge.usable(part.service, now, fresh=fresh)
+        if self.restricted:
+            usable = self._first_in_order(part, usable)
         if len(part.tried) >= self.route.attempts:
             usable = [searcher for searcher in usable if searcher in part.tried]
         else:
@@ -281,6 +312,133 @@
         ]
         return usable[pick(candidates, [self.rng.random() for _ in usable])]
 
+    def _first_in_order(self, part: _Part, usable: list[Searcher]) -> list[Searcher]:
+        """Return the searchers that all instances which ask for this request choose from."""
+        names = [
+            searcher.record.searcher for searcher in self.knowledge.by_service.get(part.service, ())
+        ]
+        if len(names) <= self.route.attempts:
+            return usable
+        salt = self.sub.request_id
+        names.sort(key=lambda name: xxhash.xxh64_intdigest(f"{salt}/{name}".encode()))
+        first = set(names[: self.route.attempts])
+        return [searcher for searcher in usable if searcher.record.searcher in first]
+
+    def _hand_over(self, now: float) -> list[_Part]:
+        """Hand shards to other instances where that is better; return the parts that stay."""
+        if not self.route.shards:
+            return self.parts
+        knowledge = self.knowledge
+        instances = self.peers.domains(now)
+        if not instances:
+            return self.parts
+        domains_of = {part.service: knowledge.domains_of(part.service, now) for part in self.parts}
+        plan = plan_groups(
+            knowledge.instance, knowledge.domain, self.route.shards, domains_of, instances
+        )
+        by_service = {part.service: part for part in self.parts}
+        stay = [by_service[service] for service in plan.direct]
+        for run in plan.runs:
+            group = [by_service[service] for service in run.shards]
+            peer = self.peers.choose(run.instances, self.kind, self.latency.usual)
+            if peer is None:
+                stay += group
+                continue
+            self.restricted = True
+            for part in group:
+                part.handed_over = True
+            scope = trio.CancelScope()
+            self._handed.append(scope)
+            self.background.start_soon(self._ask_peer, peer, group, scope)
+        return stay
+
+    async def _ask_peer(self, peer: Peer, group: list[_Part], scope: trio.CancelScope) -> None:
+        """Let another instance gather a group; what it does not answer is asked for from here."""
+        started = trio.current_time()
+        first_by = hedge_after(self.latency.usual, self.latency.usual) + PEER_LATE_S
+        waiting = {part.service: part for part in group}
+        reason = "peer_unavailable"
+        heard = False
+        with scope:
+            try:
+                message = self._message(group, started)
+                async with self.peers.linked(peer) as link, link.stream_of(message) as items:
+                    with trio.move_on_after(first_by) as patience:
+                        async for item in items:
+                            patience.deadline = float("inf")
+                            if not heard:
+                                heard = True
+                                took = trio.current_time() - started
+                                peer.estimate.answered(self.kind, took, trio.current_time())
+                            self._take_gathered(item, waiting)
+                    if patience.cancelled_caught:
+                        reason = "peer_silent"
+                        peer.estimate.unanswered(self.kind, first_by, trio.current_time())
+                        peer.pause(PEER_LATE_S * 10)
+            except RelayError as error:
+                reason = error.code
+                event(
+                    "gather.failed",
+                    request=self.sub.request_id,
+                    peer=peer.instance.name,
+                    reason=str(error),
+                )
+                if error.ran == "not_run":
+                    for part in waiting.values():
+                        part.handed_over = False
+        if self.closed:
+            return
+        now = trio.current_time()
+        for part in waiting.values():
+            part.reached = part.reached or part.handed_over
+            part.may_have_run = part.may_have_run or part.handed_over
+            part.handed_over = False
+            part.reason = part.reason or reason
+            if part.answer is None and not part.flying:
+                self._launch(part, now)
+        self._wake.set()
+
+    def _message(self, group: list[_Part], now: float) -> GatherShards:
+        sub, route = self.sub, self.route
+        answer = max(self.soft - now - PEER_RETURN_S, 0.0)
+        return GatherShards(
+            sub.request_id,
+            self.kind,
+            sub.method,
+            sub.target,
+            tuple(HeaderField(name, value) for name, value in sub.headers.items()),
+            sub.body,
+            tuple(part.service for part in group),
+            route.attempts,
+            route.top_k,
+            int(route.target * 1e6),
+            int(answer * 1e6),
+            int(max(sub.deadline - now - PEER_RETURN_S, 0.0) * 1e6),
+        )
+
+    def _take_gathered(self, item: GatheredParts, waiting: dict[str, _Part]) -> None:
+        """Take the parts that another instance has; it tries no more for those that it lacks."""
+        if self.closed:
+            return
+        now = trio.current_time()
+        taken = 0
+        for row in item.parts:
+            part = waiting.pop(row.shard, None)
+            if part is None or part.answer is not None:
+                continue
+            part.handed_over = False
+            if row.signature:
+                part.answer = Response(200, {self.knowledge.names.signature: row.signature})
+                taken += 1
+                continue
+            part.reached = part.reached or row.may_have_run
+            part.may_have_run = part.may_have_run or row.may_have_run
+            part.reason = row.reason
+            self._later(part, now)
+        if taken:
+            self.gathered.append(item.records)
+        self._wake.set()
+
     def _fire_timers(self, now: float) -> None:
         while self._timers and self._timers[0][0] <= now:
             _, _, part, hedge = heapq.heappop(self._timers)
@@ -304,6 +462,8 @@
         self.closed = True
         if not self.sub.idempotent:
             return
+        for scope in self._handed:
+            scope.cancel()
         for part in self.parts:
             self._stop(part)
 
@@ -319,8 +479,8 @@
             names.part_signatures: ", ".join(answer.headers[names.signature] for answer in answers),
             names.missing_shards: str(len(self.parts) - len(answers)),
         }
-        body = greatest_records((answer.body for answer in answers), self.route.top_k)
-        return Response(200, headers, body)
+        bodies = [answer.body for answer in answers] + self.gathered
+        return Response(200, headers, greatest_records(bodies, self.route.top_k))
 
     def _passed(self, answer: Response) -> Response:
         headers = {name: value for name, value in answer.headers.items() if name not in HOP_HEADERS}
@@ -332,6 +492,62 @@
         return refusal_response(refused, self.sub.request_id, self.knowledge)
 
 
+class DelegatedScatter(Scatter):
+    """Shards that this instance gathers for another one, which merges and decides."""
+
+    def __init__(self, *args, answer_at: float, emit: Emit) -> None:
+        super().__init__(*args)
+        self.soft = answer_at
+        self.emit = emit
+        self.restricted = True
+        self._emitted: set[str] = set()
+
+    async def gather(self) -> None:
+        """Send what is in after the usual time, at the time for the answer, and as it comes."""
+        now = trio.current_time()
+        usual = hedge_after(self.latency.usual, self.latency.usual)
+        moments = sorted({min(now + usual, self.soft), self.soft, self.sub.deadline})
+        try:
+            for part in self.parts:
+                self._launch(part, now)
+            while len(self._emitted) < len(self.parts) and now < self.sub.deadline:
+                self._fire_timers(now)
+                settled = [part for part in self.parts if part.settled]
+                while moments and moments[0] <= now:
+                    moments.pop(0)
+                    if len(self._emitted) < len(settled) or now < self.soft:
+                        await self._emit(settled)
+                done = len(settled) == len(self.parts)
+                if (done or now >= self.soft) and len(self._emitted) < len(settled):
+                    await self._emit(settled)
+                until = moments[0] if moments else self.sub.deadline
+                if self._timers:
+                    until = min(until, self._timers[0][0])
+                self._wake = trio.Event()
+                if len(self._emitted) < len(self.parts):
+                    with trio.move_on_at(until):
+                        await self._wake.wait()
+                now = trio.current_time()
+        finally:
+            self._close()
+
+    async def _emit(self, settled: list[_Part]) -> None:
+        """Send the parts that were not sent before; none says that this instance is at work."""
+        new = [part for part in settled if part.service not in self._emitted]
+        self._emitted.update(part.service for part in new)
+        name = self.knowledge.names.signature
+        rows = tuple(
+            (
+                GatheredPart(part.service, part.answer.headers[name])
+                if part.answer is not None
+                else GatheredPart(part.service, "", part.reason, part.may_have_run)
+            )
+            for part in new
+        )
+        bodies = [part.answer.body for part in new if part.answer is not None]
+        await self.emit(GatheredParts(rows, greatest_records(bodies, self.route.top_k)))
+
+
 def refusal_response(refused: Refusal, request_id: str, knowledge: Knowledge) -> Response:
     """Return the response for a request that is not served."""
     headers = {"content-type": "text/plain"}
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -209,7 +209,11 @@
             # The response to an earlier request; the one to this request may still follow.
             self._close(connection)
             return Outcome("lost", "response_of_other_request")
-        self._keep(connection, headers.get("keep-alive"))
+        if sub.idempotent:
+            self._keep(connection, headers.get("keep-alive"))
+        else:
+            # Requests that run once open a connection of their own, so nothing would use this one.
+            self._close(connection)
         if response.status == MISDIRECTED:
             self.gone = True
             self.drop_idle()
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -17,6 +17,10 @@
     "DocumentRevision",
     "EndTrial",
     "Failure",
+    "GatherShards",
+    "GatheredPart",
+    "GatheredParts",
+    "HeaderField",
     "Heartbeat",
     "HeartbeatAck",
     "KnownLosses",
@@ -306,3 +310,50 @@
     """The block or the losses of a fingerprint that a member knows."""
 
     losses: tuple[BlockedRequest, ...] = ()
+
+
+@message()
+class HeaderField(NamedTuple):
+    """A header of a relayed request."""
+
+    name: str
+    value: str
+
+
+@message(19)
+class GatherShards(NamedTuple):
+    """Asks an instance to gather the parts of some shards; times in microseconds from now."""
+
+    request_id: str
+    #: Name of the route, under which latencies are kept.
+    kind: str
+    method: str
+    target: str
+    headers: tuple[HeaderField, ...]
+    body: bytes
+    shards: tuple[str, ...]
+    attempts: int
+    #: Greatest records that are sent back for all parts together.
+    top_k: int
+    target_us: int
+    #: When the parts that are in are wanted.
+    answer_us: int
+    deadline_us: int
+
+
+@message()
+class GatheredPart(NamedTuple):
+    """The part of a shard, or the reason why there is none."""
+
+    shard: str
+    signature: str = ""
+    reason: str = ""
+    may_have_run: bool = False
+
+
+@message(20)
+class GatheredParts(NamedTuple):
+    """Parts that were not sent before, and the greatest of their records."""
+
+    parts: tuple[GatheredPart, ...]
+    records: bytes = b""
