Keep listening to a silent instance while asking its searchers from here

Ruled out: a longer patience, which costs the target where the instance is gone. Change: the stream stays open; parts count from whichever side has them first, and the asking instance says when it wants the first message.

--- a/rattanrelay/decide/extras.py
+++ b/rattanrelay/decide/extras.py
@@ -11,7 +11,7 @@
 __all__ = ["ExtraLimits", "ExtraWindow"]
 
 #: Part of the allowance that is used; the rest covers instances that this one does not know yet.
-SAFETY = 0.8
+SAFETY = 0.9
 #: Part of it that hedges may use; the rest is for retries after failures.
 HEDGE_SHARE = 0.7
 #: Divisions of a window in the count of first requests.
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -255,6 +255,7 @@
             route,
             sub,
             started,
+            first_at=started + message.first_us / 1e6,
             answer_at=started + message.answer_us / 1e6,
             emit=emit,
         )
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -2,6 +2,8 @@
 
 import heapq
 import random
+from collections.abc import Callable
+from functools import partial
 from itertools import count
 from typing import NamedTuple
 
@@ -37,6 +39,8 @@
 PEER_RETURN_S = 0.003
 #: Time by which another instance may miss the moment of its first message, in seconds.
 PEER_LATE_S = 0.012
+#: Time for which an instance that was silent is not asked, in seconds.
+PEER_DOUBT_S = 0.2
 #: Time kept of a deadline for the way of the response to the caller, in seconds.
 RETURN_S = 0.015
 
@@ -83,6 +87,16 @@
         return bool(self.flying) or self.handed_over
 
 
+class _Group:
+    """Parts that another instance gathers; `waiting` has those that it has not answered."""
+
+    def __init__(self, peer: Peer, waiting: dict[str, _Part]) -> None:
+        self.peer = peer
+        self.waiting = waiting
+        self.heard = False
+        self.scope = trio.CancelScope()
+
+
 class Scatter:
     """One request on its way; `background` outlives it and runs the sub-requests."""
 
@@ -118,11 +132,11 @@
         self.closed = False
         #: Records of parts that other instances gathered.
         self.gathered: list[bytes] = []
-        self._handed: list[trio.CancelScope] = []
+        self._groups: list[_Group] = []
         #: Only the first searchers in an order by request get it, as another instance asks too.
         self.restricted = False
         self._wake = trio.Event()
-        self._timers: list[tuple[float, int, _Part, bool]] = []
+        self._timers: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = count()
 
     async def run(self) -> Response:
@@ -225,7 +239,7 @@
         if self.sub.idempotent and number < self.route.attempts:
             expected = searcher.estimate.expected(self.kind, self.latency.usual, now)
             delay = hedge_after(expected, self.latency.usual)
-            self._at(now + delay, part, hedge=True)
+            self._at(now + delay, partial(self._hedge, part))
         return True
 
     async def _send(
@@ -289,7 +303,7 @@
             part.over = True
             part.reason = part.reason or NO_SEARCHER
             return
-        self._at(at, part, hedge=False)
+        self._at(at, partial(self._retry, part))
 
     def _choose(self, part: _Part, now: float) -> Searcher | None:
         fresh = not self.sub.idempotent
@@ -347,58 +361,62 @@
             self.restricted = True
             for part in group:
                 part.handed_over = True
-            scope = trio.CancelScope()
-            self._handed.append(scope)
-            self.background.start_soon(self._ask_peer, peer, group, scope)
+            handed = _Group(peer, {part.service: part for part in group})
+            self._groups.append(handed)
+            self.background.start_soon(self._ask_peer, handed)
         return stay
 
-    async def _ask_peer(self, peer: Peer, group: list[_Part], scope: trio.CancelScope) -> None:
+    async def _ask_peer(self, group: _Group) -> None:
         """Let another instance gather a group; what it does not answer is asked for from here."""
         started = trio.current_time()
-        first_by = hedge_after(self.latency.usual, self.latency.usual) + PEER_LATE_S
-        waiting = {part.service: part for part in group}
+        first_after = hedge_after(self.latency.usual, self.latency.usual)
         reason = "peer_unavailable"
-        heard = False
-        with scope:
+        with group.scope:
             try:
-                message = self._message(group, started)
-                async with self.peers.linked(peer) as link, link.stream_of(message) as items:
-                    with trio.move_on_after(first_by) as patience:
-                        async for item in items:
-                            patience.deadline = float("inf")
-                            if not heard:
-                                heard = True
-                                took = trio.current_time() - started
-                                peer.estimate.answered(self.kind, took, trio.current_time())
-                            self._take_gathered(item, waiting)
-                    if patience.cancelled_caught:
-                        reason = "peer_silent"
-                        peer.estimate.unanswered(self.kind, first_by, trio.current_time())
-                        peer.pause(PEER_LATE_S * 10)
+                message = self._message(group, started, first_after)
+                self._at(started + first_after + PEER_LATE_S, partial(self._doubt, group))
+                async with self.peers.linked(group.peer) as link, link.stream_of(message) as items:
+                    async for item in items:
+                        if not group.heard:
+                            group.heard = True
+                            now = trio.current_time()
+                            group.peer.estimate.answered(self.kind, now - started, now)
+                        self._take_gathered(item, group)
             except RelayError as error:
                 reason = error.code
-                event(
-                    "gather.failed",
-                    request=self.sub.request_id,
-                    peer=peer.instance.name,
-                    reason=str(error),
-                )
+                peer = group.peer.instance.name
+                event("gather.failed", request=self.sub.request_id, peer=peer, reason=str(error))
                 if error.ran == "not_run":
-                    for part in waiting.values():
+                    for part in group.waiting.values():
                         part.handed_over = False
-        if self.closed:
+        if not self.closed:
+            self._take_back(group, reason)
+
+    def _doubt(self, group: _Group, now: float) -> None:
+        """Ask for the parts from here too if the other instance is silent."""
+        if group.heard or not group.waiting:
             return
+        group.peer.estimate.unanswered(self.kind, now - self.arrived, now)
+        group.peer.pause(PEER_DOUBT_S)
+        event("gather.silent", request=self.sub.request_id, peer=group.peer.instance.name)
+        for part in group.waiting.values():
+            part.reached = True
+            if part.answer is None and not part.flying:
+                self._launch(part, now, hedge=True)
+
+    def _take_back(self, group: _Group, reason: str) -> None:
+        """Ask from here for the parts that the other instance did not answer."""
         now = trio.current_time()
-        for part in waiting.values():
-            part.reached = part.reached or part.handed_over
-            part.may_have_run = part.may_have_run or part.handed_over
-            part.handed_over = False
+        for part in group.waiting.values():
+            if part.handed_over:
+                part.reached = part.may_have_run = True
+                part.handed_over = False
             part.reason = part.reason or reason
             if part.answer is None and not part.flying:
                 self._launch(part, now)
         self._wake.set()
 
-    def _message(self, group: list[_Part], now: float) -> GatherShards:
+    def _message(self, group: _Group, now: float, first_after: float) -> GatherShards:
         sub, route = self.sub, self.route
         answer = max(self.soft - now - PEER_RETURN_S, 0.0)
         return GatherShards(
@@ -408,49 +426,57 @@
             sub.target,
             tuple(HeaderField(name, value) for name, value in sub.headers.items()),
             sub.body,
-            tuple(part.service for part in group),
+            tuple(group.waiting),
             route.attempts,
             route.top_k,
             int(route.target * 1e6),
             int(answer * 1e6),
             int(max(sub.deadline - now - PEER_RETURN_S, 0.0) * 1e6),
+            int(first_after * 1e6),
         )
 
-    def _take_gathered(self, item: GatheredParts, waiting: dict[str, _Part]) -> None:
+    def _take_gathered(self, item: GatheredParts, group: _Group) -> None:
         """Take the parts that another instance has; it tries no more for those that it lacks."""
         if self.closed:
             return
         now = trio.current_time()
         taken = 0
         for row in item.parts:
-            part = waiting.pop(row.shard, None)
-            if part is None or part.answer is not None:
+            part = group.waiting.pop(row.shard, None)
+            if part is None:
                 continue
             part.handed_over = False
             if row.signature:
+                # The records hold this part's, so an answer that came to this instance is left out.
                 part.answer = Response(200, {self.knowledge.names.signature: row.signature})
+                self._stop(part)
                 taken += 1
                 continue
             part.reached = part.reached or row.may_have_run
             part.may_have_run = part.may_have_run or row.may_have_run
             part.reason = row.reason
-            self._later(part, now)
+            if part.answer is None and not part.flying:
+                self._later(part, now)
         if taken:
             self.gathered.append(item.records)
         self._wake.set()
 
     def _fire_timers(self, now: float) -> None:
         while self._timers and self._timers[0][0] <= now:
-            _, _, part, hedge = heapq.heappop(self._timers)
-            if part.answer is not None or part.over:
-                continue
-            if hedge and part.flying and len(part.tried) < self.route.attempts:
-                self._launch(part, now, hedge=True)
-            elif not hedge and not part.flying:
-                self._launch(part, now)
+            heapq.heappop(self._timers)[2](now)
+
+    def _hedge(self, part: _Part, now: float) -> None:
+        """Send a second request if the first one has no answer yet."""
+        wanted = part.answer is None and not part.over and part.flying
+        if wanted and len(part.tried) < self.route.attempts:
+            self._launch(part, now, hedge=True)
+
+    def _retry(self, part: _Part, now: float) -> None:
+        if part.answer is None and not part.over and not part.flying:
+            self._launch(part, now)
 
-    def _at(self, when: float, part: _Part, *, hedge: bool) -> None:
-        heapq.heappush(self._timers, (when, next(self._order), part, hedge))
+    def _at(self, when: float, action: Callable[[float], None]) -> None:
+        heapq.heappush(self._timers, (when, next(self._order), action))
 
     def _stop(self, part: _Part) -> None:
         """Give the sub-requests that lost a short time to end by themselves."""
@@ -462,8 +488,8 @@
         self.closed = True
         if not self.sub.idempotent:
             return
-        for scope in self._handed:
-            scope.cancel()
+        for group in self._groups:
+            group.scope.cancel()
         for part in self.parts:
             self._stop(part)
 
@@ -495,18 +521,18 @@
 class DelegatedScatter(Scatter):
     """Shards that this instance gathers for another one, which merges and decides."""
 
-    def __init__(self, *args, answer_at: float, emit: Emit) -> None:
+    def __init__(self, *args, first_at: float, answer_at: float, emit: Emit) -> None:
         super().__init__(*args)
+        self.first_at = first_at
         self.soft = answer_at
         self.emit = emit
         self.restricted = True
         self._emitted: set[str] = set()
 
     async def gather(self) -> None:
-        """Send what is in after the usual time, at the time for the answer, and as it comes."""
+        """Send what is in at the first moment, at the time for the answer, and as it comes."""
         now = trio.current_time()
-        usual = hedge_after(self.latency.usual, self.latency.usual)
-        moments = sorted({min(now + usual, self.soft), self.soft, self.sub.deadline})
+        moments = sorted({min(self.first_at, self.soft), self.soft, self.sub.deadline})
         try:
             for part in self.parts:
                 self._launch(part, now)
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -339,6 +339,8 @@
     #: When the parts that are in are wanted.
     answer_us: int
     deadline_us: int
+    #: When the first message is wanted, even without parts.
+    first_us: int = 0
 
 
 @message()
