Open connections to searchers ahead of the first request

Change: two connections each 20 ms to searchers of the own failure domain that have none, also of services that no route names yet, if their limit allows one for each instance.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -143,7 +143,8 @@
                 page = await self.store.list(INSTANCE_PREFIX, stale=True)
                 instances = _instances(page.items)
                 knowledge.take_instances(
-                    [instance.name for instance in instances], trio.current_time()
+                    {instance.name: instance.domain for instance in instances},
+                    trio.current_time(),
                 )
                 peers.take_instances(instances)
             except RelayError as error:
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -37,6 +37,10 @@
 LAST_SEND_S = 0.05
 #: Period of the removal of missing searchers and old connections, in seconds.
 UPKEEP_S = 0.2
+#: Connections that are opened ahead at once, and the time between; a searcher holds a slot for
+#: some milliseconds for each.
+WARM_UPS = 2
+WARM_UP_S = 0.02
 #: Period of the look at the settings file, in seconds.
 SETTINGS_S = 1.0
 #: Deadline of a request that states none, in seconds.
@@ -143,6 +147,7 @@
             self.peers.start(nursery, self.handlers)
             nursery.start_soon(self.feed.run, self.knowledge, self.peers)
             nursery.start_soon(self._upkeep)
+            nursery.start_soon(self._warm_up)
             nursery.start_soon(self._watch_settings)
             clients_at = "{}:{}".format(*settings.clients)
             event("instance.started", domain=settings.domain, clients=clients_at)
@@ -384,6 +389,17 @@
             await trio.sleep(UPKEEP_S)
             self.knowledge.forget_missing(trio.current_time())
 
+    async def _warm_up(self) -> None:
+        """Open connections ahead of requests, a few at a time."""
+        while True:
+            await trio.sleep(WARM_UP_S)
+            if self.stopping or not self.knowledge.complete:
+                continue
+            cold = self.knowledge.to_warm_up(trio.current_time())
+            for searcher in self.rng.sample(cold, min(len(cold), WARM_UPS)):
+                searcher.warmed = True
+                self.background.start_soon(searcher.warm_up)
+
     async def _watch_settings(self) -> None:
         while True:
             await trio.sleep(SETTINGS_S)
--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -50,6 +50,7 @@
         self.store_back: float | None = None
         self.changed = trio.Event()
         self._instances: dict[str, float] = {}
+        self._domains: dict[str, str] = {}
         self._extras: dict[str, ExtraWindow] = {}
         self._latency: dict[str, RecentLatency] = {}
         self._splits: dict[str, SmoothSplit] = {}
@@ -126,13 +127,15 @@
             event("domains.out", domains=sorted(domains), before=sorted(self.out_domains))
             self.out_domains = domains
 
-    def take_instances(self, names: list[str], now: float) -> None:
-        """Note the instances that the store lists."""
-        for name in names:
+    def take_instances(self, domains: dict[str, str], now: float) -> None:
+        """Note the instances that the store lists, with their failure domains."""
+        self._domains.update(domains)
+        for name in domains:
             self._instances[name] = now
         for name, seen in list(self._instances.items()):
             if now - seen > INSTANCE_MEMORY_S:
                 del self._instances[name]
+                del self._domains[name]
 
     def lost_store(self, reason: str) -> None:
         """Note that the store does not answer this instance."""
@@ -195,6 +198,27 @@
             return 1
         return max(1, int(CONNECTION_SHARE * row.max_connections / self.instances))
 
+    def to_warm_up(self, now: float) -> list[Searcher]:
+        """Return the searchers in the own failure domain that have no connection yet.
+
+        Those of services that no route names yet count too: an index that is divided anew starts
+        its searchers before the configuration names them.
+        """
+        rows = self.catalog.services.values() if self.catalog else ()
+        least = min((row.max_connections for row in rows), default=1)
+        own = sum(domain == self.domain for domain in self._domains.values())
+        if own + 1 > CONNECTION_SHARE * least:
+            return []
+        return [
+            searcher
+            for searcher in self.searchers.values()
+            if not searcher.warmed
+            and not searcher.open
+            and searcher.record.domain == self.domain
+            and searcher.usable(now)
+            and searcher.record.domain not in self.out_domains
+        ]
+
     def sending(self, searcher: Searcher, now: float) -> None:
         """Count a request to a searcher where that is limited."""
         if now < searcher.cold_until:
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -9,6 +9,7 @@
 from ..decide.warmth import ColdPace
 from ..errors import RelayError
 from ..http import HttpConnection, Request, Response
+from ..log import event
 from .model import HeaderNames, SearcherRecord
 
 __all__ = ["Outcome", "Searcher", "SubRequest"]
@@ -97,6 +98,8 @@
         self.cold_pace = ColdPace()
         self.connect_time = CONNECT_S
         self.open = 0
+        #: Whether a connection was opened ahead of requests.
+        self.warmed = False
         #: Expected ends of the requests in flight, by the identity of the sub-request's task.
         self.in_flight: dict[int, float] = {}
         self._next_token = 0
@@ -152,6 +155,16 @@
         self._observe(outcome, kind, trio.current_time() - started)
         return outcome
 
+    async def warm_up(self) -> None:
+        """Open a connection ahead of the first request; a failure pauses the searcher."""
+        try:
+            connection = await self._connect()
+        except RelayError as error:
+            self._pause()
+            event("searcher.unreachable", searcher=self.record.searcher, reason=error.message)
+            return
+        self._keep(connection, None)
+
     def drop_idle(self) -> None:
         """Close all idle connections."""
         while self._idle:
--- a/tests/relay/gathering.feature
+++ b/tests/relay/gathering.feature
@@ -51,3 +51,8 @@
     And one searcher of a shard hangs
     When a client gathers
     Then no searcher is still at work after 500 ms
+
+  Scenario: The searchers of a new set of shards have connections before it is named
+    Given 20 shards with 2 searchers each
+    When the searchers of another set start
+    Then the instance has a connection to each of them within 2 s
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -529,3 +529,22 @@
 def serves_new_route(context):
     assert context.state.away
     assert context.reply[1].status == 200, context.reply
+
+
+@when("the searchers of another set start")
+def other_set_starts(context):
+    new = [StandInSearcher(f"n{index}", f"new{index}", "a") for index in range(30)]
+
+    async def scenario():
+        async with context.world.open() as world:
+            for searcher in new:
+                await world.add(searcher)
+            await trio.sleep(2.0)
+            context.connections = [searcher.connections for searcher in new]
+
+    play(scenario)
+
+
+@then("the instance has a connection to each of them within 2 s")
+def all_connected(context):
+    assert context.connections == [1] * 30, context.connections
