--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real instances, faults from outside, and checks of what callers see."""
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,332 @@
+"""One seed of the soak: clients, overlapping faults, a calm end and the checks."""
+
+import random
+import signal
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from rattanrelay.emulator.faultproxy import ProxyFaults
+from rattanrelay.errors import RelayError
+from rattanrelay.http import HttpConnection, Request
+from rattanrelay.platform.documents import HEADERS
+
+from .checks import Sent, violations
+from .world import GRACE_S, SoakInstance, SoakWorld
+
+__all__ = ["FAULTS", "play_seed"]
+
+#: Requests of each client a second, and clients.
+RATE = 8.0
+CLIENTS = 6
+#: Time after a fault in which an instance is not expected to keep the bounds, in seconds.
+CALM_S = 5.0
+#: Time at the end without faults, of which the last part must be served, in seconds.
+HEAL_S = 6.0
+RECOVER_S = 4.0
+DEADLINE_S = {"one": 1.0, "once": 1.0, "all": 0.8}
+#: A client ends an attempt that has no answer this long after its deadline, in seconds.
+GIVE_UP_S = 4.0
+
+Fault = Callable[["Soak"], Awaitable[None]]
+FAULTS: dict[str, Fault] = {}
+
+
+def fault(function: Fault) -> Fault:
+    """Register a fault under its name; it ends what it began before it returns."""
+    FAULTS[function.__name__] = function
+    return function
+
+
+class Soak:
+    """State of one run."""
+
+    def __init__(self, seed: int, seconds: float, instances: int) -> None:
+        self.rng = random.Random(seed)
+        self.seconds = seconds
+        self.world = SoakWorld(self.rng, instances)
+        self.sent: list[Sent] = []
+        self.log: list[str] = []
+        self.out: set[str] = set()
+        self.ending = False
+        #: Logs of the instances, at the end.
+        self.logs: list[bytes] = []
+        self._ids = 0
+
+    async def run(self) -> list[str]:
+        """Play the seed and return the broken promises."""
+        world = self.world
+        with world.processes:
+            async with trio.open_nursery() as nursery:
+                await world.open(nursery)
+                async with trio.open_nursery() as players:
+                    for _ in range(CLIENTS):
+                        players.start_soon(self._client)
+                    players.start_soon(self._balance)
+                    async with trio.open_nursery() as faults:
+                        end = trio.current_time() + self.seconds
+                        while trio.current_time() < end:
+                            faults.start_soon(self._strike)
+                            await trio.sleep(self.rng.expovariate(1.0 / 1.2))
+                    healed = trio.current_time() + HEAL_S
+                    await trio.sleep(HEAL_S + RECOVER_S)
+                    self.ending = True
+                ended = [one.name for one in world.instances if not one.process.running]
+                self.logs = [one.process.log.read_bytes() for one in world.instances]
+                nursery.cancel_scope.cancel()
+        found = violations(world, self.sent, healed)
+        return found + [f"ENDED {name} by itself" for name in ended]
+
+    async def _strike(self) -> None:
+        name = self.rng.choice(sorted(FAULTS))
+        self.log.append(f"{trio.current_time():.2f} {name}")
+        await FAULTS[name](self)
+
+    def pick(self) -> SoakInstance:
+        """Return a random instance."""
+        return self.rng.choice(self.world.instances)
+
+    async def _balance(self) -> None:
+        """Take instances out of rotation after two misses, as the platform does."""
+        misses = dict.fromkeys((one.name for one in self.world.instances), 0)
+        while not self.ending:
+            for instance in self.world.instances:
+                ready = await self.world.is_ready(instance)
+                misses[instance.name] = 0 if ready else misses[instance.name] + 1
+                (self.out.add if misses[instance.name] >= 2 else self.out.discard)(instance.name)
+            await trio.sleep(0.5)
+
+    async def _client(self) -> None:
+        """Send requests on connections that are kept until they end."""
+        kept: tuple[SoakInstance, HttpConnection] | None = None
+        while not self.ending:
+            await trio.sleep(self.rng.expovariate(RATE))
+            if kept is not None and (kept[1].stale() or self.rng.random() < 0.02):
+                kept[1].close_now()
+                kept = None
+            if kept is None:
+                kept = await self._connect()
+            if kept is not None and not await self._ask(*kept):
+                kept[1].close_now()
+                kept = None
+        if kept is not None:
+            kept[1].close_now()
+
+    async def _connect(self) -> tuple[SoakInstance, HttpConnection] | None:
+        instances = [one for one in self.world.instances if one.name not in self.out]
+        instance = self.rng.choice(instances or self.world.instances)
+        with trio.move_on_after(1.0):
+            try:
+                return instance, await HttpConnection.open(instance.host, instance.front)
+            except RelayError:
+                return None
+        return None
+
+    async def _ask(self, instance: SoakInstance, connection: HttpConnection) -> bool:
+        self._ids += 1
+        route = self.rng.choice(("one", "once", "all", "all"))
+        request_id = f"q{self._ids}"
+        deadline = DEADLINE_S[route]
+        headers = {
+            "host": "test.example",
+            HEADERS.request_id: request_id,
+            HEADERS.deadline_ms: str(int(deadline * 1000)),
+        }
+        method, body = ("POST", b"x" * 50) if route == "once" else ("GET", b"")
+        started = trio.current_time()
+        calm = self._calm(instance, started)
+        response = None
+        with trio.move_on_after(deadline + GIVE_UP_S):
+            try:
+                response = await connection.request(Request(method, f"/{route}/x", headers, body))
+            except RelayError:
+                response = None
+        ended = trio.current_time()
+        # A connection that ends before anything was read may cross a close of the instance.
+        crossed = response is None and ended - started < 0.05
+        calm = calm and self._calm(instance, ended)
+        self.sent.append(
+            Sent(
+                request_id,
+                route,
+                instance.name,
+                started,
+                ended,
+                deadline,
+                response,
+                calm,
+                not crossed,
+            )
+        )
+        return response is not None and connection.usable
+
+    def _calm(self, instance: SoakInstance, now: float) -> bool:
+        store_calm = now - self.world.store_disturbed_until >= CALM_S
+        return instance.calm(now, CALM_S) and store_calm
+
+    async def disturb(self, instance: SoakInstance, seconds: float) -> None:
+        """Wait, and mark the instance as disturbed until the end."""
+        instance.disturbed_until = float("inf")
+        await trio.sleep(seconds)
+        instance.disturbed_until = trio.current_time()
+
+
+async def _run_again(soak: Soak, instance: SoakInstance) -> None:
+    """Wait for the end of the process and start it again."""
+    with trio.move_on_after(GRACE_S) as scope:
+        while instance.process.running:  # noqa: ASYNC110
+            await trio.sleep(0.05)
+    if scope.cancelled_caught:
+        soak.log.append(f"{instance.name} was killed after its grace")
+        instance.process.kill()
+    await soak.disturb(instance, soak.rng.uniform(0.1, 1.0))
+    if not instance.process.running:
+        soak.world.launch(instance)
+
+
+@fault
+async def terminate(soak: Soak) -> None:
+    """Stop an instance as planned and start it again."""
+    instance = soak.pick()
+    if instance.terminated or instance.frozen or not instance.process.running:
+        return
+    instance.terminated = True
+    instance.disturbed_until = float("inf")
+    soak.world.send(instance, signal.SIGTERM)
+    await _run_again(soak, instance)
+
+
+@fault
+async def kill(soak: Soak) -> None:
+    """Kill an instance and start it again."""
+    instance = soak.pick()
+    if instance.terminated or instance.frozen:
+        return
+    instance.terminated = True
+    instance.disturbed_until = float("inf")
+    instance.process.kill()
+    await _run_again(soak, instance)
+
+
+@fault
+async def freeze(soak: Soak) -> None:
+    """Let an instance stand still for some seconds."""
+    instance = soak.pick()
+    if instance.terminated or instance.frozen or not instance.process.running:
+        return
+    soak.world.send(instance, signal.SIGSTOP)
+    await soak.disturb(instance, soak.rng.uniform(0.3, 3.0))
+    soak.world.send(instance, signal.SIGCONT)
+
+
+@fault
+async def reload(soak: Soak) -> None:
+    """Send SIGHUP, which disturbs nothing."""
+    soak.world.send(soak.pick(), signal.SIGHUP)
+
+
+@fault
+async def cut_store(soak: Soak) -> None:
+    """Cut one instance from the store, in one direction or both, or reset its calls."""
+    instance = soak.pick()
+    name = f"store/{instance.name}"
+    faults = soak.rng.choice(
+        [
+            ProxyFaults(black_hole="both"),
+            ProxyFaults(black_hole="to_client"),
+            ProxyFaults(refuse=True),
+            ProxyFaults(delay_ms=200.0),
+        ]
+    )
+    soak.world.set_faults(name, faults, cut=faults.refuse)
+    await soak.disturb(instance, soak.rng.uniform(1.0, 5.0))
+    soak.world.set_faults(name, ProxyFaults())
+
+
+@fault
+async def store_down(soak: Soak) -> None:
+    """Let the store refuse or ignore everybody; entries lapse meanwhile and come back."""
+    world = soak.world
+    world.store_disturbed_until = float("inf")
+    world.store.set_mode(soak.rng.choice(["refuse", "silent"]))
+    await trio.sleep(soak.rng.uniform(0.5, 4.0))
+    lapsed = [one for one in world.searchers if one.drained_at is None and soak.rng.random() < 0.3]
+    for searcher in lapsed:
+        world.store.remove(f"servers/{searcher.name}")
+    world.store.set_mode("up")
+    await trio.sleep(soak.rng.uniform(0.2, 1.5))
+    for searcher in lapsed:
+        if searcher.drained_at is None:
+            world.store.write(f"servers/{searcher.name}", searcher.entry())
+    world.store_disturbed_until = trio.current_time()
+
+
+@fault
+async def forget_history(soak: Soak) -> None:
+    """Let the store forget its history."""
+    soak.world.store.compact()
+
+
+@fault
+async def forge_entry(soak: Soak) -> None:
+    """Write entries that name no searcher."""
+    forged = soak.rng.choice([b"\xff\xfe", b"{}", b'{"service": 7, "address": "x", "state": "up"}'])
+    soak.world.store.write(f"servers/forged-{soak.rng.randrange(3)}", forged)
+
+
+@fault
+async def searcher_fault(soak: Soak) -> None:
+    """Let a searcher fail, hang, answer twice or answer nothing for some seconds."""
+    searcher = soak.rng.choice(soak.world.searchers)
+    modes = ["shed", "reset", "fail", "unsigned", "truncate", "extra", "silent"]
+    searcher.mode = soak.rng.choice(modes)
+    await trio.sleep(soak.rng.uniform(0.5, 4.0))
+    searcher.mode = "good"
+
+
+@fault
+async def searcher_link(soak: Soak) -> None:
+    """Delay, silence or reset the connections to a searcher."""
+    name = f"searcher/{soak.rng.choice(soak.world.searchers).name}"
+    faults = soak.rng.choice(
+        [
+            ProxyFaults(delay_ms=100.0),
+            ProxyFaults(black_hole="to_client"),
+            ProxyFaults(black_hole="both"),
+            ProxyFaults(refuse=True),
+        ]
+    )
+    soak.world.set_faults(name, faults, cut=soak.rng.random() < 0.5)
+    await trio.sleep(soak.rng.uniform(0.5, 4.0))
+    soak.world.set_faults(name, ProxyFaults(), cut=soak.rng.random() < 0.5)
+
+
+@fault
+async def change_split(soak: Soak) -> None:
+    """Add a service to the split routes."""
+    world = soak.world
+    if len(world.split) == 1:
+        for copy in range(2):
+            await world.start_searcher(f"two-{copy}", "two-x", "ab"[copy])
+        world.split.append("two-x")
+    world.configure()
+
+
+@fault
+async def divide_anew(soak: Soak) -> None:
+    """Replace the shards by another set, and drain the old one once that is due everywhere."""
+    world = soak.world
+    if world.store_disturbed_until == float("inf"):
+        return
+    old = [searcher for searcher in world.searchers if searcher.service in world.sets[-1]]
+    await world.start_shards()
+    await trio.sleep(1.5)
+    world.configure()
+    await trio.sleep(3.5)
+    world.drain(old)
+
+
+def play_seed(seed: int, seconds: float, instances: int) -> tuple[list[str], Soak]:
+    """Play one seed; return the broken promises and the run."""
+    soak = Soak(seed, seconds, instances)
+    return trio.run(soak.run), soak
