--- a/rattanrelay/decide/grouping.py
+++ b/rattanrelay/decide/grouping.py
@@ -8,12 +8,14 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+import xxhash
+
 __all__ = ["Plan", "Run", "plan_groups"]
 
 #: Fewer shards than this are asked directly; a message costs about as much as four responses.
 MIN_GROUP = 5
 #: Shards that one instance gathers at most; each costs it about 0.4 ms of processor time.
-MAX_GROUP = 30
+MAX_GROUP = 20
 
 
 class Run(NamedTuple):
@@ -49,6 +51,8 @@
         members = sorted(name for name, place in instances.items() if place == where)
         if where == domain:
             members = sorted([*members, me])
+        # The order depends on the names only, so that a run is the same for every route and caller.
+        group.sort(key=_order)
         count = -(-len(group) // MAX_GROUP)
         count = min(count, len(members)) if members else 0
         if not count or (where != domain and len(group) < MIN_GROUP):
@@ -64,6 +68,10 @@
     return Plan(tuple(direct), tuple(runs))
 
 
+def _order(shard: str) -> int:
+    return xxhash.xxh64_intdigest(shard.encode())
+
+
 def _by_domain(
     domain: str,
     shards: Sequence[str],
--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -17,13 +17,16 @@
 
 #: A watch without changes ends after this time; an outage shows at most a second later.
 WATCH_WAIT_S = 3.0
-#: Changes of searchers within this time are read by one call, in seconds.
-GATHER_S = 0.15
+#: Changes of searchers within this time are read by one call, in seconds for each instance of the
+#: fleet: every change wakes all of them, so that calls would grow with the square of the fleet.
+GATHER_S = 0.02
+#: Longest such time, in seconds; leaving searchers serve for at least 3 s.
+LONGEST_GATHER_S = 0.8
 FIRST_PAUSE_S = 0.1
 LONGEST_PAUSE_S = 0.8
 #: Time for which an instance stays listed without renewal, and how often it renews, in seconds.
-LEASE_S = 10.0
-RENEW_S = 3.0
+LEASE_S = 15.0
+RENEW_S = 4.0
 INSTANCE_PREFIX = "rattanrelay/instances/"
 
 
@@ -46,10 +49,10 @@
         """Keep the knowledge and the list of instances up to date until cancelled."""
         async with trio.open_nursery() as nursery:
             nursery.start_soon(
-                self._follow, knowledge, documents.OPERATOR_PREFIX, self._take_operator, 0.0
+                self._follow, knowledge, documents.OPERATOR_PREFIX, self._take_operator
             )
             nursery.start_soon(
-                self._follow, knowledge, documents.SEARCHER_PREFIX, self._take_searchers, GATHER_S
+                self._follow, knowledge, documents.SEARCHER_PREFIX, self._take_searchers
             )
             nursery.start_soon(self._stay_listed, knowledge, peers)
 
@@ -62,9 +65,7 @@
             except RelayError as error:
                 event("instance.leave_failed", reason=str(error))
 
-    async def _follow(
-        self, knowledge: Knowledge, prefix: str, take: Callable, gather: float
-    ) -> None:
+    async def _follow(self, knowledge: Knowledge, prefix: str, take: Callable) -> None:
         """Read everything under a prefix, then its changes; `take` gets both."""
         backoff = Backoff(self.rng, first=FIRST_PAUSE_S, longest=LONGEST_PAUSE_S)
         revision: int | None = None
@@ -88,8 +89,8 @@
             knowledge.regained_store(trio.current_time())
             take(knowledge, page.items, whole)
             revision = page.store_revision if whole else max(revision, page.store_revision)
-            if page.items and not whole and gather:
-                await trio.sleep(gather)
+            if page.items and not whole and prefix == documents.SEARCHER_PREFIX:
+                await trio.sleep(min(LONGEST_GATHER_S, GATHER_S * knowledge.instances))
 
     def _take_operator(self, knowledge: Knowledge, items: list[Item], whole: bool) -> None:
         out = set() if whole else set(knowledge.out_domains)
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -41,6 +41,8 @@
 #: some milliseconds for each.
 WARM_UPS = 2
 WARM_UP_S = 0.02
+#: Period of the look for such searchers, in seconds.
+WARM_UP_LOOK_S = 0.25
 #: Period of the look at the settings file, in seconds.
 SETTINGS_S = 1.0
 #: Deadline of a request that states none, in seconds.
@@ -396,6 +398,9 @@
             if self.stopping or not self.knowledge.complete:
                 continue
             cold = self.knowledge.to_warm_up(trio.current_time())
+            if not cold:
+                await trio.sleep(WARM_UP_LOOK_S)
+                continue
             for searcher in self.rng.sample(cold, min(len(cold), WARM_UPS)):
                 searcher.warmed = True
                 self.background.start_soon(searcher.warm_up)
--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -4,6 +4,7 @@
 
 from ..decide.departure import doubt_until
 from ..decide.extras import ExtraLimits, ExtraWindow
+from ..decide.grouping import plan_groups
 from ..decide.patience import RecentLatency
 from ..decide.split import SmoothSplit
 from ..decide.warmth import ColdLimits, Fleet
@@ -204,21 +205,43 @@
         Those of services that no route names yet count too: an index that is divided anew starts
         its searchers before the configuration names them.
         """
-        rows = self.catalog.services.values() if self.catalog else ()
-        least = min((row.max_connections for row in rows), default=1)
-        own = sum(domain == self.domain for domain in self._domains.values())
-        if own + 1 > CONNECTION_SHARE * least:
+        if self.catalog is None:
             return []
+        least = min((row.max_connections for row in self.catalog.services.values()), default=1)
+        if self.instances_in(self.domain) > CONNECTION_SHARE * least:
+            return []
+        own = self._own_services(now)
         return [
             searcher
             for searcher in self.searchers.values()
             if not searcher.warmed
             and not searcher.open
             and searcher.record.domain == self.domain
+            and searcher.record.service in own
             and searcher.usable(now)
             and searcher.record.domain not in self.out_domains
         ]
 
+    def instances_in(self, domain: str) -> int:
+        """Return the number of instances in a failure domain, at least 1."""
+        names = {name for name, place in self._domains.items() if place == domain}
+        return len(names | {self.instance} if domain == self.domain else names) or 1
+
+    def _own_services(self, now: float) -> set[str]:
+        """Return the services that this instance asks itself."""
+        routes = [route for rows in self.catalog.routes.values() for route in rows]
+        sets = {route.shards for route in routes if route.shards}
+        single = {part.service for route in routes for part in route.split}
+        named = single.union(*sets)
+        sets.add(tuple(name for name in self.by_service if name not in named))
+        others = {name: place for name, place in self._domains.items() if name != self.instance}
+        own = set(single)
+        for shards in sets:
+            domains_of = {shard: self.domains_of(shard, now) for shard in shards}
+            plan = plan_groups(self.instance, self.domain, shards, domains_of, others)
+            own.update(plan.direct)
+        return own
+
     def sending(self, searcher: Searcher, now: float) -> None:
         """Count a request to a searcher where that is limited."""
         if now < searcher.cold_until:
