Serve new connections of a stopping instance

Cause: a connection that was opened after SIGTERM was reset before its first request was read, although the balancer sends connections for two more seconds, and longer where half of a domain is stopping. Ruled out: refusing them, since the instance can still serve for 4 s. Change: a connection is closed during a stop only after it has waited 0.2 s for a request.

--- a/rattanrelay/relay/front.py
+++ b/rattanrelay/relay/front.py
@@ -32,6 +32,9 @@
 AHEAD_BYTES = 65536
 #: Time for which a connection that is refused stays open for the client to read why, in seconds.
 LINGER_S = 0.5
+#: Time without a request after which a connection may be closed during a stop, in seconds: two
+#: round trips to a client far away.
+CROSSING_S = 0.2
 
 
 class FrontPort(Protocol):
@@ -62,6 +65,8 @@
         self.ended = False
         self.idle = True
         self.first = True
+        #: When it was opened, or its last response was sent.
+        self.idle_since = trio.current_time()
         self.scope: trio.CancelScope | None = None
         self._arrived = trio.Event()
         self._taken = trio.Event()
@@ -79,8 +84,13 @@
             self.stream.close()
 
     def close_if_idle(self) -> None:
-        """Close the connection if no byte of a request has arrived."""
-        if self.idle and not self.buffer and self._whole is not None:
+        """Close the connection if it has waited for a request for a while.
+
+        A new connection's first request is on its way, and a client that has just read a response
+        may already be sending the next request.
+        """
+        waited = trio.current_time() - self.idle_since >= CROSSING_S
+        if self.idle and waited and not self.buffer and self._whole is not None:
             self._whole.cancel()
 
     async def _receive(self) -> None:
@@ -134,8 +144,7 @@
     async def _wait_for_request(self) -> bool:
         if self.h11.trailing_data[0] or self.buffer:
             return True
-        if self.front.closing:
-            return False
+        self.idle_since = trio.current_time()
         return await self._more(trio.current_time() + self.front.limits.idle_timeout)
 
     async def _more(self, until: float) -> bool:
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -10,6 +10,7 @@
 import h11
 import msgspec
 import trio
+import trio.testing
 
 from rattanrelay.decide.extras import ExtraLimits
 from rattanrelay.decide.warmth import ColdLimits
--- /dev/null
+++ b/tests/steps/relay_stop_steps.py
@@ -0,0 +1,110 @@
+"""Steps that stop an instance of the relay while it serves."""
+
+import trio
+from behave import given, then, when
+
+from rattanrelay.errors import RelayError
+from rattanrelay.http import HttpConnection, Request
+from tests.harness.relay_world import BOUNDS, play
+from tests.steps.relay_steps import one_service
+
+#: How long clients ask; the stop begins after a quarter of it.
+ASK_S = 8.0
+
+
+@given("a service with {count:d} searchers that need 1 s")
+def slow_searchers(context, count):
+    one_service(context, count, work=1.0)
+
+
+@given("a service with 1 searcher that needs 30 s")
+def very_slow_searcher(context):
+    one_service(context, 1, work=30.0)
+
+
+async def one_client(context, world, address):
+    """Ask once on a new connection and note the answer, or that there was none."""
+    try:
+        connection = await HttpConnection.open(address.host, address.port)
+    except RelayError:
+        return
+    sent_at = trio.current_time()
+    try:
+        _, response = await world.ask("one", deadline_ms=4000, connection=connection)
+    except RelayError:
+        response = None
+    context.answers.append((sent_at, response))
+    connection.close_now()
+
+
+@when("an instance stops while clients ask 4 times a second on kept connections")
+def stop_under_load(context):
+    async def scenario():
+        context.answers = []
+        async with context.world.open() as world:
+            daemon = world.daemons["entry-1"]
+            address, ready = daemon.settings.clients, daemon.settings.ready
+            started = trio.current_time()
+            async with trio.open_nursery() as clients:
+                clients.start_soon(stop_later, daemon, ready)
+                while trio.current_time() < started + ASK_S:
+                    clients.start_soon(one_client, context, world, address)
+                    await trio.sleep(0.25)
+
+    async def stop_later(daemon, ready):
+        await trio.sleep(ASK_S / 4)
+        context.stopped_at = trio.current_time()
+        daemon.stop("test")
+        await trio.sleep(0.01)
+        check = await HttpConnection.open(ready.host, ready.port)
+        context.check = (await check.request(Request("GET", "/readyz"))).status
+        check.close_now()
+        await trio.sleep(BOUNDS.stop_grace)
+        context.left = daemon.running
+
+    play(scenario)
+
+
+@then("each request that was sent has an answer")
+def all_answered(context):
+    later = [row for row in context.answers if row[0] > context.stopped_at]
+    assert len(later) > 8, "requests came during the stop"
+    lost = [at - context.stopped_at for at, response in context.answers if response is None]
+    assert not lost, lost
+    assert {response.status for _, response in context.answers} <= {200, 503}
+
+
+@then("the instance ended within its grace")
+def ended_in_time(context):
+    assert context.left == 0
+
+
+@then("its check fails at once, and each later answer closes its connection")
+def not_ready(context):
+    assert context.check == 503
+    for at, response in context.answers:
+        if at > context.stopped_at:
+            assert response.headers.get("connection") == "close", response
+
+
+@when("an instance stops while a client waits for an answer")
+def stop_waiting(context):
+    async def scenario():
+        async with context.world.open() as world, trio.open_nursery() as clients:
+            clients.start_soon(wait_for_answer, world)
+            await trio.sleep(0.5)
+            context.stopped_at = trio.current_time()
+            world.daemons["entry-1"].stop("test")
+
+    async def wait_for_answer(world):
+        _, context.response = await world.ask("long", deadline_ms=20000)
+        context.answered_at = trio.current_time()
+
+    context.world.route("long", service="svc", timeout_ms=20000)
+    play(scenario)
+
+
+@then("the client gets status 502 before the grace ends")
+def answered_before_end(context):
+    assert context.response.status == 502
+    assert context.answered_at - context.stopped_at <= BOUNDS.stop_grace
