--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -1,5 +1,7 @@
 """What this instance knows: the configuration, the searchers, the instances and the store."""
 
+from typing import NamedTuple
+
 import trio
 
 from ..decide.departure import doubt_until
@@ -14,8 +16,6 @@
 
 __all__ = ["Bounds", "Knowledge"]
 
-from typing import NamedTuple
-
 #: Time for which an instance counts after it was last listed, in seconds; leases of instances that
 #: cannot reach the store lapse although they still serve.
 INSTANCE_MEMORY_S = 30.0
--- a/rattanrelay/relay/peers.py
+++ b/rattanrelay/relay/peers.py
@@ -19,6 +19,8 @@
 __all__ = ["Instance", "Peer", "Peers", "Shared"]
 
 CONNECT_TIMEOUT_S = 0.25
+#: Expected time for a new link: a round trip between failure domains and a task's start.
+CONNECT_S = 0.005
 CALL_TIMEOUT_S = 0.5
 #: Time for which an instance that failed is not asked, in seconds.
 PAUSE_S = 1.0
@@ -119,7 +121,7 @@
                 in_flight=peer.in_flight,
                 slots=PEER_SLOTS,
                 overdue=0.0,
-                connect=0.0 if peer.link else CONNECT_TIMEOUT_S / 50,
+                connect=0.0 if peer.link else CONNECT_S,
                 own_domain=False,
                 doubtful=False,
             )
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -274,13 +274,20 @@
             part.failure = outcome.response
         if outcome.kind != "refused":
             part.may_have_run = True
-        elif not outcome.reached and not part.flying and part.sends == 1:
-            # No searcher has seen the request, so the next one is the first to do so.
-            part.reached = False
+        elif not outcome.reached:
+            self._unsent(part)
         part.reason = outcome.reason or "searcher_failed"
         if part.answer is None and not part.flying:
             self._try_again(part, outcome)
 
+    def _unsent(self, part: _Part) -> None:
+        """Take back the count of a request that never left this instance."""
+        if part.sends > 1:
+            self.knowledge.extras(part.service).refund()
+        elif not part.flying:
+            # No searcher has seen the request, so the next one is the first to do so.
+            part.reached = False
+
     def _try_again(self, part: _Part, outcome: Outcome) -> None:
         """Decide whether the part's request goes to another searcher, or later to the same one."""
         now = trio.current_time()
