Give back the budget only for requests that were charged to it

Cause: when both searchers of a shard refused connections, the second attempt counted as a first request but gave back an extra request that another one had used; a service whose searchers are all gone could have sent more extras than its budget. Found by reading the diff. Change: each attempt knows whether it was charged. Tests: the new scenario of relay/passing fails on the code before (2 extras left of 3).

--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -217,7 +217,8 @@
         knowledge = self.knowledge
         window = knowledge.extras(part.service)
         limits = knowledge.bounds.extra
-        if not part.reached:
+        extra = part.reached
+        if not extra:
             window.first(now, limits)
         elif not window.take(now, limits, knowledge.instances, hedge=hedge):
             self.metrics.denied.inc({"role": "hedge" if hedge else "retry"})
@@ -235,7 +236,7 @@
         scope = trio.CancelScope()
         number = part.sends
         part.flying[number] = scope
-        self.background.start_soon(self._send, part, number, searcher, scope, hedge)
+        self.background.start_soon(self._send, part, number, searcher, scope, hedge, extra)
         if self.sub.idempotent and number < self.route.attempts:
             expected = searcher.estimate.expected(self.kind, self.latency.usual, now)
             delay = hedge_after(expected, self.latency.usual)
@@ -243,7 +244,13 @@
         return True
 
     async def _send(
-        self, part: _Part, number: int, searcher: Searcher, scope: trio.CancelScope, hedge: bool
+        self,
+        part: _Part,
+        number: int,
+        searcher: Searcher,
+        scope: trio.CancelScope,
+        hedge: bool,
+        extra: bool,
     ) -> None:
         started = trio.current_time()
         outcome = None
@@ -261,11 +268,13 @@
             return
         if outcome.succeeded:
             self.latency.add(trio.current_time() - started)
+        if not outcome.reached:
+            self._unsent(part, extra)
         if not self.closed:
-            self._take(part, outcome, searcher)
+            self._take(part, outcome)
             self._wake.set()
 
-    def _take(self, part: _Part, outcome: Outcome, searcher: Searcher) -> None:
+    def _take(self, part: _Part, outcome: Outcome) -> None:
         if outcome.kind == "answer" and (outcome.succeeded or not self.route.shards):
             if outcome.response.status < 500:
                 part.answer = part.answer or outcome.response
@@ -274,15 +283,13 @@
             part.failure = outcome.response
         if outcome.kind != "refused":
             part.may_have_run = True
-        elif not outcome.reached:
-            self._unsent(part)
         part.reason = outcome.reason or "searcher_failed"
         if part.answer is None and not part.flying:
             self._try_again(part, outcome)
 
-    def _unsent(self, part: _Part) -> None:
+    def _unsent(self, part: _Part, extra: bool) -> None:
         """Take back the count of a request that never left this instance."""
-        if part.sends > 1:
+        if extra:
             self.knowledge.extras(part.service).refund()
         elif not part.flying:
             # No searcher has seen the request, so the next one is the first to do so.
--- a/tests/relay/passing.feature
+++ b/tests/relay/passing.feature
@@ -87,3 +87,10 @@
     Given a service with 2 good searchers
     When a client asks 40 times with a non-idempotent request
     Then it gets status 200 each time and each request ran once
+
+  Scenario: Failed connections give back no budget that other requests used
+    Given a service with 2 searchers of which both refuse connections
+    And 3 extra requests were sent in the last seconds
+    When a client asks with a deadline of 300 ms
+    Then it gets status 503 with a Retry-After and no searcher ran it
+    And the 3 extra requests still count
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -64,6 +64,9 @@
     if fault == "drain":
         context.prepare.append(drain_all)
         return
+    if fault == "refuse connections":
+        context.prepare.append(move_all)
+        return
     for searcher in context.searchers:
         searcher.mode = MODES[fault]
 
@@ -73,6 +76,29 @@
         world.store.write(f"servers/{searcher.name}", searcher.entry(state="draining"))
 
 
+def move_all(world):
+    """Let the entries name addresses at which nothing listens."""
+    for searcher in world.searchers.values():
+        entry = searcher.entry(address=f"127.0.0.1:{free_port()}")
+        world.store.write(f"servers/{searcher.name}", entry)
+
+
+@given("{count:d} extra requests were sent in the last seconds")
+def extras_sent(context, count):
+    def send(world):
+        window = world.daemons["entry-1"].knowledge.extras("svc")
+        for _ in range(count):
+            assert window.take(trio.current_time(), BOUNDS.extra, 1, hedge=False)
+
+    context.prepare.append(send)
+
+
+@then("the {count:d} extra requests still count")
+def extras_count(context, count):
+    window = context.world.daemons["entry-1"].knowledge.extras("svc")
+    assert len(window.extras) == count, window.extras
+
+
 @given("a service with 1 searcher that needs 5 s")
 def slow_service(context):
     one_service(context, 1, work=5.0)
