--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -2,8 +2,6 @@
 
 from typing import NamedTuple
 
-import trio
-
 from ..decide.departure import doubt_until
 from ..decide.extras import ExtraLimits, ExtraWindow
 from ..decide.grouping import plan_groups
@@ -49,7 +47,6 @@
         self.out_domains: frozenset[str] = frozenset()
         #: When the store was last regained; None while it is away.
         self.store_back: float | None = None
-        self.changed = trio.Event()
         self._instances: dict[str, float] = {}
         self._domains: dict[str, str] = {}
         self._extras: dict[str, ExtraWindow] = {}
@@ -69,7 +66,6 @@
         self.catalog = catalog
         self._splits.clear()
         event("configuration.in_force", version=catalog.version, before=before)
-        self.wake()
         return True
 
     def take_record(self, record: SearcherRecord, now: float) -> None:
@@ -271,11 +267,6 @@
             split = self._splits[route.name] = SmoothSplit(weights)
         return split.next()
 
-    def wake(self) -> None:
-        """Wake whoever waits for a change."""
-        self.changed.set()
-        self.changed = trio.Event()
-
     def _warm_enough(self, searcher: Searcher, row: ServiceRow | None, now: float) -> bool:
         if now >= searcher.cold_until or row is None:
             return True
