Lower the admission limit only where each replica of a shard makes work wait

Cause, with the limit now in the refusal's text: while one failure domain was slow, results that had waited in its owners' queues counted as congestion, the limit fell from 32 to 4..8, and queries that arrived while 3 to 7 were in flight were refused, although the other replica of each shard had free slots. Fewer queries do not shorten such a queue; choosing the other replica does.

Ruled out: the tenants' caps (3 to 7 in flight, caps far above), refusals by searchers (no violation).

A long wait now counts only if the newest result of each replica of the shard had waited as well. New rows in node/entry.feature: with queues at one of two replicas the limit fell before, and does not now; with queues at both it falls as before.

--- a/rattanrelay/decide/selection.py
+++ b/rattanrelay/decide/selection.py
@@ -1,5 +1,6 @@
 """Choice of a replica by this instance's own observation."""
 
+import math
 from collections.abc import Sequence
 from random import Random
 
@@ -42,6 +43,7 @@
         "row_weight",
         "server",
         "slots",
+        "waited_at",
     )
 
     def __init__(self, name: str, server: str, row_weight: float = 1.0) -> None:
@@ -59,6 +61,8 @@
         self.outstanding = 0
         self.penalty = 0.0
         self.penalty_at = 0.0
+        #: Time of the newest result if that had waited long in the queue.
+        self.waited_at = -math.inf
 
     def observe(self, latency: float, load: int, limit: int, now: float) -> None:
         """Take over a result: its latency, the work in flight and queued, and the slots."""
@@ -91,6 +95,14 @@
         load = self.load * 0.5 ** ((now - self.load_at) / LOAD_HALF_LIFE_S)
         return max(load, self.outstanding)
 
+    def note_wait(self, long: bool, now: float) -> None:
+        """Note whether a result waited long in the owner's queue."""
+        self.waited_at = now if long else -math.inf
+
+    def keeps_waiting(self, now: float) -> bool:
+        """Say whether the newest result waited long, and not a long time ago."""
+        return now - self.waited_at <= OBSERVATION_HALF_LIFE_S
+
     def queues(self, now: float) -> bool:
         """Say whether one more sub-request would have to wait for a slot."""
         return bool(self.limit) and self.current_load(now) >= self.limit
--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -141,7 +141,11 @@
                 await admitted.wait()
         if ticket.state != "admitted":
             self._note_refusal(state, ticket)
-            text = f"the share of tenant {ticket.tenant!r} is used up"
+            admission = state.admission
+            text = (
+                f"the share of tenant {ticket.tenant!r} is used up: {admission.in_flight} queries "
+                f"in flight, limit {admission.limit.value:.1f}"
+            )
             raise RelayError("overloaded", text, step="admission")
 
     def _note_refusal(self, state: ServiceState, ticket: Ticket) -> None:
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -305,7 +305,9 @@
         else:
             return
         self.queue_us += result.queue_us
-        if result.queue_us > self.late_us:
+        waited = result.queue_us > self.late_us
+        attempt.replica.note_wait(waited, now)
+        if waited and self._all_wait(shard, now):
             self.late += 1
         if result.status != "ok":
             self._refused(shard, attempt, result, now)
@@ -323,6 +325,14 @@
         if shard.attempts:
             self._cancel_losers(shard, now)
 
+    def _all_wait(self, shard: ShardState, now: float) -> bool:
+        """Say whether work waits long at each replica of a shard.
+
+        A queue at one slow replica is no congestion of the service: fewer queries would not
+        shorten it, but choosing the others does.
+        """
+        return all(replica.keeps_waiting(now) for replica in shard.planned.candidates)
+
     def _refused(
         self, shard: ShardState, attempt: Attempt, result: ShardResult, now: float
     ) -> None:
--- a/tests/node/entry.feature
+++ b/tests/node/entry.feature
@@ -109,6 +109,17 @@
     When two tenants offer 1.6 and 0.4 of the capacity for 4 seconds
     Then 95% of the capacity are full answers, and of the light tenant's queries 90%
 
+  Scenario Outline: Queues lower the limit only where no replica of the shard is free
+    Guards against refused queries while only some replicas of a service are slow.
+    Given owners in whose queues searchers ending in "<slow>" let work wait
+    When 60 queries run one after the other under policy "coverage"
+    Then the admission limit <change>
+
+    Examples:
+      | slow | change         |
+      | /0   | has not fallen |
+      | 0 1  | has fallen     |
+
   Scenario Outline: Rows that are out get no work from the next query on
     Guards against new work for a server, failure domain or owner that operators took out.
     When row "<name>" of <kind> is taken out between 30 and 30 queries
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -21,6 +21,7 @@
     take_out,
 )
 
+from rattanrelay.decide.admission import INITIAL_LIMIT
 from rattanrelay.errors import RelayError
 
 
@@ -266,6 +267,18 @@
     context.answer = answer
 
 
+@given('owners in whose queues searchers ending in "{ends}" let work wait')
+def entry_queues(context, ends):
+    chance = random.Random(14)
+
+    def answer(target, sub):
+        queued = chance.uniform(0.3, 0.4) if target.searcher.endswith(tuple(ends.split())) else 0.0
+        load = {"queue_us": int(queued * 1e6), "in_flight": 6 if queued else 0}
+        return 0.01 + queued, [ok_result(target, sub, **load)]
+
+    context.answer = answer
+
+
 @when('{count:d} queries run one after the other under policy "{policy}"')
 def entry_sequence(context, count, policy):
     context.answers = []
@@ -274,6 +287,7 @@
         entry, context.owners = make_entry(context.answer, policy=policy, soft_deadline_ms=250)
         for number in range(count):
             context.answers.append(await entry.query(make_query(number)))
+        context.limit = entry.services["log"].admission.limit.value
 
     run_entry(main)
     kinds = Counter()
@@ -282,6 +296,16 @@
     context.kinds = kinds
 
 
+@then("the admission limit has not fallen")
+def entry_limit_kept(context):
+    assert context.limit >= INITIAL_LIMIT, context.limit
+
+
+@then("the admission limit has fallen")
+def entry_limit_lowered(context):
+    assert context.limit <= INITIAL_LIMIT / 2, context.limit
+
+
 @then("there are hedges, and hedges and retries stay within 2% and a burst of 10")
 def entry_hedge_budget(context):
     kinds = context.kinds
