Let one instance of each failure domain read the store and pass changes on

Ruled out: longer waits between watches (they cost the drain bound), a reader for the whole fleet (its link would carry the list of all searchers for every instance, and bytes between domains).

A follower whose reader is silent, lost or away from the store reads the store itself at once, from the revision that it knows, and looks for a reader again. What is older than what is known is left out.

--- a/rattanrelay/platform/store.py
+++ b/rattanrelay/platform/store.py
@@ -8,9 +8,10 @@
 
 from ..errors import RelayError
 from ..http import Request, Response
+from ..relay import Item
 from ..store import StoreCalls
 
-__all__ = ["HistoryGone", "Item", "Page", "PlatformStore"]
+__all__ = ["HistoryGone", "Page", "PlatformStore"]
 
 CALL_TIMEOUT_S = 1.0
 #: Time beyond a watch's own wait after which the store counts as away, in seconds.
@@ -22,14 +23,6 @@
     """The store has discarded the changes after the revision asked for."""
 
 
-class Item(NamedTuple):
-    """A stored value; `value` is None for a removed key."""
-
-    key: str
-    value: bytes | None
-    revision: int
-
-
 class Page(NamedTuple):
     """Items or changes, and the revision of the store that they are known to reflect."""
 
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -76,6 +76,9 @@
 
     calls: dict[str, int]
 
+    def serve(self, handlers: Handlers) -> None:
+        """Register what the feed answers to other instances."""
+
     async def run(self, knowledge: Knowledge, peers: Peers) -> None:
         """Keep the knowledge and the list of instances up to date until cancelled."""
 
@@ -109,6 +112,7 @@
         self.peers = Peers(self.knowledge, self.rng)
         self.handlers = Handlers()
         self.handlers.on_stream(GatherShards)(self.gather)
+        self.feed.serve(self.handlers)
         self.connections: set[ClientConnection] = set()
         self.handler = self.handle
         self.stopping = False
--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -159,6 +159,11 @@
         """Number of instances that may be sending, this one included."""
         return len(self._instances.keys() | {self.instance})
 
+    @property
+    def domains(self) -> int:
+        """Number of failure domains with instances."""
+        return len({*self._domains.values(), self.domain})
+
     def usable(self, service: str, now: float, *, fresh: bool = False) -> list[Searcher]:
         """Return the searchers of a service that may get a request now."""
         row = self.catalog.services.get(service) if self.catalog else None
--- a/rattanrelay/relay/peers.py
+++ b/rattanrelay/relay/peers.py
@@ -132,9 +132,7 @@
     @asynccontextmanager
     async def linked(self, peer: Peer):
         """Yield an open link; raises `RelayError` and pauses the instance if there is none."""
-        link = peer.link
-        if link is None or link.closed:
-            link = peer.link = await self._connect(peer)
+        link = await self.link(peer)
         peer.in_flight += 1
         try:
             yield link
@@ -145,6 +143,12 @@
         finally:
             peer.in_flight -= 1
 
+    async def link(self, peer: Peer) -> PeerLink:
+        """Return an open link; raises `RelayError` and pauses the instance if there is none."""
+        if peer.link is None or peer.link.closed:
+            peer.link = await self._connect(peer)
+        return peer.link
+
     async def _connect(self, peer: Peer) -> PeerLink:
         instance = peer.instance
         try:
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -17,6 +17,7 @@
     "DocumentRevision",
     "EndTrial",
     "Failure",
+    "FollowStore",
     "GatherShards",
     "GatheredPart",
     "GatheredParts",
@@ -30,6 +31,7 @@
     "ShardResult",
     "ShardResults",
     "ShareLosses",
+    "StoreChange",
     "SubQuery",
     "Target",
     "TrialVerdict",
@@ -359,3 +361,20 @@
 
     parts: tuple[GatheredPart, ...]
     records: bytes = b""
+
+
+@message(21)
+class FollowStore(NamedTuple):
+    """Asks for all items of the store that the receiver reads, and then for each change."""
+
+    whole: bool = True
+
+
+@message(22)
+class StoreChange(NamedTuple):
+    """Items under a prefix of the store as compressed msgpack; without a prefix a heartbeat."""
+
+    prefix: str = ""
+    whole: bool = False
+    revision: int = 0
+    items: bytes = b""
--- a/rattanrelay/wire/relay.thrift
+++ b/rattanrelay/wire/relay.thrift
@@ -61,3 +61,6 @@
 }
 struct GatheredPart { 1: string shard, 2: string signature, 3: string reason, 4: bool may_have_run }
 struct GatheredParts { 1: list<GatheredPart> parts, 2: binary records }
+
+struct FollowStore { 1: bool whole }
+struct StoreChange { 1: string prefix, 2: bool whole, 3: i64 revision, 4: binary items }
--- a/rattanrelay/wire/structs.py
+++ b/rattanrelay/wire/structs.py
@@ -158,4 +158,11 @@
         (1, ("GatheredPart",), "parts"),
         (2, 18, "records"),
     ),
+    "FollowStore": ((1, 2, "whole"),),
+    "StoreChange": (
+        (1, 11, "prefix"),
+        (2, 2, "whole"),
+        (3, 10, "revision"),
+        (4, 18, "items"),
+    ),
 }
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -60,6 +60,8 @@
         self.oldest = 100
         self.leases: set[int] = set()
         self.calls: Counter[str] = Counter()
+        #: Calls by door and name.
+        self.door_calls: Counter[tuple[str, str]] = Counter()
         self.changed = trio.Event()
         self.page = 500
 
@@ -110,6 +112,7 @@
         query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
         name = parts.path.strip("/").split("/")[0]
         self.calls[name] += 1
+        self.door_calls[door, name] += 1
         if self.modes[door] == "silent":
             await trio.sleep_forever()
         if self.modes[door] == "refuse":
@@ -341,6 +344,8 @@
         self.version = 1
         self.routes: list[dict] = []
         self.bounds = BOUNDS
+        #: Instances from which on the fleet has readers; None for the product's own figure.
+        self.many: int | None = None
         self._nursery: trio.Nursery | None = None
         self._ids = 0
 
@@ -412,6 +417,8 @@
         )
         rng = random.Random(self.rng.random())
         feed = PlatformFeed(settings.store, Instance(name, *settings.peers, domain), rng)
+        if self.many is not None:
+            feed.many = self.many
         daemon = RelayDaemon(settings, HEADERS, feed, rng=rng)
         self.daemons[name] = daemon
         self.scopes[name] = trio.CancelScope()
--- /dev/null
+++ b/tests/relay/readers.feature
@@ -0,0 +1,31 @@
+Feature: Instances that read the store for others
+  Guards against a change that does not reach an instance because its reader is lost, frozen or cut
+  off from the store, and against an older state that follows a newer one.
+
+  Background:
+    Given 6 instances in 2 domains with readers, and 4 searchers
+
+  Scenario: Only the readers watch the store
+    When nothing changes for 20 s
+    Then 2 instances have called the store's watch in this time
+
+  Scenario Outline: A change reaches all instances although a reader <fault>
+    When a reader <fault> and then the configuration and a searcher change
+    Then each instance that serves knows both changes within 5 s
+
+    Examples:
+      | fault                       |
+      | is sound                    |
+      | is killed                   |
+      | is turned away by the store |
+      | is cut off from the store   |
+      | is silent                   |
+
+  Scenario: All instances know a change that came while the store was away
+    When the store is away for 6 s and a searcher leaves meanwhile
+    Then each instance that serves knows that it left within 5 s
+    And 2 instances have called the store's watch after another 10 s
+
+  Scenario: An older list of a reader does not undo what is known
+    When an instance that has read a newer state follows a reader with an older one
+    Then it keeps the newer state and takes the changes after it
--- /dev/null
+++ b/tests/steps/readers_steps.py
@@ -0,0 +1,162 @@
+"""Steps that play instances which follow others."""
+
+from types import SimpleNamespace
+
+import trio
+from behave import given, then, when
+from relay_steps import build
+
+from rattanrelay.relay import Change, Item, StoreSharing, sharing
+from tests.harness.relay_world import StandInSearcher, play
+
+INSTANCES = 6
+#: Time in which all instances find out who reads: two renewals and two looks.
+SETTLE_S = 14.0
+#: The bound for a configuration at deployments with readers.
+BOUND_S = 5.0
+
+
+@given("6 instances in 2 domains with readers, and 4 searchers")
+def readers_world(context):
+    searchers = [StandInSearcher(f"s{index}", "svc", "a") for index in range(4)]
+    instances = [(f"entry-{number}", "ab"[number % 2]) for number in range(INSTANCES)]
+    build(context, searchers, instances=instances)
+    context.world.route("one", service="svc")
+    context.world.many = 4
+
+
+def _watchers(world, before):
+    now = world.store.door_calls
+    names = {door for door, call in now if call == "kv-watch"}
+    return {door for door in names if now[door, "kv-watch"] > before[door, "kv-watch"]}
+
+
+async def _settled(world):
+    await trio.sleep(SETTLE_S)
+    [*readers] = [name for name, daemon in world.daemons.items() if daemon.feed.sharing.followed]
+    assert len(readers) == 2, readers
+    return readers
+
+
+@when("nothing changes for 20 s")
+def quiet_time(context):
+    async def scenario():
+        async with context.world.open() as world:
+            await _settled(world)
+            before = world.store.door_calls.copy()
+            await trio.sleep(20.0)
+            context.watchers = _watchers(world, before)
+
+    play(scenario)
+
+
+@then("2 instances have called the store's watch in this time")
+def two_watchers(context):
+    assert len(context.watchers) == 2, context.watchers
+
+
+@when("a reader {fault} and then the configuration and a searcher change")
+def change_beside_fault(context, fault):
+    async def scenario():
+        async with context.world.open() as world:
+            reader = (await _settled(world))[0]
+            heartbeat = sharing.HEARTBEAT_S
+            if fault == "is killed":
+                world.kill(reader)
+            elif fault == "is turned away by the store":
+                world.store.set_mode("refuse", reader)
+            elif fault == "is cut off from the store":
+                world.store.set_mode("silent", reader)
+            elif fault == "is silent":
+                shared = world.daemons[reader].feed.sharing
+                shared.took = shared._keep
+                sharing.HEARTBEAT_S = 1000.0
+            try:
+                await _change(world)
+                context.late = await _await_change(world, reader if fault != "is sound" else "")
+            finally:
+                sharing.HEARTBEAT_S = heartbeat
+
+    play(scenario)
+
+
+async def _change(world):
+    world.route("added", service="svc")
+    world.configure()
+    searcher = world.searchers["s1"]
+    world.store.write("servers/s1", searcher.entry(state="draining"))
+
+
+async def _await_change(world, apart):
+    """Return the instances that do not know the changes in time; `apart` may learn later."""
+    await trio.sleep(BOUND_S)
+    return [
+        name
+        for name, daemon in world.daemons.items()
+        if name != apart
+        and not (
+            daemon.knowledge.catalog.version == world.version
+            and daemon.knowledge.searchers["s1"].record.draining
+        )
+    ]
+
+
+@then("each instance that serves knows both changes within 5 s")
+def all_know(context):
+    assert context.late == [], context.late
+
+
+@when("the store is away for 6 s and a searcher leaves meanwhile")
+def store_away(context):
+    async def scenario():
+        async with context.world.open() as world:
+            await _settled(world)
+            world.store.set_mode("refuse")
+            await trio.sleep(3.0)
+            world.store.remove("servers/s1")
+            await trio.sleep(3.0)
+            world.store.set_mode("up")
+            await trio.sleep(BOUND_S)
+            context.late = [
+                name for name, daemon in world.daemons.items() if "s1" in daemon.knowledge.searchers
+            ]
+            await trio.sleep(10.0)
+            before = world.store.door_calls.copy()
+            await trio.sleep(10.0)
+            context.watchers = _watchers(world, before)
+
+    play(scenario)
+
+
+@then("each instance that serves knows that it left within 5 s")
+def all_know_left(context):
+    assert context.late == [], context.late
+
+
+@then("2 instances have called the store's watch after another 10 s")
+def two_watchers_again(context):
+    assert len(context.watchers) == 2, context.watchers
+
+
+@when("an instance that has read a newer state follows a reader with an older one")
+def older_reader(context):
+    taken = []
+    newer = StoreSharing(["p/"], taken.append)
+    older = StoreSharing(["p/"], lambda change: None)
+    newer.took(Change("p/", (Item("p/a", b"2", 12),), True, 12))
+    older.took(Change("p/", (Item("p/a", b"1", 10), Item("p/b", b"1", 9)), True, 10))
+    messages = [older._list("p/")]
+    for revision, value in ((11, None), (12, b"2"), (13, b"3")):
+        change = Change("p/", (Item("p/a", value, revision),), False, revision)
+        messages.append(sharing._message(change))
+    ready = [bool(newer._take_message(message)) for message in messages]
+    context.state = SimpleNamespace(items=newer.items["p/"], ready=ready, taken=taken[1:])
+
+
+@then("it keeps the newer state and takes the changes after it")
+def newer_kept(context):
+    state = context.state
+    assert state.items == {"p/a": Item("p/a", b"3", 13)}, state.items
+    assert state.ready == [False, False, True, True], state.ready
+    values = [item.value for change in state.taken for item in change.items]
+    assert values == [b"3"], state.taken
