Leave out changes that a reader's message has overtaken

Cause, found by reading: while an instance begins to follow a reader its own watch still runs, and a response that was on its way could put an older state over a newer one and, as the known revision stayed at the newer, lose the difference for good.

Change: own responses pass the same check as a reader's messages: nothing older than the revision that is known is taken. The new scenario in relay/readers.feature fails without it.

--- a/rattanrelay/relay/sharing.py
+++ b/rattanrelay/relay/sharing.py
@@ -69,8 +69,7 @@
 
     def took(self, change: Change) -> None:
         """Take a change that this instance has read, and pass it on."""
-        self._keep(change)
-        if self._followers:
+        if self._take_newer(change) and self._followers:
             message = _message(change)
             for follower in list(self._followers):
                 try:
@@ -107,16 +106,23 @@
         """Take a change of a reader; return the prefixes that are up to date with it."""
         if message.prefix not in self.items:
             return set()
-        known = self.revisions[message.prefix]
-        if known is not None and message.revision < known:
-            return set()
-        items = tuple(
-            item
-            for item in _decode(message.items)
-            if message.whole or known is None or item.revision > known
-        )
-        self._keep(Change(message.prefix, items, message.whole, message.revision))
-        return {message.prefix}
+        items = tuple(_decode(message.items))
+        change = Change(message.prefix, items, message.whole, message.revision)
+        return {message.prefix} if self._take_newer(change) else set()
+
+    def _take_newer(self, change: Change) -> bool:
+        """Take what is newer than what is known; False for a change that is older as a whole.
+
+        A change from a reader and the response to an own call may overtake each other.
+        """
+        known = self.revisions[change.prefix]
+        if known is not None and change.revision < known:
+            return False
+        if known is not None and not change.whole:
+            newer = tuple(item for item in change.items if item.revision > known)
+            change = change._replace(items=newer)
+        self._keep(change)
+        return True
 
     def _keep(self, change: Change) -> None:
         items = self.items[change.prefix]
@@ -127,9 +133,7 @@
                 items.pop(item.key, None)
             else:
                 items[item.key] = item
-        known = self.revisions[change.prefix]
-        newest = change.revision if change.whole else max(change.revision, known or 0)
-        self.revisions[change.prefix] = newest
+        self.revisions[change.prefix] = change.revision
         self._lists.pop(change.prefix, None)
         self.take(change)
 
--- a/tests/relay/readers.feature
+++ b/tests/relay/readers.feature
@@ -26,6 +26,10 @@
     Then each instance that serves knows that it left within 5 s
     And 2 instances have called the store's watch after another 10 s
 
+  Scenario: A response that a reader's change has overtaken does not undo the change
+    When an own call returns changes that a reader has sent before, with newer ones
+    Then the state is that of the reader, and the later changes are taken
+
   Scenario: An older list of a reader does not undo what is known
     When an instance that has read a newer state follows a reader with an older one
     Then it keeps the newer state and takes the changes after it
--- a/tests/steps/readers_steps.py
+++ b/tests/steps/readers_steps.py
@@ -160,3 +160,21 @@
     assert state.ready == [False, False, True, True], state.ready
     values = [item.value for change in state.taken for item in change.items]
     assert values == [b"3"], state.taken
+
+
+@when("an own call returns changes that a reader has sent before, with newer ones")
+def overtaken(context):
+    state = StoreSharing(["p/"], lambda change: None)
+    state.took(Change("p/", (Item("p/a", b"1", 10),), True, 10))
+    sent = (Item("p/a", b"2", 11), Item("p/a", b"3", 12), Item("p/b", None, 13))
+    assert state._take_message(sharing._message(Change("p/", sent, False, 13)))
+    state.took(Change("p/", (Item("p/a", b"2", 11), Item("p/b", b"0", 11)), False, 12))
+    context.before = dict(state.items["p/"])
+    state.took(Change("p/", (Item("p/a", b"3", 12), Item("p/b", b"4", 14)), False, 14))
+    context.items = state.items["p/"]
+
+
+@then("the state is that of the reader, and the later changes are taken")
+def not_undone(context):
+    assert context.before == {"p/a": Item("p/a", b"3", 12)}, context.before
+    assert context.items == {**context.before, "p/b": Item("p/b", b"4", 14)}, context.items
