--- a/rattanrelay/decide/reading.py
+++ b/rattanrelay/decide/reading.py
@@ -20,9 +20,9 @@
     """Return the readers to follow, the best one first; none if this instance has to read.
 
     `instances` has the failure domain of each other instance; a fleet of less than `many` has no
-    readers. Each domain has one reader, the
-    first by a hash of the names, so that all instances choose the same without a message. That of
-    the own domain goes first: what it sends costs no bytes between domains.
+    readers. Each domain has one reader, the first by a hash of the names, so that all instances
+    choose the same without a message. That of the own domain goes first: what it sends costs no
+    bytes between domains.
     """
     places = {**instances, me: domain}
     if len(places) < many:
--- a/rattanrelay/decide/selection.py
+++ b/rattanrelay/decide/selection.py
@@ -61,7 +61,7 @@
         self.outstanding = 0
         self.penalty = 0.0
         self.penalty_at = 0.0
-        #: Time of the newest result if that had waited long in the queue.
+        #: Time of the newest result if that had waited long in the queue, else long ago.
         self.waited_at = -math.inf
 
     def observe(self, latency: float, load: int, limit: int, now: float) -> None:
--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -64,7 +64,6 @@
             documents.SEARCHER_PREFIX: self._take_searchers,
         }
         self.sharing = StoreSharing(self.takers, self._take)
-        #: Set while this instance reads the store itself.
         #: Scope of this instance's own watches while it reads the store itself.
         self.direct: trio.CancelScope | None = None
         #: The reader that this instance follows.
--- a/rattanrelay/relay/sharing.py
+++ b/rattanrelay/relay/sharing.py
@@ -21,7 +21,7 @@
 SILENT_S = 1.8
 #: Changes that wait for one follower; a list of searchers and some seconds of changes.
 FOLLOWER_CHANGES = 64
-#: Entries of searchers are alike, so that the fastest level makes them seven times smaller.
+#: Level of zlib. Entries of searchers are alike: 278 of them take 55 KB, and 9 KB at the fastest.
 COMPRESSION = 1
 
 
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -365,7 +365,10 @@
 
 @message(21)
 class FollowStore(NamedTuple):
-    """Asks for all items of the store that the receiver reads, and then for each change."""
+    """Asks for the items of the store that the receiver reads, and then for each change.
+
+    `whole` asks for all items first, which is the only way so far.
+    """
 
     whole: bool = True
 
