Do not let requests that never left pay for extra ones

Ruled out: restarts that forget the window (none in it), hedges (about 100 an instance, all charged).

Change: the count of a first request that never left is taken back, as that of an extra one is. The new scenario in decide/extras.feature asks that 1,000 such requests change nothing.

--- a/rattanrelay/decide/extras.py
+++ b/rattanrelay/decide/extras.py
@@ -56,6 +56,12 @@
         if self.extras:
             self.extras.pop()
 
+    def refund_first(self) -> None:
+        """Take back the newest first request, which never left; it pays for no extra ones."""
+        if self.firsts and self.firsts[-1][1]:
+            self.firsts[-1][1] -= 1
+            self.first_count -= 1
+
     def allowed(self, now: float, limits: ExtraLimits, instances: int) -> float:
         """Return the extra requests that this instance may send in one window."""
         start = now - limits.window
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -297,6 +297,7 @@
         elif not part.flying:
             # No searcher has seen the request, so the next one is the first to do so.
             part.reached = False
+            self.knowledge.extras(part.service).refund_first()
 
     def _try_again(self, part: _Part, outcome: Outcome) -> None:
         """Decide whether the part's request goes to another searcher, or later to the same one."""
--- a/tests/decide/extras.feature
+++ b/tests/decide/extras.feature
@@ -16,3 +16,7 @@
   Scenario: An extra request that never left is given back
     When an instance among nine has used its budget and one request never left
     Then one more is allowed
+
+  Scenario: First requests that never left pay for no extra ones
+    When an instance among nine has sent 10 first requests and 1000 more never left
+    Then it may send as many extra requests as for 10 first ones
--- a/tests/steps/relay_decide_steps.py
+++ b/tests/steps/relay_decide_steps.py
@@ -427,3 +427,21 @@
     assert counts["two"] == len(context.chosen), counts
     assert all(len(chosen) == 2 for chosen in context.chosen)
     assert min(counts["one"], counts["three"]) > 0.4 * len(context.chosen), counts
+
+
+@when("an instance among nine has sent {sent:d} first requests and {lost:d} more never left")
+def firsts_never_left(context, sent, lost):
+    context.window, context.sent = ExtraWindow(), sent
+    for number in range(sent + lost):
+        context.window.first(0.005 * number, LIMITS)
+        if number >= sent:
+            context.window.refund_first()
+
+
+@then("it may send as many extra requests as for {sent:d} first ones")
+def firsts_given_back(context, sent):
+    alone = ExtraWindow()
+    for number in range(sent):
+        alone.first(0.005 * number, LIMITS)
+    now = 5.0
+    assert context.window.allowed(now, LIMITS, 9) == alone.allowed(now, LIMITS, 9)
