--- a/benchmarks/relay.py
+++ b/benchmarks/relay.py
@@ -60,7 +60,7 @@
             await trio.sleep(WORK_S)
             await stream.send_all(
                 b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\nkeep-alive: timeout=15\r\n"
-                b"%s%s\r\n%s: %s.%s\r\nx-rattanrelay-server-load: 1,0,2\r\n\r\n%s"
+                b"%s%s\r\n%s: %s.%s\r\n%s: 1,0,2\r\n\r\n%s"
                 % (
                     len(RECORDS),
                     marker,
@@ -68,6 +68,7 @@
                     HEADERS.signature.encode(),
                     self.name.encode(),
                     request_id,
+                    HEADERS.load.encode(),
                     RECORDS,
                 )
             )
