Let the asking instance name the searchers of a handed-over part

Ruled out: retries of one instance, which keep to the searchers they tried.

Change: the instance that asks another one to gather chooses the searchers, of those that it may use now, and sends a mark of four bytes for each; the other one uses no others and gives a part back at once when it knows none of them.

Tests: two scenarios fail on the code before (relay/peers.feature:26, relay/passing.feature:98).

--- a/rattanrelay/decide/grouping.py
+++ b/rattanrelay/decide/grouping.py
@@ -77,9 +77,9 @@
 ) -> frozenset[str]:
     """Return the `count` searchers of a shard that a request may be sent to.
 
-    `domains` has the failure domain of each searcher. Those in the domain `home` go first, the
-    others follow in an order that differs by request. Two instances that ask for the same part
-    choose from the same searchers without a message.
+    `domains` has the failure domain of each searcher. Those in the domain `home` go first: a part
+    from another domain costs more bytes there than the whole message of the instance that gathers
+    it. The others follow in an order that differs by request.
     """
 
     def rank(name: str) -> tuple[bool, int]:
--- a/rattanrelay/platform/documents.py
+++ b/rattanrelay/platform/documents.py
@@ -60,7 +60,7 @@
     name: str
     #: Connections of all callers together, for each searcher.
     max_connections: int = 8
-    #: Requests a second that a searcher bears while it is cold.
+    #: Requests a second that a searcher bears while it is cold; 0 when no bound is stated.
     warmup_per_s: float = 0.0
 
 
@@ -105,7 +105,7 @@
             for host, rows in routes.items()
         },
         services={
-            row.name: ServiceRow(row.name, row.max_connections, row.warmup_per_s)
+            row.name: ServiceRow(row.name, row.max_connections, row.warmup_per_s or None)
             for row in config.services
         },
         limits=ClientLimits(
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -300,6 +300,7 @@
             route,
             sub,
             started,
+            marks=message.marks,
             first_at=started + message.first_us / 1e6,
             answer_at=started + message.answer_us / 1e6,
             emit=emit,
--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -4,7 +4,7 @@
 
 from ..decide.departure import doubt_until
 from ..decide.extras import ExtraLimits, ExtraWindow
-from ..decide.grouping import plan_groups
+from ..decide.grouping import first_searchers, plan_groups
 from ..decide.patience import RecentLag, RecentLatency
 from ..decide.split import SmoothSplit
 from ..decide.warmth import ColdLimits, Fleet
@@ -183,18 +183,32 @@
         """Return the failure domains in which a service has a searcher to use."""
         return frozenset(
             searcher.record.domain
-            for searcher in self.by_service.get(service, ())
-            if searcher.usable(now)
-            and searcher.paused_until <= now
-            and searcher.record.domain not in self.out_domains
+            for searcher in self.serving(service, now)
+            if searcher.paused_until <= now
         )
 
     def serves(self, service: str, now: float) -> bool:
         """Return whether a service has a searcher that may get requests, now or soon."""
-        return any(
-            searcher.usable(now) and searcher.record.domain not in self.out_domains
+        return bool(self.serving(service, now))
+
+    def serving(self, service: str, now: float) -> list[Searcher]:
+        """Return the searchers of a service that may get requests, now or soon."""
+        return [
+            searcher
             for searcher in self.by_service.get(service, ())
-        )
+            if searcher.usable(now) and searcher.record.domain not in self.out_domains
+        ]
+
+    def marks_near(
+        self, service: str, domain: str, request_id: str, count: int, now: float
+    ) -> frozenset[bytes]:
+        """Return the marks of `count` searchers of a service, first those in a failure domain."""
+        serving = {one.record.searcher: one for one in self.serving(service, now)}
+        if len(serving) > count:
+            domains = {name: one.record.domain for name, one in serving.items()}
+            chosen = first_searchers(domains, domain, request_id, count)
+            return frozenset(serving[name].mark for name in chosen)
+        return frozenset(one.mark for one in serving.values())
 
     def connection_limit(self, row: ServiceRow | None) -> int:
         """Return the connections that this instance may have to each searcher of a service."""
@@ -275,7 +289,7 @@
         return split.next()
 
     def _warm_enough(self, searcher: Searcher, row: ServiceRow | None, now: float) -> bool:
-        if now >= searcher.cold_until or row is None:
+        if now >= searcher.cold_until or row is None or row.cold_rate is None:
             return True
         return searcher.cold_pace.allows(
             now, searcher.record.searcher, row.cold_rate, self.bounds.cold, self.fleet
--- a/rattanrelay/relay/model.py
+++ b/rattanrelay/relay/model.py
@@ -75,7 +75,7 @@
     #: Connections that a searcher accepts from all instances together.
     max_connections: int
     #: Requests a second that a cold searcher bears from all instances together.
-    cold_rate: float
+    cold_rate: float | None
 
 
 class ClientLimits(NamedTuple):
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -10,7 +10,8 @@
 import trio
 
 from ..decide.choice import pick
-from ..decide.grouping import first_searchers, plan_groups
+from ..decide.grouping import plan_groups
+from ..decide.marks import pack, unpack
 from ..decide.patience import answer_by, hedge_after
 from ..decide.records import greatest_records, needed_parts
 from ..decide.refusal import NO_SEARCHER, NOT_SERVED, Refusal, refusal
@@ -71,8 +72,8 @@
         self.may_have_run = False
         #: Another instance gathers it.
         self.handed_over = False
-        #: Failure domain of the instance that gathers it if another one may ask for it as well.
-        self.home: str | None = None
+        #: Marks of the searchers that may get it if another instance may ask for it as well.
+        self.allowed: frozenset[bytes] | None = None
         self.over = False
         self.reason = ""
         self.pause = REFUSED_PAUSE_S
@@ -82,6 +83,12 @@
         """Whether nothing more will come."""
         return self.answer is not None or (self.over and not self.flying and not self.handed_over)
 
+    def permitted(self, searchers: list[Searcher]) -> list[Searcher]:
+        """Return those of the searchers that may get the request."""
+        if self.allowed is None:
+            return searchers
+        return [searcher for searcher in searchers if searcher.mark in self.allowed]
+
     @property
     def open_elsewhere(self) -> bool:
         """Whether a searcher may be at work on it."""
@@ -317,17 +324,19 @@
         """Try the part again after a pause if its deadline allows that."""
         at = now + part.pause
         part.pause *= 2.0
-        if at >= self.sub.deadline - RETURN_S or not self.knowledge.serves(part.service, now):
+        if at >= self.sub.deadline - RETURN_S or not self._serving(part, now):
             part.over = True
             part.reason = part.reason or NO_SEARCHER
             return
         self._at(at, partial(self._retry, part))
 
+    def _serving(self, part: _Part, now: float) -> list[Searcher]:
+        """Return the searchers that may get the part's request, now or soon."""
+        return part.permitted(self.knowledge.serving(part.service, now))
+
     def _choose(self, part: _Part, now: float) -> Searcher | None:
         fresh = not self.sub.idempotent
-        usable = self.knowledge.usable(part.service, now, fresh=fresh)
-        if part.home is not None:
-            usable = self._first_in_order(part, usable)
+        usable = part.permitted(self.knowledge.usable(part.service, now, fresh=fresh))
         if len(part.tried) >= self.route.attempts:
             usable = [searcher for searcher in usable if searcher in part.tried]
         else:
@@ -344,23 +353,6 @@
         ]
         return usable[pick(candidates, [self.rng.random() for _ in usable])]
 
-    def _first_in_order(self, part: _Part, usable: list[Searcher]) -> list[Searcher]:
-        """Return the searchers that all instances which ask for this request choose from.
-
-        Those in the domain of the instance that gathers the part go first: a part from another
-        domain costs more bytes there than the whole message that the instance sends.
-        """
-        records = [searcher.record for searcher in self.knowledge.by_service.get(part.service, ())]
-        if len(records) <= self.route.attempts:
-            return usable
-        names = first_searchers(
-            {record.searcher: record.domain for record in records},
-            part.home,
-            self.sub.request_id,
-            self.route.attempts,
-        )
-        return [searcher for searcher in usable if searcher.record.searcher in names]
-
     def _hand_over(self, now: float) -> list[_Part]:
         """Hand shards to other instances where that is better; return the parts that stay."""
         if not self.route.shards:
@@ -376,14 +368,24 @@
         by_service = {part.service: part for part in self.parts}
         stay = [by_service[service] for service in plan.direct]
         for run in plan.runs:
-            group = [by_service[service] for service in run.shards]
+            parts = [by_service[service] for service in run.shards]
             peer = self.peers.choose(run.instances, self.kind, self.latency.usual)
             if peer is None:
-                stay += group
+                stay += parts
+                continue
+            group = []
+            for part in parts:
+                part.allowed = knowledge.marks_near(
+                    part.service,
+                    peer.instance.domain,
+                    self.sub.request_id,
+                    self.route.attempts,
+                    now,
+                )
+                part.handed_over = bool(part.allowed)
+                (group if part.handed_over else stay).append(part)
+            if not group:
                 continue
-            for part in group:
-                part.handed_over = True
-                part.home = peer.instance.domain
             handed = _Group(peer, {part.service: part for part in group})
             self._groups.append(handed)
             self.background.start_soon(self._ask_peer, handed)
@@ -456,6 +458,7 @@
             int(answer * 1e6),
             int(max(sub.deadline - now - PEER_RETURN_S, 0.0) * 1e6),
             int(first_after * 1e6),
+            pack((part.allowed for part in group.waiting.values()), route.attempts),
         )
 
     def _take_gathered(self, item: GatheredParts, group: _Group) -> None:
@@ -546,14 +549,15 @@
 class DelegatedScatter(Scatter):
     """Shards that this instance gathers for another one, which merges and decides."""
 
-    def __init__(self, *args, first_at: float, answer_at: float, emit: Emit) -> None:
+    def __init__(self, *args, marks: bytes, first_at: float, answer_at: float, emit: Emit) -> None:
         super().__init__(*args)
         self.first_at = first_at
         # This instance is as late with the message as with everything else.
         self.soft = answer_at - self.knowledge.lag.usual
         self.emit = emit
-        for part in self.parts:
-            part.home = self.knowledge.domain
+        if marks:
+            for part, allowed in zip(self.parts, unpack(marks, len(self.parts)), strict=True):
+                part.allowed = allowed
         self._emitted: set[str] = set()
 
     async def gather(self) -> None:
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -6,6 +6,7 @@
 import trio
 
 from ..decide.choice import Candidate, Estimate
+from ..decide.marks import mark
 from ..decide.warmth import ColdPace
 from ..errors import RelayError
 from ..http import HttpConnection, Request, Response
@@ -89,6 +90,7 @@
     def __init__(self, record: SearcherRecord, names: HeaderNames, now: float) -> None:
         self.record = record
         self.names = names
+        self.mark = mark(record.searcher)
         self.cold_until = now + record.cold_for
         self.doubt_until: float | None = None
         self.gone = False
--- a/rattanrelay/wire/relay.thrift
+++ b/rattanrelay/wire/relay.thrift
@@ -57,7 +57,7 @@
   1: string request_id, 2: string kind, 3: string method, 4: string target,
   5: list<HeaderField> headers, 6: binary body, 7: list<string> shards, 8: i32 attempts,
   9: i32 top_k, 10: i64 target_us, 11: i64 answer_us, 12: i64 deadline_us,
-  13: i64 first_us
+  13: i64 first_us, 14: binary marks
 }
 struct GatheredPart { 1: string shard, 2: string signature, 3: string reason, 4: bool may_have_run }
 struct GatheredParts { 1: list<GatheredPart> parts, 2: binary records }
--- a/rattanrelay/wire/structs.py
+++ b/rattanrelay/wire/structs.py
@@ -147,6 +147,7 @@
         (11, 10, "answer_us"),
         (12, 10, "deadline_us"),
         (13, 10, "first_us"),
+        (14, 18, "marks"),
     ),
     "GatheredPart": (
         (1, 11, "shard"),
--- a/tests/decide/relay_rules.feature
+++ b/tests/decide/relay_rules.feature
@@ -77,3 +77,7 @@
     Given 90 shards with searchers in domain a
     When each of 9 instances in domain a plans them
     Then no one gathers more than 10 of them, and each shard has an instance that gathers it
+
+  Scenario: The searchers that an instance names reach the other one unchanged
+    When up to 3 searchers for each of 1 to 30 shards are packed and unpacked
+    Then each shard has the marks of its searchers
--- a/tests/relay/passing.feature
+++ b/tests/relay/passing.feature
@@ -94,3 +94,13 @@
     When a client asks with a deadline of 300 ms
     Then it gets status 503 with a Retry-After and no searcher ran it
     And the 3 extra requests still count
+
+  Scenario: A cold searcher of a service that states no rate gets requests like the others
+    Given a service with 1 cold searcher that states no rate
+    When a client asks 20 times
+    Then it gets status 200 each time
+
+  Scenario: A cold searcher of a service that states a rate gets no more than that
+    Given a service with 1 cold searcher that states a rate of 2 a second
+    When clients ask 20 times at once
+    Then the searcher got 8 requests
--- a/tests/relay/peers.feature
+++ b/tests/relay/peers.feature
@@ -22,3 +22,10 @@
     Given 20 shards with searchers in domain b, an instance in a and one in b
     When the store turns the instance in a away and the configuration adds a route
     Then the instance in a serves the new route within 3 s
+
+  Scenario: Instances that know different searchers keep to the attempts of a route together
+    Given 20 shards with 3 searchers in domain b, an instance in a and one in b
+    And all searchers hang
+    And the instance in b does not know the first searcher of each shard
+    When the instance in b is killed while it gathers for the one in a
+    Then no request reached more than 2 searchers of a shard
--- a/tests/steps/relay_decide_steps.py
+++ b/tests/steps/relay_decide_steps.py
@@ -12,6 +12,7 @@
 from rattanrelay.decide.departure import doubt_until
 from rattanrelay.decide.extras import ExtraLimits, ExtraWindow
 from rattanrelay.decide.grouping import first_searchers, plan_groups
+from rattanrelay.decide.marks import mark, pack, unpack
 from rattanrelay.decide.patience import HANDLING_S, RecentLag, answer_by, hedge_after
 from rattanrelay.decide.records import greatest_records, needed_parts
 from rattanrelay.decide.refusal import SHED, refusal
@@ -445,3 +446,22 @@
         alone.first(0.005 * number, LIMITS)
     now = 5.0
     assert context.window.allowed(now, LIMITS, 9) == alone.allowed(now, LIMITS, 9)
+
+
+@when("up to 3 searchers for each of 1 to 30 shards are packed and unpacked")
+def pack_marks(context):
+    names = st.frozensets(st.text(min_size=1, max_size=12), max_size=3)
+
+    @settings(max_examples=60)
+    @for_all(st.lists(names, min_size=1, max_size=30), st.integers(3, 5))
+    def round_trip(rows, width):
+        marks = [frozenset(map(mark, row)) for row in rows]
+        assert list(unpack(pack(marks, width), len(rows))) == marks
+
+    round_trip()
+    context.checked = True
+
+
+@then("each shard has the marks of its searchers")
+def marks_unchanged(context):
+    assert context.checked
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -2,6 +2,7 @@
 
 import random
 from collections import Counter
+from functools import partial
 from types import SimpleNamespace
 
 import trio
@@ -99,6 +100,47 @@
     assert len(window.extras) == count, window.extras
 
 
+@given("a service with 1 cold searcher that states no rate")
+def cold_searcher(context):
+    cold_service(context, 0.0)
+
+
+@given("a service with 1 cold searcher that states a rate of {rate:g} a second")
+def cold_searcher_with_rate(context, rate):
+    cold_service(context, rate)
+
+
+def cold_service(context, rate):
+    one_service(context, 1)
+
+    def chill(world):
+        world.configure(warmup_per_s=rate)
+        (searcher,) = world.searchers.values()
+        world.store.write(f"servers/{searcher.name}", searcher.entry(warmup_left_ms=30_000))
+
+    context.prepare.append(chill)
+
+
+@when("clients ask {count:d} times at once")
+def ask_at_once(context, count):
+    async def scenario():
+        async with context.world.open() as world:
+            for action in context.prepare:
+                action(world)
+            await trio.sleep(0.5)
+            async with trio.open_nursery() as clients:
+                for _ in range(count):
+                    clients.start_soon(partial(world.ask, "one", deadline_ms=800))
+
+    play(scenario)
+
+
+@then("the searcher got {count:d} requests")
+def searcher_got(context, count):
+    (searcher,) = context.searchers
+    assert len(searcher.arrivals) == count, len(searcher.arrivals)
+
+
 @given("a service with 1 searcher that needs 5 s")
 def slow_service(context):
     one_service(context, 1, work=5.0)
@@ -492,9 +534,50 @@
     assert set(used) == {0, 1}, "both versions were used"
 
 
+TWO_INSTANCES = (("entry-1", "a"), ("entry-2", "b"))
+
+
 @given("20 shards with searchers in domain b, an instance in a and one in b")
 def remote_shards(context):
-    shards(context, 20, 2, zones=("b",), instances=(("entry-1", "a"), ("entry-2", "b")))
+    shards(context, 20, 2, zones=("b",), instances=TWO_INSTANCES)
+
+
+@given("20 shards with 3 searchers in domain b, an instance in a and one in b")
+def remote_shards_with_three(context):
+    shards(context, 20, 3, zones=("b",), instances=TWO_INSTANCES)
+
+
+@given("all searchers hang")
+def all_hang(context):
+    for searcher in context.searchers:
+        searcher.work = 30.0
+
+
+@given("the instance in b does not know the first searcher of each shard")
+def unknown_searchers(context):
+    def forget(world):
+        knowledge = world.daemons["entry-2"].knowledge
+        for shard in context.set:
+            name = f"s{shard.removeprefix('shard')}-0"
+            searcher = knowledge.searchers.pop(name)
+            knowledge.by_service[shard].remove(searcher)
+
+    context.prepare.append(forget)
+
+
+@when("the instance in b is killed while it gathers for the one in a")
+def killed_while_gathering(context):
+    async def scenario():
+        async with context.world.open() as world:
+            for action in context.prepare:
+                action(world)
+            async with trio.open_nursery() as clients:
+                clients.start_soon(world.ask, "all")
+                # The instance in b has sent its hedges by then.
+                await trio.sleep(0.08)
+                world.kill("entry-2")
+
+    play(scenario)
 
 
 @when("a client gathers at the instance in a")
