Let the instance that gathers choose the searchers, but for one that the asking instance names

Two of three searchers of a part were chosen blindly by the asking instance, and 9 of 100 parts had two bad ones, although the instance that gathers knows the good ones. Ruled out: letting both choose freely, which is how requests ran on three searchers.

Change: the asking instance names one searcher for each part and sends the request there itself if the other one falls silent. The other one may ask any searcher first, and with the last of the route's attempts only the named one if it has not asked that yet. The sum stays within the attempts whatever both know.

--- a/rattanrelay/decide/grouping.py
+++ b/rattanrelay/decide/grouping.py
@@ -10,7 +10,7 @@
 
 import xxhash
 
-__all__ = ["Plan", "Run", "first_searchers", "plan_groups"]
+__all__ = ["Plan", "Run", "first_searcher", "plan_groups"]
 
 #: Fewer shards than this are asked directly; a message costs about as much as four responses.
 MIN_GROUP = 5
@@ -72,21 +72,18 @@
     return Plan(tuple(direct), tuple(runs))
 
 
-def first_searchers(
-    domains: Mapping[str, str], home: str, request_id: str, count: int
-) -> frozenset[str]:
-    """Return the `count` searchers of a shard that a request may be sent to.
+def first_searcher(domains: Mapping[str, str], home: str, request_id: str) -> str:
+    """Return one of some searchers, of which `domains` has the failure domains.
 
-    `domains` has the failure domain of each searcher. Those in the domain `home` go first: a part
-    from another domain costs more bytes there than the whole message of the instance that gathers
-    it. The others follow in an order that differs by request.
+    One in the domain `home` goes first: a part from another domain costs more bytes there than the
+    whole message of the instance that gathers it. Which one of several differs by request.
     """
 
     def rank(name: str) -> tuple[bool, int]:
         key = f"{request_id}/{name}".encode()
         return domains[name] != home, xxhash.xxh64_intdigest(key)
 
-    return frozenset(sorted(domains, key=rank)[:count])
+    return min(domains, key=rank)
 
 
 def _order(shard: str) -> int:
--- a/rattanrelay/decide/marks.py
+++ b/rattanrelay/decide/marks.py
@@ -1,10 +1,11 @@
-"""The searchers that a request may be sent to, as two instances tell each other.
+"""The searcher that two instances may both ask for a part, as one tells the other.
 
-A request for a shard may reach a few searchers only, whichever instance sends it. The instance that
-asks another one to gather chooses them, since both may know different searchers at the time.
+A request for a shard may reach a few searchers only, whichever instance sends it. Of these the
+instance that gathers the part chooses all but one by what it has observed. The last one is named by
+the instance that asked it, which sends the request there itself when the other one falls silent.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 
 import xxhash
 
@@ -12,7 +13,6 @@
 
 #: Bytes of a searcher's mark; two of three searchers share one in one of a billion shards.
 MARK_BYTES = 4
-NO_MARK = bytes(MARK_BYTES)
 
 
 def mark(searcher: str) -> bytes:
@@ -20,21 +20,13 @@
     return xxhash.xxh32_digest(searcher.encode())
 
 
-def pack(rows: Iterable[Iterable[bytes]], width: int) -> bytes:
-    """Return rows of at most `width` marks each as one string."""
-    return b"".join(b"".join(row).ljust(width * MARK_BYTES, b"\0") for row in rows)
-
-
-def unpack(data: bytes, count: int) -> Sequence[frozenset[bytes]]:
-    """Return the marks of `count` rows; raises `ValueError` for a wrong length."""
-    size, rest = divmod(len(data), count * MARK_BYTES)
-    if rest:
-        raise ValueError(f"{len(data)} bytes of marks for {count} rows")
-    return [
-        frozenset(
-            data[start : start + MARK_BYTES]
-            for start in range(row * size * MARK_BYTES, (row + 1) * size * MARK_BYTES, MARK_BYTES)
-        )
-        - {NO_MARK}
-        for row in range(count)
-    ]
+def pack(marks: Iterable[bytes]) -> bytes:
+    """Return the marks of some shards as one string."""
+    return b"".join(marks)
+
+
+def unpack(data: bytes) -> list[bytes]:
+    """Return the marks of some shards; raises `ValueError` for a wrong length."""
+    if len(data) % MARK_BYTES:
+        raise ValueError(f"{len(data)} bytes are no marks of {MARK_BYTES} bytes each")
+    return [data[start : start + MARK_BYTES] for start in range(0, len(data), MARK_BYTES)]
--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -4,7 +4,7 @@
 
 from ..decide.departure import doubt_until
 from ..decide.extras import ExtraLimits, ExtraWindow
-from ..decide.grouping import first_searchers, plan_groups
+from ..decide.grouping import first_searcher, plan_groups
 from ..decide.patience import RecentLag, RecentLatency
 from ..decide.split import SmoothSplit
 from ..decide.warmth import ColdLimits, Fleet
@@ -199,16 +199,13 @@
             if searcher.usable(now) and searcher.record.domain not in self.out_domains
         ]
 
-    def marks_near(
-        self, service: str, domain: str, request_id: str, count: int, now: float
-    ) -> frozenset[bytes]:
-        """Return the marks of `count` searchers of a service, first those in a failure domain."""
+    def near(self, service: str, domain: str, request_id: str, now: float) -> Searcher | None:
+        """Return a searcher of a service that may get requests, in a failure domain if possible."""
         serving = {one.record.searcher: one for one in self.serving(service, now)}
-        if len(serving) > count:
-            domains = {name: one.record.domain for name, one in serving.items()}
-            chosen = first_searchers(domains, domain, request_id, count)
-            return frozenset(serving[name].mark for name in chosen)
-        return frozenset(one.mark for one in serving.values())
+        if not serving:
+            return None
+        domains = {name: one.record.domain for name, one in serving.items()}
+        return serving[first_searcher(domains, domain, request_id)]
 
     def connection_limit(self, row: ServiceRow | None) -> int:
         """Return the connections that this instance may have to each searcher of a service."""
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -77,8 +77,10 @@
         self.may_have_run = False
         #: Another instance gathers it.
         self.handed_over = False
-        #: Marks of the searchers that may get it if another instance may ask for it as well.
-        self.allowed: frozenset[bytes] | None = None
+        #: Mark of the only searcher that two instances may both ask for it.
+        self.shared: bytes | None = None
+        #: Whether the other instance chooses the searchers beside that one.
+        self.chosen_elsewhere = False
         self.over = False
         self.reason = ""
         self.pause = REFUSED_PAUSE_S
@@ -88,11 +90,24 @@
         """Whether nothing more will come."""
         return self.answer is not None or (self.over and not self.flying and not self.handed_over)
 
-    def permitted(self, searchers: list[Searcher]) -> list[Searcher]:
-        """Return those of the searchers that may get the request."""
-        if self.allowed is None:
+    def permitted(self, searchers: list[Searcher], attempts: int) -> list[Searcher]:
+        """Return those of the searchers that may get the request from this instance."""
+        if self.shared is None:
             return searchers
-        return [searcher for searcher in searchers if searcher.mark in self.allowed]
+        own = 0 if self.chosen_elsewhere else attempts - 1
+        if sum(searcher.mark != self.shared for searcher in self.tried) < own:
+            return searchers
+        return [one for one in searchers if one.mark == self.shared or one in self.tried]
+
+    def share(self, searcher: Searcher) -> None:
+        """Let another instance gather it, which leaves this one searcher to ask."""
+        self.handed_over = self.chosen_elsewhere = True
+        self.shared = searcher.mark
+
+    def release(self) -> None:
+        """Note that the other instance has asked no searcher."""
+        self.handed_over = self.chosen_elsewhere = False
+        self.shared = None
 
     @property
     def open_elsewhere(self) -> bool:
@@ -337,11 +352,12 @@
 
     def _serving(self, part: _Part, now: float) -> list[Searcher]:
         """Return the searchers that may get the part's request, now or soon."""
-        return part.permitted(self.knowledge.serving(part.service, now))
+        return part.permitted(self.knowledge.serving(part.service, now), self.route.attempts)
 
     def _choose(self, part: _Part, now: float) -> Searcher | None:
         fresh = not self.sub.idempotent
-        usable = part.permitted(self.knowledge.usable(part.service, now, fresh=fresh))
+        usable = self.knowledge.usable(part.service, now, fresh=fresh)
+        usable = part.permitted(usable, self.route.attempts)
         if len(part.tried) >= self.route.attempts:
             usable = [searcher for searcher in usable if searcher in part.tried]
         else:
@@ -380,15 +396,12 @@
                 continue
             group = []
             for part in parts:
-                part.allowed = knowledge.marks_near(
-                    part.service,
-                    peer.instance.domain,
-                    self.sub.request_id,
-                    self.route.attempts,
-                    now,
-                )
-                part.handed_over = bool(part.allowed)
-                (group if part.handed_over else stay).append(part)
+                near = knowledge.near(part.service, peer.instance.domain, self.sub.request_id, now)
+                if near is None:
+                    stay.append(part)
+                    continue
+                part.share(near)
+                group.append(part)
             if not group:
                 continue
             handed = _Group(peer, {part.service: part for part in group})
@@ -419,7 +432,7 @@
                 event("gather.failed", request=self.sub.request_id, peer=peer, reason=str(error))
                 if error.ran == "not_run":
                     for part in group.waiting.values():
-                        part.handed_over = False
+                        part.release()
         if not self.closed:
             self._take_back(group, reason)
 
@@ -467,7 +480,7 @@
             int(answer * 1e6),
             int(max(sub.deadline - now - PEER_RETURN_S, 0.0) * 1e6),
             int(first_after * 1e6),
-            pack((part.allowed for part in group.waiting.values()), route.attempts),
+            pack(part.shared for part in group.waiting.values()),
         )
 
     def _take_gathered(self, item: GatheredParts, group: _Group) -> None:
@@ -487,6 +500,8 @@
                 self._stop(part)
                 taken += 1
                 continue
+            if not row.may_have_run:
+                part.release()
             part.reached = part.reached or row.may_have_run
             part.may_have_run = part.may_have_run or row.may_have_run
             part.reason = row.reason
@@ -565,8 +580,8 @@
         self.soft = answer_at - self.knowledge.lag.usual
         self.emit = emit
         if marks:
-            for part, allowed in zip(self.parts, unpack(marks, len(self.parts)), strict=True):
-                part.allowed = allowed
+            for part, shared in zip(self.parts, unpack(marks), strict=True):
+                part.shared = shared
         self._emitted: set[str] = set()
 
     async def gather(self) -> None:
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -343,7 +343,8 @@
     deadline_us: int
     #: When the first message is wanted, even without parts.
     first_us: int = 0
-    #: The searchers that may be asked, as `decide.marks` packs them; any when it is empty.
+    #: For each shard the searcher that the sender may ask as well, as `decide.marks` packs them;
+    #: empty when it asks none.
     marks: bytes = b""
 
 
--- a/tests/relay/peers.feature
+++ b/tests/relay/peers.feature
@@ -34,3 +34,9 @@
     Given 20 shards with searchers in domain b, an instance in a and one in b
     When the instance in a is busy for 50 ms while the first message of the one in b arrives
     Then the instance in a sent no request to a searcher
+
+  Scenario: The instance that gathers avoids the searchers that it knows to be silent
+    Given 20 shards with 3 searchers in domain b, an instance in a and one in b
+    And two searchers of each shard hang
+    When a client gathers 40 times at the instance in a
+    Then the last 10 answers have 18 parts or more within the target of 118 ms
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -555,6 +555,27 @@
         searcher.work = 30.0
 
 
+@given("two searchers of each shard hang")
+def two_hang(context):
+    for searcher in context.searchers:
+        if not searcher.name.endswith("-2"):
+            searcher.work = 30.0
+
+
+@when("a client gathers {count:d} times at the instance in a")
+def gather_times(context, count):
+    play(lambda: asked(context, count, route="all"))
+
+
+@then("the last {count:d} answers have {parts:d} parts or more within the target of {target:d} ms")
+def last_answers(context, count, parts, target):
+    found = []
+    for seconds, (_, response) in list(zip(context.seconds, context.replies, strict=True))[-count:]:
+        whole = len(signatures_of(response)) if response.status == 200 else 0
+        found.append((response.status, whole, seconds))
+    assert all(whole >= parts and seconds <= target / 1000 for _, whole, seconds in found), found
+
+
 @given("the instance in b does not know the first searcher of each shard")
 def unknown_searchers(context):
     def forget(world):
