Divide a searcher's connections among the instances that ask it

Change: the instances with the same run of shards divide the connections (4 each on that site); all others, which stand in for a silent one only, keep an equal part. The division is looked at every 0.25 s in place of up to 50 times a second. New services are taken for a set only when none has appeared for 0.5 s, and without those that stood there before, so that they are divided as the configuration will name them.

Tests: decide/relay_rules.feature and relay/gathering.feature:60 (new).

--- a/rattanrelay/decide/grouping.py
+++ b/rattanrelay/decide/grouping.py
@@ -5,12 +5,13 @@
 Where there are more shards than one instance can ask in time, instances gather a run of them each.
 """
 
+from collections import Counter
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
 import xxhash
 
-__all__ = ["Plan", "Run", "first_searcher", "plan_groups"]
+__all__ = ["Plan", "Run", "first_searcher", "own_askers", "plan_groups"]
 
 #: Fewer shards than this are asked directly; a message costs about as much as four responses.
 MIN_GROUP = 5
@@ -72,6 +73,27 @@
     return Plan(tuple(direct), tuple(runs))
 
 
+def own_askers(
+    me: str,
+    domain: str,
+    shards: Sequence[str],
+    domains_of: Mapping[str, frozenset[str]],
+    instances: Mapping[str, str],
+) -> dict[str, int]:
+    """Return the shards that this instance asks itself, with how many instances ask each of them.
+
+    These are the instances with the same run in each domain that has searchers of the shard. Others
+    ask only for a run whose instance has fallen silent.
+    """
+    plan = plan_groups(me, domain, shards, domains_of, instances)
+    own_runs = 1 + sum(instances[run.instances[0]] == domain for run in plan.runs)
+    places = Counter([domain, *instances.values()])
+    return {
+        shard: sum(-(-places[place] // own_runs) for place in domains_of[shard]) or 1
+        for shard in plan.direct
+    }
+
+
 def first_searcher(domains: Mapping[str, str], home: str, request_id: str) -> str:
     """Return one of some searchers, of which `domains` has the failure domains.
 
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -38,12 +38,12 @@
 LAST_SEND_S = 0.05
 #: Period of the removal of missing searchers and old connections, in seconds.
 UPKEEP_S = 0.2
-#: Connections that are opened ahead at once, and the time between; a searcher holds a slot for
-#: some milliseconds for each.
-WARM_UPS = 2
-WARM_UP_S = 0.02
-#: Period of the look for such searchers, in seconds.
+#: Period of the look for searchers without a connection, in seconds.
 WARM_UP_LOOK_S = 0.25
+#: Connections that are opened ahead after a look, and the time between two; a searcher holds a slot
+#: for some milliseconds for each.
+WARM_UPS = 50
+WARM_UP_S = 0.01
 #: Period of the look at the settings file, in seconds.
 SETTINGS_S = 1.0
 #: Deadline of a request that states none, in seconds.
@@ -404,16 +404,16 @@
     async def _warm_up(self) -> None:
         """Open connections ahead of requests, a few at a time."""
         while True:
-            await trio.sleep(WARM_UP_S)
+            await trio.sleep(WARM_UP_LOOK_S)
             if self.stopping or not self.knowledge.complete:
                 continue
-            cold = self.knowledge.to_warm_up(trio.current_time())
-            if not cold:
-                await trio.sleep(WARM_UP_LOOK_S)
-                continue
+            now = trio.current_time()
+            self.knowledge.divide_shards(now)
+            cold = self.knowledge.to_warm_up(now)
             for searcher in self.rng.sample(cold, min(len(cold), WARM_UPS)):
                 searcher.warmed = True
                 self.background.start_soon(searcher.warm_up)
+                await trio.sleep(WARM_UP_S)
 
     async def _watch_settings(self) -> None:
         while True:
--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -4,7 +4,7 @@
 
 from ..decide.departure import doubt_until
 from ..decide.extras import ExtraLimits, ExtraWindow
-from ..decide.grouping import first_searcher, plan_groups
+from ..decide.grouping import first_searcher, own_askers
 from ..decide.patience import RecentLag, RecentLatency
 from ..decide.split import SmoothSplit
 from ..decide.warmth import ColdLimits, Fleet
@@ -19,6 +19,9 @@
 INSTANCE_MEMORY_S = 30.0
 #: Part of a route's target that its requests are taken to need before one was measured.
 INITIAL_LATENCY_SHARE = 0.2
+#: Time without another new service after which new ones count as a whole set, in seconds: a set's
+#: searchers start together, and their entries arrive within two of the longest pauses of a reader.
+NEW_SERVICES_S = 0.5
 
 
 class Bounds(NamedTuple):
@@ -49,6 +52,11 @@
         self.store_back: float | None = None
         #: How late this instance answers gathers that are due.
         self.lag = RecentLag()
+        #: Shards that this instance asks itself, with how many instances do so.
+        self.askers: dict[str, int] = {}
+        #: Services that appeared after the first list of searchers, with the time of the last one.
+        self.new_services: set[str] = set()
+        self.new_service_at = 0.0
         self._instances: dict[str, float] = {}
         self._domains: dict[str, str] = {}
         self._extras: dict[str, ExtraWindow] = {}
@@ -84,6 +92,9 @@
             self._remove(known, "restarted")
         searcher = Searcher(record, self.names, now)
         self.searchers[record.searcher] = searcher
+        if self.listed and record.service not in self.by_service:
+            self.new_services.add(record.service)
+            self.new_service_at = now
         self.by_service.setdefault(record.service, []).append(searcher)
 
     def take_shared_records(self, records: list[SearcherRecord], now: float) -> None:
@@ -208,23 +219,24 @@
         return serving[first_searcher(domains, domain, request_id)]
 
     def connection_limit(self, row: ServiceRow | None) -> int:
-        """Return the connections that this instance may have to each searcher of a service."""
+        """Return the connections that this instance may have to each searcher of a service.
+
+        The instances that ask it all the time divide them; one that stands in for another one for
+        a moment gets no more than an equal part.
+        """
         if row is None:
             return 1
-        return max(1, int(CONNECTION_SHARE * row.max_connections / self.instances))
+        askers = self.askers.get(row.name, self.instances)
+        return max(1, int(CONNECTION_SHARE * row.max_connections / askers))
 
     def to_warm_up(self, now: float) -> list[Searcher]:
-        """Return the searchers in the own failure domain that have no connection yet.
-
-        Those of services that no route names yet count too: an index that is divided anew starts
-        its searchers before the configuration names them.
-        """
+        """Return the searchers in the own failure domain that have no connection yet."""
         if self.catalog is None:
             return []
         least = min((row.max_connections for row in self.catalog.services.values()), default=1)
         if self.instances_in(self.domain) > CONNECTION_SHARE * least:
             return []
-        own = self._own_services(now)
+        own = self.askers.keys() | self._single_services()
         return [
             searcher
             for searcher in self.searchers.values()
@@ -241,20 +253,30 @@
         names = {name for name, place in self._domains.items() if place == domain}
         return len(names | {self.instance} if domain == self.domain else names) or 1
 
-    def _own_services(self, now: float) -> set[str]:
-        """Return the services that this instance asks itself."""
-        routes = [route for rows in self.catalog.routes.values() for route in rows]
-        sets = {route.shards for route in routes if route.shards}
-        single = {part.service for route in routes for part in route.split}
-        named = single.union(*sets)
-        sets.add(tuple(name for name in self.by_service if name not in named))
+    def divide_shards(self, now: float) -> None:
+        """Note which shards this instance asks itself.
+
+        Those of services that no route names yet count too: an index that is divided anew starts
+        its searchers before the configuration names them.
+        """
+        sets = {route.shards for route in self._routes() if route.shards}
+        unnamed = self.new_services.difference(*sets, self._single_services())
+        if unnamed and now >= self.new_service_at + NEW_SERVICES_S:
+            sets.add(tuple(unnamed))
         others = {name: place for name, place in self._domains.items() if name != self.instance}
-        own = set(single)
+        askers: dict[str, int] = {}
         for shards in sets:
             domains_of = {shard: self.domains_of(shard, now) for shard in shards}
-            plan = plan_groups(self.instance, self.domain, shards, domains_of, others)
-            own.update(plan.direct)
-        return own
+            askers |= own_askers(self.instance, self.domain, shards, domains_of, others)
+        self.askers = askers
+
+    def _single_services(self) -> set[str]:
+        """Return the services whose requests go to one searcher."""
+        return {part.service for route in self._routes() for part in route.split}
+
+    def _routes(self) -> list[Route]:
+        rows = self.catalog.routes.values() if self.catalog else ()
+        return [route for row in rows for route in row]
 
     def sending(self, searcher: Searcher, now: float) -> None:
         """Count a request to a searcher where that is limited."""
--- a/tests/decide/relay_rules.feature
+++ b/tests/decide/relay_rules.feature
@@ -85,3 +85,7 @@
   Scenario: The searchers that an instance names reach the other one unchanged
     When the searchers of 1 to 30 shards are packed and unpacked
     Then each shard has the mark of its searcher
+
+  Scenario: Each instance knows how many others ask for its shards
+    When 14 to 30 instances in each of 3 domains divide 45 to 135 shards
+    Then each states the number of instances that ask for a shard, or up to 3 more
--- a/tests/relay/gathering.feature
+++ b/tests/relay/gathering.feature
@@ -56,3 +56,8 @@
     Given 20 shards with 2 searchers each
     When the searchers of another set start
     Then the instance has a connection to each of them within 2 s
+
+  Scenario: The instances that ask a searcher all the time divide its connections
+    Given an instance of 85 knows 90 shards with 3 searchers of 64 connections
+    Then it may have 4 connections to a searcher of its own shards and 1 to others
+    And it may have 5 connections to a searcher of a service with 570 connections
--- a/tests/steps/relay_decide_steps.py
+++ b/tests/steps/relay_decide_steps.py
@@ -1,7 +1,7 @@
 """Steps for the pure decisions of the relay."""
 
 import random
-from collections import Counter
+from collections import Counter, defaultdict
 
 from behave import given, then, when
 from hypothesis import given as for_all
@@ -11,7 +11,7 @@
 from rattanrelay.decide.choice import Candidate, Estimate, pick
 from rattanrelay.decide.departure import doubt_until
 from rattanrelay.decide.extras import ExtraLimits, ExtraWindow
-from rattanrelay.decide.grouping import first_searcher, plan_groups
+from rattanrelay.decide.grouping import first_searcher, own_askers, plan_groups
 from rattanrelay.decide.marks import mark, pack, unpack
 from rattanrelay.decide.patience import HANDLING_S, RecentLag, answer_by, hedge_after
 from rattanrelay.decide.records import greatest_records, needed_parts
@@ -472,3 +472,35 @@
 @then("each shard has the mark of its searcher")
 def marks_unchanged(context):
     assert context.checked
+
+
+@when("14 to 30 instances in each of 3 domains divide 45 to 135 shards")
+def divide_shards(context):
+    sizes = st.tuples(*[st.integers(14, 30)] * 3)
+
+    @settings(max_examples=15, deadline=None)
+    @for_all(sizes, st.integers(45, 135))
+    def divide(counts, number):
+        places = {
+            f"{domain}{index}": domain
+            for domain, count in zip("abc", counts, strict=True)
+            for index in range(count)
+        }
+        shards = [f"shard{index}" for index in range(number)]
+        domains_of = dict.fromkeys(shards, frozenset("abc"))
+        stated = defaultdict(list)
+        for me, domain in places.items():
+            others = {name: place for name, place in places.items() if name != me}
+            for shard, askers in own_askers(me, domain, shards, domains_of, others).items():
+                stated[shard].append(askers)
+        assert stated.keys() == set(shards)
+        for numbers in stated.values():
+            assert all(len(numbers) <= askers <= len(numbers) + 3 for askers in numbers), numbers
+
+    divide()
+    context.checked = True
+
+
+@then("each states the number of instances that ask for a shard, or up to 3 more")
+def askers_known(context):
+    assert context.checked
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -11,7 +11,15 @@
 from rattanrelay.http import Response
 from rattanrelay.http.plain import PlainStream
 from rattanrelay.platform.documents import HEADERS
-from rattanrelay.relay import Instance
+from rattanrelay.relay import (
+    Catalog,
+    ClientLimits,
+    Instance,
+    Knowledge,
+    Route,
+    SearcherRecord,
+    ServiceRow,
+)
 from rattanrelay.wire import FrameKind, FrameReader, GatheredParts, encode_frame
 from tests.harness.relay_world import BOUNDS, RelayWorld, StandInSearcher, free_port, play
 
@@ -705,3 +713,39 @@
 @then("the instance has a connection to each of them within 2 s")
 def all_connected(context):
     assert context.connections == [1] * 30, context.connections
+
+
+@given("an instance of 85 knows 90 shards with 3 searchers of 64 connections")
+def large_fleet(context):
+    context.knowledge = knowledge = Knowledge("entry-0", "a", HEADERS, BOUNDS)
+    shards = tuple(f"shard{index}" for index in range(90))
+    route = Route("all", "test.example", "/", True, 1.0, 0.1, 1, 2, shards=shards)
+    services = {name: ServiceRow(name, 64, None) for name in shards}
+    services["one"] = ServiceRow("one", 570, None)
+    knowledge.take_catalog(Catalog(1, {"test.example": (route,)}, services, ClientLimits()))
+    for shard in shards:
+        for domain in "abc":
+            record = SearcherRecord(
+                f"{shard}-{domain}", shard, "127.0.0.1", 1, domain, 2, False, 0.0, 0
+            )
+            knowledge.take_record(record, 0.0)
+    knowledge.take_instances({f"entry-{index}": "abc"[index % 3] for index in range(85)}, 0.0)
+    knowledge.divide_shards(0.0)
+
+
+@then("it may have {own:d} connections to a searcher of its own shards and {others:d} to others")
+def own_connections(context, own, others):
+    knowledge = context.knowledge
+    limits = {
+        name: knowledge.connection_limit(knowledge.catalog.services[name])
+        for name in knowledge.by_service
+    }
+    assert 5 <= len(knowledge.askers) <= 15, knowledge.askers
+    for name, limit in limits.items():
+        assert limit == (own if name in knowledge.askers else others), (name, limit)
+
+
+@then("it may have {count:d} connections to a searcher of a service with 570 connections")
+def single_connections(context, count):
+    knowledge = context.knowledge
+    assert knowledge.connection_limit(knowledge.catalog.services["one"]) == count
