End a call whose cancellation arrives together with it

Cause: tests/system/stragglers.feature:7 failed in 2 of 3 runs on an idle machine by a beaten sub-request that ran to its end. Traced with times of each step: the hedge was beaten before its owner had started it. Its STREAM and CANCEL frames were read in one piece, and the owner looked up the call before the task that registers it had run, so that the cancellation was dropped.

Change: the scope of a call is registered when its frame is read; a call that is cancelled before it starts does nothing.

--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -232,13 +232,16 @@
             if scope is not None:
                 scope.cancel()
         elif frame.kind in (FrameKind.CALL, FrameKind.CAST, FrameKind.STREAM):
-            nursery.start_soon(self._serve, frame)
-
-    async def _serve(self, frame: Frame) -> None:
-        with trio.CancelScope() as scope:
+            scope = trio.CancelScope()
+            # Before the task runs: the cancellation may be in the bytes that were read with this.
             if frame.kind is not FrameKind.CAST:
                 self.scopes[frame.call_id] = scope
+            nursery.start_soon(self._serve, frame, scope)
+
+    async def _serve(self, frame: Frame, scope: trio.CancelScope) -> None:
+        with scope:
             try:
+                await trio.lowlevel.checkpoint_if_cancelled()
                 await self._answer(frame)
             except RelayError as error:
                 await self._fail(frame, error)
@@ -248,7 +251,8 @@
                 text = f"{type(error).__name__}: {error}"
                 await self._fail(frame, RelayError("internal", text, ran="unknown"))
             finally:
-                self.scopes.pop(frame.call_id, None)
+                if frame.kind is not FrameKind.CAST:
+                    self.scopes.pop(frame.call_id, None)
 
     async def _answer(self, frame: Frame) -> None:
         streamed = frame.kind is FrameKind.STREAM
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -1,5 +1,6 @@
 """Steps for links between instances."""
 
+import contextlib
 import random
 
 import thriftpy2
@@ -9,6 +10,7 @@
 from rattanrelay.errors import RelayError
 from rattanrelay.wire import (
     Document,
+    FollowStore,
     FrameKind,
     FrameReader,
     Handlers,
@@ -67,6 +69,43 @@
     context.serve = serve
 
 
+@given("a peer that answers after 60 s")
+def peer_waits(context):
+    handlers = Handlers()
+    context.running = running = set()
+
+    @handlers.on_stream(FollowStore)
+    async def follow(message, emit):
+        running.add(message)
+        try:
+            await trio.sleep(60.0)
+        finally:
+            running.discard(message)
+
+    async def serve(listeners):
+        await serve_peers(handlers, listeners)
+
+    context.serve = serve
+
+
+@when("a stream is opened and cancelled in one piece of bytes")
+def cancelled_at_once(context):
+    async def use(link):
+        opened = encode_frame(FrameKind.STREAM, 7, FollowStore())
+        await link.stream.send_all(opened + encode_frame(FrameKind.CANCEL, 7))
+        # The answer to a later call shows that the peer has read both frames.
+        with contextlib.suppress(RelayError):
+            await link.call(Pull("unknown", 1))
+        context.left = set(context.running)
+
+    trio.run(_with_link, context.serve, use)
+
+
+@then("the peer has no call in progress")
+def none_in_progress(context):
+    assert not context.left, context.left
+
+
 @when("{count:d} calls are made at once over one link")
 def many_calls(context, count):
     context.replies = {}
--- a/tests/wire/link.feature
+++ b/tests/wire/link.feature
@@ -18,3 +18,8 @@
   Scenario: The structs that are loaded at the start are those of the IDL
     When relay.thrift is parsed
     Then its structs and the generated ones are the same
+
+  Scenario: A cancellation that arrives together with its call ends it
+    Given a peer that answers after 60 s
+    When a stream is opened and cancelled in one piece of bytes
+    Then the peer has no call in progress
