Leave a slow searcher after one response, whatever kind of request met it

Change: latencies count in multiples of what is usual for their kind, in one estimate for a searcher; one above it has a weight of 0.6, one below it 0.3; half is forgotten after 4 s.

Test: decide/choice.feature:11 (new; the code before kept latencies by kind).

--- a/rattanrelay/decide/choice.py
+++ b/rattanrelay/decide/choice.py
@@ -8,12 +8,18 @@
 
 __all__ = ["Candidate", "Estimate", "cost", "pick"]
 
-#: Weight of the newest latency in an estimate; 0.3 follows a slow searcher after two responses.
-LATENCY_WEIGHT = 0.3
+#: Weight of a latency above the estimate: after one response in 5 times the usual latency a
+#: searcher is left, since each further one costs a hedge.
+RISE_WEIGHT = 0.6
+#: Weight of one below it: a searcher that pauses now and then is fast again after some responses.
+FALL_WEIGHT = 0.3
 #: Weight of the newest result in a failure rate.
 FAILURE_WEIGHT = 0.2
-#: Seconds after which an estimate without new latencies has lost 63% of its distance to the usual.
-FORGET_S = 2.0
+#: Seconds after which an estimate without new latencies has lost half of its distance to the usual;
+#: with half of it, a slow searcher got a request too many in each of the seconds that it was slow.
+FORGET_S = 4.0
+#: The same for a failure rate.
+FORGET_FAILURE_S = 2.0
 #: Each request in flight from here makes another one this much longer, per slot.
 QUEUE_SHARE = 0.8
 #: A searcher that fails always costs this many times its latency more.
@@ -25,49 +31,52 @@
 
 
 class Estimate:
-    """Expected latency and failure rate of one searcher; times in seconds."""
+    """Expected latency and failure rate of one searcher; times in seconds.
+
+    Latencies count in multiples of what is usual for a kind of request, so that one kind learns
+    from another.
+    """
 
     def __init__(self) -> None:
-        self.latency: dict[str, float] = {}
-        self.updated: dict[str, float] = {}
+        self.slowness = 1.0
+        self.updated = 0.0
         self.failure_rate = 0.0
         self.failed_at = 0.0
 
-    def answered(self, kind: str, latency: float, now: float) -> None:
-        """Add the latency of a complete response to a request of a kind."""
-        known = self.latency.get(kind)
-        self.latency[kind] = (
-            latency if known is None else known + LATENCY_WEIGHT * (latency - known)
-        )
-        self.updated[kind] = now
+    def answered(self, latency: float, usual: float, now: float) -> None:
+        """Add the latency of a complete response to a kind of request with a usual latency."""
+        self._add(latency / usual, now)
         self.failure_rate *= 1.0 - FAILURE_WEIGHT
 
-    def unanswered(self, kind: str, elapsed: float, now: float) -> None:
+    def unanswered(self, elapsed: float, usual: float, now: float) -> None:
         """Add a request that had no response after `elapsed`; shorter ones say nothing."""
-        known = self.latency.get(kind)
-        if known is None or elapsed > known:
-            self.latency[kind] = (
-                elapsed if known is None else known + LATENCY_WEIGHT * (elapsed - known)
-            )
-            self.updated[kind] = now
+        slowness = elapsed / usual
+        if slowness > self._faded(now):
+            self._add(slowness, now)
+
+    def _add(self, slowness: float, now: float) -> None:
+        known = self._faded(now)
+        weight = RISE_WEIGHT if slowness > known else FALL_WEIGHT
+        self.slowness = known + weight * (slowness - known)
+        self.updated = now
+
+    def _faded(self, now: float) -> float:
+        age = max(0.0, now - self.updated)
+        return 1.0 + (self.slowness - 1.0) / (1.0 + (age / FORGET_S) ** 3)
 
     def failed(self, now: float) -> None:
         """Add a failure or refusal."""
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate)
         self.failed_at = now
 
-    def expected(self, kind: str, usual: float, now: float) -> float:
+    def expected(self, usual: float, now: float) -> float:
         """Return the latency to expect; an old estimate approaches the usual latency."""
-        known = self.latency.get(kind)
-        if known is None:
-            return usual
-        age = max(0.0, now - self.updated[kind])
-        return usual + (known - usual) / (1.0 + (age / FORGET_S) ** 2)
+        return usual * self._faded(now)
 
     def failures(self, now: float) -> float:
         """Return the failure rate; it fades like the latency."""
         age = max(0.0, now - self.failed_at)
-        return self.failure_rate / (1.0 + (age / FORGET_S) ** 2)
+        return self.failure_rate / (1.0 + (age / FORGET_FAILURE_S) ** 2)
 
 
 class Candidate(NamedTuple):
--- a/rattanrelay/relay/peers.py
+++ b/rattanrelay/relay/peers.py
@@ -108,7 +108,7 @@
             if peer.paused_until <= now
         }
 
-    def choose(self, names: Iterable[str], kind: str, usual: float) -> Peer | None:
+    def choose(self, names: Iterable[str], usual: float) -> Peer | None:
         """Return the instance that is expected to answer first."""
         now = trio.current_time()
         peers = [self.known[name] for name in names if name in self.known]
@@ -116,7 +116,7 @@
             return None
         candidates = [
             Candidate(
-                expected=peer.estimate.expected(kind, usual, now),
+                expected=peer.estimate.expected(usual, now),
                 failures=peer.estimate.failures(now),
                 in_flight=peer.in_flight,
                 slots=PEER_SLOTS,
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -266,7 +266,7 @@
         part.flying[number] = scope
         self.background.start_soon(self._send, part, number, searcher, scope, hedge, extra)
         if self.sub.idempotent and number < self.route.attempts:
-            expected = searcher.estimate.expected(self.kind, self.latency.usual, now)
+            expected = searcher.estimate.expected(self.latency.usual, now)
             delay = hedge_after(expected, self.latency.usual)
             self._at(now + delay, partial(self._hedge, part))
         return True
@@ -284,7 +284,7 @@
         outcome = None
         with scope:
             try:
-                outcome = await searcher.exchange(self.sub, self.kind, self.latency.usual, scope)
+                outcome = await searcher.exchange(self.sub, self.latency.usual, scope)
             except Exception as error:
                 event("subrequest.failed", request=self.sub.request_id, reason=traceback(error))
                 outcome = Outcome("lost", "internal")
@@ -369,9 +369,7 @@
         if len(usable) <= 1:
             return usable[0] if usable else None
         usual, domain = self.latency.usual, self.knowledge.domain
-        candidates = [
-            searcher.candidate(self.kind, usual, domain, now, fresh=fresh) for searcher in usable
-        ]
+        candidates = [searcher.candidate(usual, domain, now, fresh=fresh) for searcher in usable]
         return usable[pick(candidates, [self.rng.random() for _ in usable])]
 
     def _hand_over(self, now: float) -> list[_Part]:
@@ -390,7 +388,7 @@
         stay = [by_service[service] for service in plan.direct]
         for run in plan.runs:
             parts = [by_service[service] for service in run.shards]
-            peer = self.peers.choose(run.instances, self.kind, self.latency.usual)
+            peer = self.peers.choose(run.instances, self.latency.usual)
             if peer is None:
                 stay += parts
                 continue
@@ -424,7 +422,7 @@
                         if not group.heard:
                             group.heard = True
                             now = trio.current_time()
-                            group.peer.estimate.answered(self.kind, now - started, now)
+                            group.peer.estimate.answered(now - started, self.latency.usual, now)
                         self._take_gathered(item, group)
             except RelayError as error:
                 reason = error.code
@@ -443,7 +441,7 @@
         if looks:
             self._at(now + PEER_LOOK_S, partial(self._doubt, group, looks - 1))
             return
-        group.peer.estimate.unanswered(self.kind, now - self.arrived, now)
+        group.peer.estimate.unanswered(now - self.arrived, self.latency.usual, now)
         group.peer.pause(PEER_DOUBT_S)
         event("gather.silent", request=self.sub.request_id, peer=group.peer.instance.name)
         for part in group.waiting.values():
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -120,13 +120,11 @@
             return False
         return self.doubt_until is None or now < self.doubt_until
 
-    def candidate(
-        self, kind: str, usual: float, domain: str, now: float, *, fresh: bool
-    ) -> Candidate:
+    def candidate(self, usual: float, domain: str, now: float, *, fresh: bool) -> Candidate:
         """Return what decides whether it gets a request; `fresh` asks for a new connection."""
         overdue = max((now - end for end in self.in_flight.values()), default=0.0)
         return Candidate(
-            expected=self.estimate.expected(kind, usual, now),
+            expected=self.estimate.expected(usual, now),
             failures=self.estimate.failures(now),
             in_flight=len(self.in_flight),
             slots=self.record.slots,
@@ -140,26 +138,23 @@
         """Return whether a connection is idle, or may be opened within `limit`."""
         return (bool(self._idle) and not fresh) or self.open < limit
 
-    async def exchange(
-        self, sub: SubRequest, kind: str, usual: float, scope: trio.CancelScope
-    ) -> Outcome:
+    async def exchange(self, sub: SubRequest, usual: float, scope: trio.CancelScope) -> Outcome:
         """Send a request and classify what comes back; never raises but for a cancellation.
 
         `scope` is the one in which it runs, which ends at the deadline once the request is sent.
         """
         started = trio.current_time()
         token = self._next_token = self._next_token + 1
-        self.in_flight[token] = started + 2.0 * max(
-            usual, self.estimate.expected(kind, usual, started)
-        )
+        self.in_flight[token] = started + 2.0 * max(usual, self.estimate.expected(usual, started))
         try:
             outcome = await self._exchange(sub, scope)
         except trio.Cancelled:
-            self.estimate.unanswered(kind, trio.current_time() - started, trio.current_time())
+            now = trio.current_time()
+            self.estimate.unanswered(now - started, usual, now)
             raise
         finally:
             del self.in_flight[token]
-        self._observe(outcome, kind, trio.current_time() - started)
+        self._observe(outcome, trio.current_time() - started, usual)
         return outcome
 
     def silent(self) -> Outcome:
@@ -250,11 +245,11 @@
             return Outcome("lost", "encoded_response")
         return Outcome("answer", "", response)
 
-    def _observe(self, outcome: Outcome, kind: str, latency: float) -> None:
+    def _observe(self, outcome: Outcome, latency: float, usual: float) -> None:
         now = trio.current_time()
         if outcome.kind == "answer" and outcome.response.status < 500:
             self.failures_in_row = 0
-            self.estimate.answered(kind, latency, now)
+            self.estimate.answered(latency, usual, now)
         else:
             self.estimate.failed(now)
 
--- a/tests/decide/choice.feature
+++ b/tests/decide/choice.feature
@@ -7,6 +7,12 @@
     When one of them answers twice in 100 ms
     Then the other one is chosen
 
+  Scenario: One slow response to any kind of request is enough to leave a searcher for a while
+    Given two equal searchers that answer in 10 ms
+    When one of them answers another kind of request once in five times its usual latency
+    Then the other one is chosen for 3 s
+    And after 60 s both are chosen again
+
   Scenario: A searcher that was slow is an equal again after a minute
     Given two equal searchers that answer in 10 ms
     When one of them answers twice in 100 ms
--- a/tests/steps/relay_decide_steps.py
+++ b/tests/steps/relay_decide_steps.py
@@ -19,7 +19,6 @@
 from rattanrelay.decide.split import SmoothSplit
 from rattanrelay.decide.warmth import ColdLimits, ColdPace, Fleet
 
-KIND = "sweep"
 USUAL = 0.01
 LIMITS = ExtraLimits(ratio=0.2, floor=58.0, window=10.0)
 
@@ -27,7 +26,7 @@
 def candidate(estimate, now, **changes):
     """Return an idle searcher with what was observed of it."""
     state = Candidate(
-        expected=estimate.expected(KIND, USUAL, now),
+        expected=estimate.expected(USUAL, now),
         failures=estimate.failures(now),
         in_flight=0,
         slots=2,
@@ -44,21 +43,31 @@
     context.estimates = [Estimate(), Estimate()]
     for estimate in context.estimates:
         for _ in range(20):
-            estimate.answered(KIND, USUAL, 0.0)
+            estimate.answered(USUAL, USUAL, 0.0)
     context.changes = {}
 
 
 @when("one of them answers twice in 100 ms")
 def turns_slow(context):
     for _ in range(2):
-        context.estimates[0].answered(KIND, 0.1, 0.0)
+        context.estimates[0].answered(0.1, USUAL, 0.0)
+
+
+@when("one of them answers another kind of request once in five times its usual latency")
+def slow_for_another_kind(context):
+    context.estimates[0].answered(5.0 * 0.05, 0.05, 0.0)
+
+
+@then("the other one is chosen for {seconds:g} s")
+def other_chosen_for(context, seconds):
+    assert choices(context, seconds) == (0, 200)
 
 
 @when("one of them fails every second request")
 def fails_half(context):
     for _ in range(5):
         context.estimates[0].failed(0.0)
-        context.estimates[0].answered(KIND, USUAL, 0.0)
+        context.estimates[0].answered(USUAL, USUAL, 0.0)
 
 
 @when("one of them has a request that is overdue by 50 ms")
