Ask around silent instances one after the other

Change: it takes over one group every 8 ms, in which messages that have arrived are read.

Test: relay/peers.feature:44 fails on the code before (60 requests at once).

--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -44,6 +44,9 @@
 #: together; a message reaches its request two turns of the loop later.
 PEER_LOOKS = 2
 PEER_LOOK_S = 0.001
+#: Time between the turns of two silent instances, in seconds: asking for a group of parts takes
+#: about as long on half a core. Many silent ones at once are mostly a sign of delays here.
+DOUBT_GAP_S = 0.008
 #: Time for which an instance that was silent is not asked, in seconds.
 PEER_DOUBT_S = 0.2
 #: Time kept of a deadline for the way of the response to the caller, in seconds.
@@ -161,6 +164,8 @@
         #: Records of parts that other instances gathered.
         self.gathered: list[bytes] = []
         self._groups: list[_Group] = []
+        #: When the next silent instance may be asked around.
+        self._next_doubt = 0.0
         self._wake = trio.Event()
         self._timers: list[tuple[float, int, Callable[[float], None]]] = []
         self._order = count()
@@ -441,6 +446,10 @@
         if looks:
             self._at(now + PEER_LOOK_S, partial(self._doubt, group, looks - 1))
             return
+        if now < self._next_doubt:
+            self._at(self._next_doubt, partial(self._doubt, group, 0))
+            return
+        self._next_doubt = now + DOUBT_GAP_S
         group.peer.estimate.unanswered(now - self.arrived, self.latency.usual, now)
         group.peer.pause(PEER_DOUBT_S)
         event("gather.silent", request=self.sub.request_id, peer=group.peer.instance.name)
--- a/tests/relay/peers.feature
+++ b/tests/relay/peers.feature
@@ -40,3 +40,9 @@
     And two searchers of each shard hang
     When a client gathers 40 times at the instance in a
     Then the last 10 answers have 18 parts or more within the target of 118 ms
+
+  Scenario: An instance asks around silent ones in turn
+    Given 60 shards with searchers in domain b, an instance in a and three in b
+    When the instances in b are silent and a client gathers at the instance in a
+    Then it asked for 20 shards in any 5 ms at most
+    And the answer comes within the target of 118 ms and misses 0
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -629,14 +629,31 @@
     play(lambda: asked(context, 1, route="all"))
 
 
+@given("60 shards with searchers in domain b, an instance in a and three in b")
+def remote_shards_three_instances(context):
+    places = (("entry-1", "a"), ("entry-2", "b"), ("entry-3", "b"), ("entry-4", "b"))
+    shards(context, 60, 2, zones=("b",), instances=places)
+
+
+@then("it asked for {count:d} shards in any {span:d} ms at most")
+def asked_in_turn(context, count, span):
+    arrivals = sorted(at for searcher in context.searchers for at, _ in searcher.arrivals)
+    assert len(arrivals) >= 3 * count, len(arrivals)
+    for start in arrivals:
+        within = sum(start <= at <= start + span / 1000 for at in arrivals)
+        assert within <= count, within
+
+
 @when("the instance in b is silent and a client gathers at the instance in a")
+@when("the instances in b are silent and a client gathers at the instance in a")
 def gather_beside_silent(context):
     async def scenario():
         async with context.world.open() as world:
             port = free_port()
             listeners = await trio.open_tcp_listeners(port, host="127.0.0.1")
+            names = [name for name in world.daemons if name != "entry-1"]
             peers = world.daemons["entry-1"].peers
-            peers.take_instances([Instance("entry-2", "127.0.0.1", port, "b")])
+            peers.take_instances([Instance(name, "127.0.0.1", port, "b") for name in names])
             world._nursery.start_soon(trio.serve_listeners, swallow, listeners)
             started = trio.current_time()
             context.replies = [await world.ask("all")]
