Count a part as asked when searchers refused it to another instance

The message of an instance that gathers told whether a part may have run, not whether a searcher was sent it; after refusals the asking instance sent it again as a first request, which needs no budget and pays for extra ones. Ruled out: requests that never left, which are given back.

Change: the message states whether the part has reached a searcher.

Test: relay/peers.feature:50 fails on the code before.

--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -108,7 +108,7 @@
         self.shared = searcher.mark
 
     def release(self) -> None:
-        """Note that the other instance has asked no searcher."""
+        """Note that no searcher has run it for the other instance."""
         self.handed_over = self.chosen_elsewhere = False
         self.shared = None
 
@@ -509,7 +509,7 @@
                 continue
             if not row.may_have_run:
                 part.release()
-            part.reached = part.reached or row.may_have_run
+            part.reached = part.reached or row.reached
             part.may_have_run = part.may_have_run or row.may_have_run
             part.reason = row.reason
             if part.answer is None and not part.flying:
@@ -628,7 +628,7 @@
             (
                 GatheredPart(part.service, part.answer.headers[name])
                 if part.answer is not None
-                else GatheredPart(part.service, "", part.reason, part.may_have_run)
+                else GatheredPart(part.service, "", part.reason, part.may_have_run, part.reached)
             )
             for part in new
         )
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -356,6 +356,8 @@
     signature: str = ""
     reason: str = ""
     may_have_run: bool = False
+    #: Whether a searcher has been sent the request, be it that it refused it.
+    reached: bool = False
 
 
 @message(20)
--- a/rattanrelay/wire/relay.thrift
+++ b/rattanrelay/wire/relay.thrift
@@ -59,7 +59,9 @@
   9: i32 top_k, 10: i64 target_us, 11: i64 answer_us, 12: i64 deadline_us,
   13: i64 first_us, 14: binary marks
 }
-struct GatheredPart { 1: string shard, 2: string signature, 3: string reason, 4: bool may_have_run }
+struct GatheredPart {
+  1: string shard, 2: string signature, 3: string reason, 4: bool may_have_run, 5: bool reached
+}
 struct GatheredParts { 1: list<GatheredPart> parts, 2: binary records }
 
 struct FollowStore { 1: bool whole }
--- a/rattanrelay/wire/structs.py
+++ b/rattanrelay/wire/structs.py
@@ -154,6 +154,7 @@
         (2, 11, "signature"),
         (3, 11, "reason"),
         (4, 2, "may_have_run"),
+        (5, 2, "reached"),
     ),
     "GatheredParts": (
         (1, ("GatheredPart",), "parts"),
--- a/tests/relay/peers.feature
+++ b/tests/relay/peers.feature
@@ -46,3 +46,9 @@
     When the instances in b are silent and a client gathers at the instance in a
     Then it asked for 20 shards in any 5 ms at most
     And the answer comes within the target of 118 ms and misses 0
+
+  Scenario: Parts that searchers refused to another instance count as asked
+    Given 20 shards with searchers in domain b, an instance in a and one in b
+    And all searchers shed
+    When clients gather 10 times a second for 12 s
+    Then no shard got more extra requests than its budget
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -584,6 +584,12 @@
     assert all(whole >= parts and seconds <= target / 1000 for _, whole, seconds in found), found
 
 
+@given("all searchers shed")
+def all_shed(context):
+    for searcher in context.searchers:
+        searcher.mode = "shed"
+
+
 @given("the instance in b does not know the first searcher of each shard")
 def unknown_searchers(context):
     def forget(world):
