Do not start work that cannot end before its deadline

Cause: the owner's queue gave the next entry a slot as long as its deadline had not passed.

Change: a pool keeps the shortest time of its recent searches (1 to 2 s back) and refuses queued work with less time left as `too_late`, which did not run.

The scenario of tests/node/dispatch.feature fails without the change.

--- a/rattanrelay/decide/budget.py
+++ b/rattanrelay/decide/budget.py
@@ -17,7 +17,7 @@
 FREE_PRICE = 0.0
 
 #: Reasons by which a server or its owner's queue states that nothing ran.
-REFUSED = frozenset({"draining", "queue_full", "shedding", "snapshot_gone"})
+REFUSED = frozenset({"draining", "queue_full", "shedding", "snapshot_gone", "too_late"})
 #: Reasons that arise before a server is reached.
 UNREACHED = frozenset(
     {
--- a/rattanrelay/decide/patience.py
+++ b/rattanrelay/decide/patience.py
@@ -5,10 +5,11 @@
 worth more than the whole response after it.
 """
 
+import math
 from collections import deque
 from statistics import median
 
-__all__ = ["RecentLag", "RecentLatency", "answer_by", "hedge_after"]
+__all__ = ["RecentLag", "RecentLatency", "ShortestTime", "answer_by", "hedge_after"]
 
 #: Latencies that are kept for the usual latency of a kind of request.
 SAMPLES = 64
@@ -18,6 +19,9 @@
 #: then, and a single long one changes little.
 LAG_SAMPLES = 32
 LAG_QUANTILE = 0.8
+#: Time for which the shortest time counts at least, in seconds; twice that at most. A searcher that
+#: becomes faster is noticed by the next work that is short enough to be sent, or after this time.
+SHORTEST_MEMORY_S = 1.0
 #: A hedge is sent after this multiple of the usual latency; 1.6 is its 91st percentile where the
 #: latency is spread by a factor of 1.4.
 HEDGE_FACTOR = 1.6
@@ -53,6 +57,33 @@
             self.usual = median(self.samples)
 
 
+class ShortestTime:
+    """Shortest time that recent work took, in seconds; work with less time left cannot end."""
+
+    def __init__(self) -> None:
+        self.since = -math.inf
+        self.before = math.inf
+        self.current = math.inf
+
+    def add(self, taken: float, now: float) -> None:
+        """Add the time that completed work took."""
+        self._forget(now)
+        self.current = min(self.current, taken)
+
+    def at(self, now: float) -> float:
+        """Return the shortest time, 0 if none is known."""
+        self._forget(now)
+        shortest = min(self.before, self.current)
+        return 0.0 if math.isinf(shortest) else shortest
+
+    def _forget(self, now: float) -> None:
+        age = now - self.since
+        if age >= SHORTEST_MEMORY_S:
+            self.before = self.current if age < 2 * SHORTEST_MEMORY_S else math.inf
+            self.current = math.inf
+            self.since = now
+
+
 class RecentLag:
     """How late this instance acts on a due time, in seconds, while its processor is busy."""
 
--- a/rattanrelay/node/pool.py
+++ b/rattanrelay/node/pool.py
@@ -10,6 +10,7 @@
 
 from ..decide.fairqueue import Entry, FairQueue
 from ..decide.lease import CLOCK_MARGIN_S, MAX_SUBREQUEST_S
+from ..decide.patience import ShortestTime
 from ..decide.slots import Slots
 from ..errors import RelayError
 from ..http import HttpConnection, Request, Response
@@ -96,6 +97,7 @@
         self.connect_s = 0.0
         self.slots = Slots()
         self.queue = FairQueue(0)
+        self.shortest = ShortestTime()
         self.jobs: dict[int, SubRequest] = {}
         self.controls: deque[Control] = deque()
         self.workers: set[Worker] = set()
@@ -208,9 +210,10 @@
             self.ended = trio.Event()
 
     def _start_next(self, now: float) -> None:
-        popped = self.queue.pop(now)
+        popped = self.queue.pop(now + self.shortest.at(now))
         for entry in popped.late:
-            self.refuse(self.jobs.pop(entry.key), "deadline")
+            reason = "deadline" if entry.deadline <= now else "too_late"
+            self.refuse(self.jobs.pop(entry.key), reason)
         if popped.entry is None:
             return
         job = self.jobs.pop(popped.entry.key)
@@ -398,6 +401,8 @@
         if outcome.reason == "snapshot_mismatch":
             worker.connection.usable = False
         outcome = self.measured(job, outcome)
+        if not outcome.reason:
+            self.shortest.add(outcome.service, trio.current_time())
         self.supervisor.answered(response, outcome)
         job.finish(outcome)
 
--- a/rattanrelay/node/scatter.py
+++ b/rattanrelay/node/scatter.py
@@ -33,7 +33,7 @@
 CONGESTION = frozenset({"queue_full", "shedding"})
 #: Reasons that say nothing about the searcher itself, or no more than its load does. A penalty for
 #: a full queue would move all work to the other replicas and fill their queues in turn.
-NO_PENALTY = CONGESTION | {"request_blocked", "request_suspect", "snapshot_gone"}
+NO_PENALTY = CONGESTION | {"request_blocked", "request_suspect", "snapshot_gone", "too_late"}
 #: Errors of a whole message that hold for each replica of its owner.
 OWNER_FAILURES = frozenset({"connect_failed", "no_quorum", "peer_unavailable", "stopping"})
 
--- a/tests/node/dispatch.feature
+++ b/tests/node/dispatch.feature
@@ -50,6 +50,21 @@
     When shards "a b c d" are asked for within 0.5 s
     Then the results are "a=deadline b=deadline c=deadline d=queue_full"
 
+  Scenario: Work that cannot end in time is not started
+    Given a dispatcher with 1 slots and 4 connections
+    And each search takes 0.2 s
+    When shards "a b c" are asked for within 0.5 s
+    Then the results are "a=ok b=ok c=too_late"
+    And the searcher got 2 searches
+
+  Scenario: An earlier duration of searches is forgotten
+    Given a dispatcher with 1 slots and 4 connections
+    And each search takes 0.2 s
+    When shards "a b" are asked for within 0.5 s
+    And each search takes 0.01 s
+    And shards "c" are asked for within 0.1 s
+    Then the last result is "c=ok"
+
   Scenario: A searcher that cannot be reached
     Given a dispatcher with 2 slots and 25 connections
     And the searcher's work has the fault "unreachable"
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -51,6 +51,17 @@
     context.bench.searcher.fault = lambda body: fault
 
 
+@given("each search takes {seconds:g} s")
+@when("each search takes {seconds:g} s")
+def search_time(context, seconds):
+    context.bench.searcher.service_s = seconds
+
+
+@then("the searcher got {count:d} searches")
+def searches(context, count):
+    assert len(context.bench.searcher.requests) == count, context.bench.searcher.requests
+
+
 @given("the searcher ignores cancellations")
 def ignore_cancels(context):
     context.bench.searcher.ignores_cancel = True
@@ -131,6 +142,11 @@
     assert found == expected, found
 
 
+@then('the last result is "{expected}"')
+def last_result_is(context, expected):
+    assert "=".join(context.bench.outcomes()[-1]) == expected, context.bench.outcomes()
+
+
 @then("{count:d} slots are in use at once and none {later:g} s later")
 def slots_then(context, count, later):
     assert context.end.slots_in_use == count, context.end
