Let instances that start together find their readers within 2 s

It read the list of instances first, when few were on it, and again 4 s later; a reader that it tried before that one had read the store itself was left alone for 4 s as well.

Change: an instance that follows nobody after its first second reads the list of instances once more (a stale read, a tenth of a call), and a reader that did not read is tried again after half a second in the first 10 s.

The scenario of tests/relay/readers.feature starts all instances at once after their leases have ended; without the change more than the two readers watch the store 2.5 to 8.5 s later.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -41,7 +41,8 @@
 LOOK_S = 1.0
 #: Time after the start for which a reader is waited for before this instance reads, in seconds.
 FIRST_LIST_S = 0.5
-#: Time for which a reader that did not read is not followed, in seconds.
+#: Time for which a reader that did not read is not followed, in seconds. After the start of this
+#: instance it is half of `LOOK_S`, since the reader may have started as late.
 READER_PAUSE_S = 4.0
 INSTANCE_PREFIX = "rattanrelay/instances/"
 
@@ -102,12 +103,17 @@
         """Follow a reader where the fleet has them, and read the store otherwise."""
         if self._choose_reader(peers) is not None:
             nursery.start_soon(self._read_if_late, nursery)
+        looked = False
         while True:
             reader = self._choose_reader(peers)
             if reader is not None:
                 await self._follow(reader, peers)
             self._read_directly(nursery)
             await trio.sleep(LOOK_S * self.rng.uniform(0.8, 1.2))
+            if not looked:
+                # Instances that start at once are not listed yet when the first of them look.
+                looked = True
+                await self._look_around(peers)
 
     def _choose_reader(self, peers: Peers) -> Peer | None:
         """Return the reader to follow; None if this instance has to read, or no reader is known."""
@@ -136,7 +142,9 @@
             await self.sharing.follow(await peers.link(reader), heard)
         except RelayError as error:
             reason = str(error)
-            self._avoided[name] = trio.current_time() + READER_PAUSE_S
+            now = trio.current_time()
+            starting = now < self.started + SETTLE_S
+            self._avoided[name] = now + (LOOK_S / 2 if starting else READER_PAUSE_S)
         self.reader = ""
         event("store.reader_left", reader=name, reason=reason)
 
--- a/tests/relay/readers.feature
+++ b/tests/relay/readers.feature
@@ -9,6 +9,10 @@
     When nothing changes for 20 s
     Then 2 instances have called the store's watch in this time
 
+  Scenario: Instances that start at once soon leave the store to the readers
+    When all are started at once after a loss of power and nothing changes from 2.5 to 8.5 s
+    Then 2 instances have called the store's watch in this time
+
   Scenario Outline: A change reaches all instances although a reader <fault>
     When a reader <fault> and then the configuration and a searcher change
     Then each instance that serves knows both changes within 5 s
--- a/tests/steps/readers_steps.py
+++ b/tests/steps/readers_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from relay_steps import build
 
+from rattanrelay.platform.feed import LEASE_S
 from rattanrelay.relay import Change, Item, StoreSharing, sharing
 from tests.harness.relay_world import StandInSearcher, play
 
@@ -50,6 +51,25 @@
     play(scenario)
 
 
+@when("all are started at once after a loss of power and nothing changes from 2.5 to 8.5 s")
+def quiet_after_start(context):
+    async def scenario():
+        async with context.world.open() as world:
+            names = list(world.daemons)
+            for name in names:
+                world.kill(name)
+            await trio.sleep(LEASE_S + 1.0)
+            async with trio.open_nursery() as nursery:
+                for name in names:
+                    nursery.start_soon(world.start, name)
+            await trio.sleep(2.5)
+            before = world.store.door_calls.copy()
+            await trio.sleep(6.0)
+            context.watchers = _watchers(world, before)
+
+    play(scenario)
+
+
 @then("2 instances have called the store's watch in this time")
 def two_watchers(context):
     assert len(context.watchers) == 2, context.watchers
