--- a/rattanrelay/decide/patience.py
+++ b/rattanrelay/decide/patience.py
@@ -77,11 +77,12 @@
         return 0.0 if math.isinf(shortest) else shortest
 
     def _forget(self, now: float) -> None:
-        age = now - self.since
-        if age >= SHORTEST_MEMORY_S:
-            self.before = self.current if age < 2 * SHORTEST_MEMORY_S else math.inf
-            self.current = math.inf
+        if now - self.since >= 2 * SHORTEST_MEMORY_S:
+            self.before = self.current = math.inf
             self.since = now
+        elif now - self.since >= SHORTEST_MEMORY_S:
+            self.before, self.current = self.current, math.inf
+            self.since += SHORTEST_MEMORY_S
 
 
 class RecentLag:
--- a/tests/decide/relay_rules.feature
+++ b/tests/decide/relay_rules.feature
@@ -89,3 +89,7 @@
   Scenario: Each instance knows how many others ask for its shards
     When 14 to 30 instances in each of 3 domains divide 45 to 135 shards
     Then each states the number of instances that ask for a shard, or up to 3 more
+
+  Scenario: The shortest time that work takes is known from the last one to two seconds
+    When work of random times ends at random moments
+    Then the shortest time is that of the last second or shorter, and never of more than 2 s ago
--- a/tests/steps/relay_decide_steps.py
+++ b/tests/steps/relay_decide_steps.py
@@ -13,7 +13,13 @@
 from rattanrelay.decide.extras import ExtraLimits, ExtraWindow
 from rattanrelay.decide.grouping import first_searcher, own_askers, plan_groups
 from rattanrelay.decide.marks import mark, pack, unpack
-from rattanrelay.decide.patience import HANDLING_S, RecentLag, answer_by, hedge_after
+from rattanrelay.decide.patience import (
+    HANDLING_S,
+    RecentLag,
+    ShortestTime,
+    answer_by,
+    hedge_after,
+)
 from rattanrelay.decide.records import greatest_records, needed_parts
 from rattanrelay.decide.refusal import SHED, refusal
 from rattanrelay.decide.split import SmoothSplit
@@ -563,3 +569,37 @@
 @then("each states the number of instances that ask for a shard, or up to 3 more")
 def askers_known(context):
     assert context.checked
+
+
+@when("work of random times ends at random moments")
+def random_work(context):
+    times = st.tuples(st.floats(0.0, 1.5), st.floats(0.001, 1.0))
+
+    @settings(max_examples=200)
+    @for_all(st.lists(times, max_size=40), st.floats(0.0, 3.0))
+    def runs(work, pause):
+        shortest, now, ended = ShortestTime(), 100.0, []
+        for gap, taken in work:
+            now += gap
+            shortest.add(taken, now)
+            ended.append((now, taken))
+        now += pause
+        found = shortest.at(now)
+        last = [taken for at, taken in ended if now - at < 1.0]
+        recent = [taken for at, taken in ended if now - at <= 2.0]
+        context.checked.append((found, last, recent))
+
+    context.checked = []
+    runs()
+
+
+@then("the shortest time is that of the last second or shorter, and never of more than 2 s ago")
+def shortest_bounds(context):
+    assert any(last for _, last, _ in context.checked)
+    for found, last, recent in context.checked:
+        if last:
+            assert 0.0 < found <= min(last), (found, last)
+        if recent:
+            assert found == 0.0 or found >= min(recent), (found, recent)
+        else:
+            assert found == 0.0, found
