--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -41,9 +41,11 @@
 LOOK_S = 1.0
 #: Time after the start for which a reader is waited for before this instance reads, in seconds.
 FIRST_LIST_S = 0.5
-#: Time for which a reader that did not read is not followed, in seconds. After the start of this
-#: instance it is half of `LOOK_S`, since the reader may have started as late.
+#: Time for which a reader that did not read is not followed, in seconds.
 READER_PAUSE_S = 4.0
+#: The same until `SETTLE_S` after the start, when the reader may have started as late; shorter than
+#: the pause between two looks.
+STARTING_READER_PAUSE_S = 0.5
 INSTANCE_PREFIX = "rattanrelay/instances/"
 
 
@@ -143,8 +145,8 @@
         except RelayError as error:
             reason = str(error)
             now = trio.current_time()
-            starting = now < self.started + SETTLE_S
-            self._avoided[name] = now + (LOOK_S / 2 if starting else READER_PAUSE_S)
+            settled = now >= self.started + SETTLE_S
+            self._avoided[name] = now + (READER_PAUSE_S if settled else STARTING_READER_PAUSE_S)
         self.reader = ""
         event("store.reader_left", reader=name, reason=reason)
 
