Look for serving searchers once, and word a wrong setting in one place

- `Knowledge.serves` built a list of all serving searchers for each of up to 90 parts of a request, where the code before stopped at the first one; `serving` yields them, so it stops there again.
- `Knowledge.near` built two mappings for each part that is handed over; the searcher by name is in `Knowledge.searchers`.
- The text for a wrong value and the greatest port stood both in `rattanrelay.settings` and in the platform's settings.
- `rattanrelay check` chooses the check of settings files once.
The comment on its import stated a share of the start that was not measured.
- Three steps of readers_steps counted the callers of the store's watch alike.

--- a/rattanrelay/cli/commands/check.py
+++ b/rattanrelay/cli/commands/check.py
@@ -28,10 +28,11 @@
     """
     if not files:
         raise RelayError("bad_arguments", "check: give at least one file", step="read arguments")
+    check_settings = _check_platform_settings if platform else _check_settings
     sheets = [file for file in files if file.endswith(".csv")]
     for file in files:
         if file not in sheets:
-            (_check_platform_settings if platform else _check_settings)(file)
+            check_settings(file)
     if sheets:
         _check_rows(sheets, kind)
 
@@ -46,7 +47,7 @@
 
 
 def _check_platform_settings(file: str) -> None:
-    # Takes half of the time of a start, which the other uses of the command do not need.
+    # Imports the whole relay, which the other uses of the command do not need.
     from ...platform.settings import load
 
     print(f"{file}: settings of instance {load(Path(file)).instance} are correct")
--- a/rattanrelay/platform/settings.py
+++ b/rattanrelay/platform/settings.py
@@ -10,7 +10,7 @@
 from ..decide.warmth import ColdLimits
 from ..errors import RelayError
 from ..relay import Bounds, Listen, RelaySettings
-from ..settings import Port, decode_settings
+from ..settings import MAX_PORT, Port, decode_settings, not_allowed
 
 __all__ = ["METRICS_PORT", "SETTINGS_VARIABLE", "load", "settings_path"]
 
@@ -18,7 +18,6 @@
 SETTINGS_VARIABLE = "RATTANRELAY_BOOT"
 #: Port of `metrics` in deploy/system.toml.
 METRICS_PORT = 9464
-MAX_PORT = 65535
 
 #: `host:port`.
 AddressText = Annotated[str, msgspec.Meta(pattern=r"^.+:[0-9]{1,5}$")]
@@ -96,7 +95,6 @@
 def _listen(key: str, text: str) -> Listen:
     host, _, port = text.rpartition(":")
     if int(port) > MAX_PORT:
-        allowed = f"a port up to {MAX_PORT}"
-        text = f"key {key}: value {text!r} is not allowed: {allowed}"
-        raise RelayError("bad_settings", text, step="check settings")
+        problem = not_allowed(key, text, f"a port up to {MAX_PORT}")
+        raise RelayError("bad_settings", problem, step="check settings")
     return Listen(host, int(port))
--- a/rattanrelay/relay/fleet.py
+++ b/rattanrelay/relay/fleet.py
@@ -1,5 +1,6 @@
 """What this instance knows: the configuration, the searchers, the instances and the store."""
 
+from collections.abc import Iterator
 from typing import NamedTuple
 
 from ..decide.departure import doubt_until
@@ -200,23 +201,20 @@
 
     def serves(self, service: str, now: float) -> bool:
         """Return whether a service has a searcher that may get requests, now or soon."""
-        return bool(self.serving(service, now))
+        return any(self.serving(service, now))
 
-    def serving(self, service: str, now: float) -> list[Searcher]:
-        """Return the searchers of a service that may get requests, now or soon."""
-        return [
-            searcher
-            for searcher in self.by_service.get(service, ())
-            if searcher.usable(now) and searcher.record.domain not in self.out_domains
-        ]
+    def serving(self, service: str, now: float) -> Iterator[Searcher]:
+        """Yield the searchers of a service that may get requests, now or soon."""
+        for searcher in self.by_service.get(service, ()):
+            if searcher.usable(now) and searcher.record.domain not in self.out_domains:
+                yield searcher
 
     def near(self, service: str, domain: str, request_id: str, now: float) -> Searcher | None:
         """Return a searcher of a service that may get requests, in a failure domain if possible."""
-        serving = {one.record.searcher: one for one in self.serving(service, now)}
-        if not serving:
+        domains = {one.record.searcher: one.record.domain for one in self.serving(service, now)}
+        if not domains:
             return None
-        domains = {name: one.record.domain for name, one in serving.items()}
-        return serving[first_searcher(domains, domain, request_id)]
+        return self.searchers[first_searcher(domains, domain, request_id)]
 
     def connection_limit(self, row: ServiceRow | None) -> int:
         """Return the connections that this instance may have to each searcher of a service.
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -357,7 +357,8 @@
 
     def _serving(self, part: _Part, now: float) -> list[Searcher]:
         """Return the searchers that may get the part's request, now or soon."""
-        return part.permitted(self.knowledge.serving(part.service, now), self.route.attempts)
+        serving = list(self.knowledge.serving(part.service, now))
+        return part.permitted(serving, self.route.attempts)
 
     def _choose(self, part: _Part, now: float) -> Searcher | None:
         fresh = not self.sub.idempotent
--- a/rattanrelay/settings.py
+++ b/rattanrelay/settings.py
@@ -8,11 +8,21 @@
 
 from .errors import RelayError
 
-__all__ = ["Address", "AdminToken", "Port", "Settings", "decode_settings", "load_settings"]
+__all__ = [
+    "MAX_PORT",
+    "Address",
+    "AdminToken",
+    "Port",
+    "Settings",
+    "decode_settings",
+    "load_settings",
+    "not_allowed",
+]
 
 T = TypeVar("T")
 
-Port = Annotated[int, msgspec.Meta(ge=0, le=65535)]
+MAX_PORT = 65535
+Port = Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")]
 PositiveSeconds = Annotated[float, msgspec.Meta(gt=0, le=3600)]
 
@@ -100,4 +110,9 @@
             value = value[int(part)] if isinstance(value, list) else value[part]
         except (KeyError, IndexError, TypeError, ValueError):
             return f"key {path}: {allowed}"
-    return f"key {path}: value {value!r} is not allowed: {allowed}"
+    return not_allowed(path, value, allowed)
+
+
+def not_allowed(key: str, value: object, allowed: str) -> str:
+    """Return the text for a key whose value is wrong."""
+    return f"key {key}: value {value!r} is not allowed: {allowed}"
--- a/tests/steps/readers_steps.py
+++ b/tests/steps/readers_steps.py
@@ -26,7 +26,10 @@
     context.world.many = 4
 
 
-def _watchers(world, before):
+async def _watchers(world, seconds):
+    """Return the instances that call the store's watch in the next seconds."""
+    before = world.store.door_calls.copy()
+    await trio.sleep(seconds)
     now = world.store.door_calls
     names = {door for door, call in now if call == "kv-watch"}
     return {door for door in names if now[door, "kv-watch"] > before[door, "kv-watch"]}
@@ -44,9 +47,7 @@
     async def scenario():
         async with context.world.open() as world:
             await _settled(world)
-            before = world.store.door_calls.copy()
-            await trio.sleep(20.0)
-            context.watchers = _watchers(world, before)
+            context.watchers = await _watchers(world, 20.0)
 
     play(scenario)
 
@@ -63,9 +64,7 @@
                 for name in names:
                     nursery.start_soon(world.start, name)
             await trio.sleep(2.5)
-            before = world.store.door_calls.copy()
-            await trio.sleep(6.0)
-            context.watchers = _watchers(world, before)
+            context.watchers = await _watchers(world, 6.0)
 
     play(scenario)
 
@@ -141,9 +140,7 @@
                 name for name, daemon in world.daemons.items() if "s1" in daemon.knowledge.searchers
             ]
             await trio.sleep(10.0)
-            before = world.store.door_calls.copy()
-            await trio.sleep(10.0)
-            context.watchers = _watchers(world, before)
+            context.watchers = await _watchers(world, 10.0)
 
     play(scenario)
 
