Let the fault proxy make open connections silent for good

Cause: no test could play a connection that delivers nothing any more and never ends while new ones work. A black hole of the proxy also holds new connections, and ends with all bytes delivered. Change: ProxyRoute.silence, the control route for it, and proxies before the instances, searchers and the store of the test world. Result: three new rows of tests/emulator/network.feature pass.

--- a/rattanrelay/emulator/faultproxy.py
+++ b/rattanrelay/emulator/faultproxy.py
@@ -1,6 +1,6 @@
 """TCP proxy with faults that are set for each route at run time; bytes are never reordered."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Literal
 
@@ -55,6 +55,8 @@
         self.faults_by_source: dict[str, ProxyFaults] = {}
         self.changed = trio.Event()
         self.open: dict[trio.CancelScope, str] = {}
+        #: Directions in which open connections are silent for good.
+        self.silent: dict[trio.CancelScope, Direction | Literal["both"]] = {}
         self.connections = 0
         self.cuts = 0
         self.bytes: dict[str, int] = {"to_target": 0, "to_client": 0}
@@ -100,6 +102,16 @@
         self.cuts += len(chosen)
         return len(chosen)
 
+    def silence(self, direction: Direction | Literal["both"] = "both", source: str = "") -> int:
+        """Forward nothing more on open connections, not even their end; return their number.
+
+        New connections work. `source` selects those of one source host.
+        """
+        chosen = [scope for scope, host in self.open.items() if source in ("", host)]
+        self.silent.update(dict.fromkeys(chosen, direction))
+        event("proxy_silenced", route=self.name, source=source, connections=len(chosen))
+        return len(chosen)
+
     async def wait_changed(self) -> None:
         """Wait until the faults change."""
         await self.changed.wait()
@@ -115,13 +127,16 @@
         with trio.CancelScope() as scope:
             self.open[scope] = source
             try:
-                clean = await self._connect_and_forward(client, source)
+                clean = await self._connect_and_forward(client, source, scope)
             finally:
                 del self.open[scope]
+                self.silent.pop(scope, None)
         if not clean:
             reset_on_close(client)
 
-    async def _connect_and_forward(self, client: trio.SocketStream, source: str) -> bool:
+    async def _connect_and_forward(
+        self, client: trio.SocketStream, source: str, scope: trio.CancelScope
+    ) -> bool:
         """Forward until both directions have ended; returns False if the connection broke."""
         while self.faults_for(source).black_hole:
             await self.wait_changed()
@@ -131,7 +146,7 @@
             return False
         clean = False
         try:
-            await self._forward_both(client, target, source)
+            await self._forward_both(client, target, source, scope)
             clean = True
         except* (ConnectionCut, trio.BrokenResourceError, trio.ClosedResourceError, OSError):
             self.cuts += 1
@@ -142,15 +157,29 @@
         return clean
 
     async def _forward_both(
-        self, client: trio.SocketStream, target: trio.SocketStream, source: str
+        self,
+        client: trio.SocketStream,
+        target: trio.SocketStream,
+        source: str,
+        scope: trio.CancelScope,
     ) -> None:
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._forward, client, target, source, "to_target")
-            nursery.start_soon(self._forward, target, client, source, "to_client")
+        def shape(direction: Direction) -> Shape:
+            found = self.faults_for(source).shape(direction)
+            silent = self.silent.get(scope) in (direction, "both")
+            return found._replace(held=True) if silent else found
 
-    async def _forward(self, origin, sink, source: str, direction: Direction) -> None:
-        def shape() -> Shape:
-            return self.faults_for(source).shape(direction)
+        async with trio.open_nursery() as nursery:
+            for origin, sink, direction in (
+                (client, target, "to_target"),
+                (target, client, "to_client"),
+            ):
+                nursery.start_soon(
+                    self._forward, origin, sink, partial(shape, direction), direction
+                )
+
+    async def _forward(
+        self, origin, sink, shape: Callable[[], Shape], direction: Direction
+    ) -> None:
 
         count = partial(self._count, direction)
         await forward(origin, sink, shape, self.wait_changed, count)
--- a/rattanrelay/emulator/network_control.py
+++ b/rattanrelay/emulator/network_control.py
@@ -1,5 +1,7 @@
 """Control routes of the fault-injecting proxy and of the balancers."""
 
+from typing import Literal
+
 import msgspec
 
 from ..http import Request
@@ -24,6 +26,12 @@
     reset: bool = False
 
 
+class SilenceOrder(RouteOrder):
+    """Connections to make silent, and in which direction."""
+
+    direction: Literal["to_target", "to_client", "both"] = "both"
+
+
 class BalancerOrder(msgspec.Struct, forbid_unknown_fields=True):
     """Changes to the balancer with an index; None keeps a value."""
 
@@ -57,6 +65,13 @@
     return sum(route.cut(order.source) for route in _routes(emulator, order))
 
 
+@control("POST", "/control/proxies/silence")
+async def silence(emulator, request: Request) -> int:
+    """Make open connections silent for good and return their number."""
+    order = decode(request, SilenceOrder)
+    return sum(route.silence(order.direction, order.source) for route in _routes(emulator, order))
+
+
 @control("POST", "/control/proxies/heal")
 async def heal(emulator, request: Request) -> list[str]:
     """Remove all faults of the routes; returns the names given."""
--- a/tests/emulator/network.feature
+++ b/tests/emulator/network.feature
@@ -45,6 +45,16 @@
     When open connections of a route are cut
     Then both ends see a reset, and a new connection is served
 
+  Scenario Outline: Open connections that go silent stay so, and new ones work
+    When open connections go silent <direction> and a request is sent on an open and a new one
+    Then the target <target> the first one, and only the new connection has an echo
+
+    Examples:
+      | direction | target       |
+      | to_target | does not get |
+      | to_client | gets         |
+      | both      | does not get |
+
   Scenario: The balancer is round-robin and keeps a stopped target in use for its lag
     Given a balancer over 3 entry instances with a lag of 1000 ms
     When 6 calls are made, one instance stops, and calls go on for 3 s
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -15,6 +15,8 @@
 from rattanrelay.decide.cold_start import ColdLimits
 from rattanrelay.decide.extra_window import ExtraLimits
 from rattanrelay.emulator.addresses import free_ports
+from rattanrelay.emulator.config import ProxyConfig
+from rattanrelay.emulator.faultproxy import ProxyRoute
 from rattanrelay.http import HttpConnection, Request, Response, json_response, serve_http
 from rattanrelay.platform.documents import HEADERS
 from rattanrelay.platform.feed import PlatformFeed
@@ -206,6 +208,8 @@
         self.records = records
         self.mode = "good"
         self.port = free_port()
+        #: Port in its entry, if it is reached through a proxy.
+        self.listed_port = 0
         self.slots = 2
         self.born = 1000
         #: Seconds at the start of each period in which requests wait; `phase` shifts the periods.
@@ -242,7 +246,7 @@
         """Return its entry in the store."""
         return {
             "service": self.service,
-            "address": f"{HOST}:{self.port}",
+            "address": f"{HOST}:{self.listed_port or self.port}",
             "zone": self.zone,
             "version": "v1",
             "concurrency": self.slots,
@@ -426,6 +430,10 @@
         self.many: int | None = None
         #: Whether the instances start for the first time.
         self.first_start = False
+        #: Whether instances, searchers and the store are reached through proxies.
+        self.proxied = False
+        #: Proxies by what connects and to what, such as "instance/entry-1".
+        self.proxies: dict[str, ProxyRoute] = {}
         self._nursery: trio.Nursery | None = None
         self._ids = 0
 
@@ -481,6 +489,8 @@
         """Start a searcher and write its entry."""
         self.searchers[searcher.name] = searcher
         await self._nursery.start(searcher.run, self.store)
+        if self.proxied:
+            searcher.listed_port = await self._proxy(f"searcher/{searcher.name}", searcher.port)
         self.store.write(f"servers/{searcher.name}", searcher.entry())
 
     async def start(self, name: str) -> RelayDaemon:
@@ -488,16 +498,22 @@
         domain = self.domains[name]
         if name not in self.store.ports:
             await self._nursery.start(self.store.serve, name)
+        store_port = self.store.ports[name]
+        if self.proxied:
+            store_port = await self._proxy(f"store/{name}", store_port)
         settings = RelaySettings(
             name,
             domain,
             *(Listen(HOST, free_port()) for _ in range(4)),
-            Listen(HOST, self.store.ports[name]),
+            Listen(HOST, store_port),
             self.bounds,
             cores=self.cores_of.get(name, self.cores),
         )
         rng = random.Random(self.rng.random())
-        instance = Instance(name, *settings.peers, domain, settings.cores)
+        peers_port = settings.peers.port
+        if self.proxied:
+            peers_port = await self._proxy(f"instance/{name}", peers_port)
+        instance = Instance(name, HOST, peers_port, domain, settings.cores)
         feed = PlatformFeed(settings.store, instance, rng, first_start=self.first_start)
         if self.many is not None:
             feed.min_instances = self.many
@@ -512,6 +528,21 @@
         await self._nursery.start(run)
         return daemon
 
+    async def _proxy(self, name: str, port: int) -> int:
+        """Start a proxy before a port and return the port of the proxy."""
+        route = ProxyRoute(ProxyConfig(name=name, target=f"{HOST}:{port}"))
+        await self._nursery.start(route.run)
+        self.proxies[name] = route
+        return int(route.address.rpartition(":")[2])
+
+    def silence(self, kind: str, direction: str = "both") -> int:
+        """Make all open connections to things of a kind silent for good; return their number.
+
+        `kind` is instance, searcher or store, or one of them by name, such as "store/entry-1".
+        """
+        routes = [route for name, route in self.proxies.items() if name.startswith(kind)]
+        return sum(route.silence(direction) for route in routes)
+
     def kill(self, name: str) -> None:
         """Cancel an instance without a planned stop."""
         self.scopes[name].cancel()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -26,16 +26,11 @@
 
 
 class ProxiedSearcher(StandInSearcher):
-    """A searcher whose entry in the store has the address of its proxy."""
+    """A searcher that is reached through a proxy."""
 
-    proxy_port = 0
     #: Time of `trio.current_time()` at which its entry became draining.
     drained_at: float | None = None
 
-    def entry(self, **changes) -> dict:
-        """Return its entry in the store."""
-        return super().entry(address=f"{HOST}:{self.proxy_port}", **changes)
-
 
 class SoakInstance:
     """An instance process, its settings and the faults injected into it."""
@@ -148,7 +143,7 @@
 
         await self._nursery.start(run)
         proxy = await self._proxy(f"searcher/{name}", f"{HOST}:{searcher.port}")
-        searcher.proxy_port = int(proxy.addresses()[f"searcher/{name}"].rpartition(":")[2])
+        searcher.listed_port = int(proxy.addresses()[f"searcher/{name}"].rpartition(":")[2])
         self.store.write(f"servers/{name}", searcher.entry())
         return searcher
 
--- a/tests/steps/emulator_platform_steps.py
+++ b/tests/steps/emulator_platform_steps.py
@@ -527,6 +527,28 @@
     check_equal(context.echo.route.open, {})
 
 
+@when("open connections go silent {direction} and a request is sent on an open and a new one")
+def silence_open(context, direction):
+    async def flow(echo):
+        stream = await echo.connect()
+        await stream.send_all(b"before")
+        check_equal(await stream.receive_some(), b"before")
+        check_equal(echo.route.silence(direction), 1)
+        await stream.send_all(b"request")
+        answer = None
+        with trio.move_on_after(60):
+            answer = await stream.receive_some()
+        got = bytes(echo.received) == b"beforerequest"
+        return got, answer, await exchange(await echo.connect(), b"new")
+
+    run_echo(context, flow)
+
+
+@then("the target {target} the first one, and only the new connection has an echo")
+def silence_result(context, target):
+    check_equal(context.result, (target == "gets", None, (b"new", False)))
+
+
 # Balancer and instance list
 
 
