Replace links between instances that have gone silent

Cause: a link had no proof of life. An instance that was silent for one request got none for 0.2 s, and then the next one over the same connection, for good; the link was dropped only when a pull of state timed out. Its shards were taken over as hedges, which a few requests a second use up, and the request then waited for the silent instance. Ruled out by the logs: lost instances (gather.failed does not occur), the store (no line), searchers (all answer). Change: a call without a message asks whether a link works. It is sent when a request finds an instance silent, when its shards are overdue, when a message or a followed reader gets no answer in time, and each 10 s on an unused link. The other side closes a connection without bytes for 25 s. Builds without the check answer it with an error, which is a proof of life too.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -242,6 +242,7 @@
             await self.sharing.follow(await peers.link(reader), keep_following)
         except RelayError as error:
             reason = str(error)
+            peers.check_link(reader)
             now = trio.current_time()
             self._reader_failed_at[name] = now
             self._avoided_until[name] = now + self._reader_pause(name, now)
--- a/rattanrelay/relay/peers.py
+++ b/rattanrelay/relay/peers.py
@@ -169,6 +169,26 @@
             peer.link = await self._connect(peer)
         return peer.link
 
+    async def call(self, peer: Peer, message: tuple, timeout: float = CALL_TIMEOUT_S) -> tuple:
+        """Send a message and return its reply; raises `RelayError`.
+
+        An instance that does not reply in `timeout` seconds is paused, and its link is checked.
+        """
+        try:
+            with trio.fail_after(timeout):
+                async with self.linked(peer) as link:
+                    return await link.call(message)
+        except trio.TooSlowError:
+            peer.pause(PAUSE_S)
+            self.check_link(peer)
+            text = f"no reply in {timeout} s"
+            raise RelayError("peer_unavailable", text, peer=peer.instance.name) from None
+
+    def check_link(self, peer: Peer) -> None:
+        """Begin to check the link to an instance that was silent; a dead one is closed."""
+        if peer.link is not None:
+            self._background.start_soon(peer.link.check)
+
     async def _connect(self, peer: Peer) -> PeerLink:
         instance = peer.instance
         try:
@@ -221,14 +241,8 @@
                 continue
             peer = self.rng.choice(available)
             try:
-                with trio.fail_after(CALL_TIMEOUT_S):
-                    async with self.linked(peer) as link:
-                        document = await link.call(Pull(KNOWLEDGE, 0))
+                document = await self.call(peer, Pull(KNOWLEDGE, 0))
                 shared = msgspec.msgpack.decode(document.value, type=SharedState)
-            except trio.TooSlowError:
-                peer.drop_link()
-                peer.pause(PAUSE_S)
-                continue
             except (RelayError, *DECODE_ERRORS) as error:
                 event("knowledge.not_shared", peer=peer.instance.name, reason=str(error))
                 continue
--- a/rattanrelay/relay/quarantine.py
+++ b/rattanrelay/relay/quarantine.py
@@ -33,8 +33,6 @@
 
 #: Time in seconds in which a success may still refute the end of a searcher before it is reported.
 REPORT_DELAY_S = 0.2
-#: Timeout in seconds of a message to another instance.
-CALL_TIMEOUT_S = 0.5
 #: Number of times that an instance is told of a quarantine until it confirms, and the time between
 #: two in seconds. One that misses all learns of it when it reports an end itself.
 TELL_ATTEMPTS = 4
@@ -159,10 +157,8 @@
     async def _report_to(self, peer: Peer, name: str, entries: tuple[SharedEntry, ...]) -> None:
         losses = tuple(BlockedRequest(*entry) for entry in entries)
         try:
-            with trio.fail_after(CALL_TIMEOUT_S):
-                async with self.peers.linked(peer) as link:
-                    reply = await link.call(ShareLosses(name, losses))
-        except (RelayError, trio.TooSlowError) as error:
+            reply = await self.peers.call(peer, ShareLosses(name, losses))
+        except RelayError as error:
             event("searcher.end_not_reported", peer=peer.instance.name, reason=str(error))
             return
         self.apply(SharedEntry(*entry) for entry in reply.losses)
@@ -206,10 +202,8 @@
             if peer is None:
                 return
             try:
-                with trio.fail_after(CALL_TIMEOUT_S):
-                    link = await self.peers.link(peer)
-                    await link.call(message)
-            except (RelayError, trio.TooSlowError) as error:
+                await self.peers.call(peer, message)
+            except RelayError as error:
                 event("quarantine.not_told", peer=name, reason=str(error))
                 return
             untold.discard(name)
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -530,6 +530,8 @@
                     cores=self.deployment.cores,
                 )
                 self._schedule(silent_at, partial(self._suspect_peer, group, PEER_CHECKS))
+                overdue_at = self.soft_deadline + PEER_CHECK_S
+                self._schedule(overdue_at, partial(self._check_overdue, group))
                 async with (
                     self.peers.linked(group.peer) as link,
                     link.open_stream(message) as items,
@@ -565,11 +567,17 @@
         self._next_suspicion_at = now + SUSPICION_GAP_S
         group.peer.estimate.record_unanswered(now - self.arrived, self.latency.median, now)
         group.peer.pause(SUSPECTED_PAUSE_S)
+        self.peers.check_link(group.peer)
         event("gather.silent", request=self.sub.request_id, peer=group.peer.instance.name)
         for shard in group.pending.values():
             shard.reached = True
         self._take_over(group, tuple(group.pending), now)
 
+    def _check_overdue(self, group: _DelegatedGroup, now: float) -> None:
+        """Check the link to an instance that has not reported all shards when they were due."""
+        if group.pending:
+            self.peers.check_link(group.peer)
+
     def _take_over(self, group: _DelegatedGroup, services: tuple[str, ...], now: float) -> None:
         """Send requests for shards that the other instance has not reported, some at a time."""
         pending = [group.pending[service] for service in services if service in group.pending]
--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -1,7 +1,7 @@
 """Multiplexed connections between instances.
 
 A message is a call with one reply, a call with a stream of replies, or a notification without a
-reply.
+reply. A call without a message asks whether the link still works.
 """
 
 import itertools
@@ -11,6 +11,7 @@
 import trio
 
 from ..errors import CODES, RelayError
+from ..log import event
 from .framing import Frame, FrameKind, FrameReader, encode_frame
 from .messages import Failure
 
@@ -22,6 +23,13 @@
 RECEIVE_BYTES = 65536
 WRITE_QUEUE_FRAMES = 1024
 STREAM_QUEUE_ITEMS = 4096
+#: Time in seconds between two checks of a link that is not used otherwise.
+CHECK_PERIOD_S = 10.0
+#: Time in seconds in which an instance that works answers a check.
+CHECK_TIMEOUT_S = 0.25
+#: Time in seconds without any bytes after which the server side closes a connection: two checks of
+#: a client, and half a period for late ones.
+CLIENT_SILENCE_S = 2.5 * CHECK_PERIOD_S
 
 
 class Handlers:
@@ -81,27 +89,64 @@
         self.writer = _FrameWriter(stream)
         self._ids = itertools.count(1)
         self._in_flight: dict[int, trio.MemorySendChannel] = {}
+        #: Number of reads that returned bytes.
+        self._received = 0
+        #: Set when bytes arrive during a check; None without one.
+        self._heard: trio.Event | None = None
+        self._scope = trio.CancelScope()
 
     async def run(self) -> None:
         """Read and write frames until the connection ends, then fail all calls in flight."""
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.writer.run)
-                await self._read()
-                nursery.cancel_scope.cancel()
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.writer.run)
+                    nursery.start_soon(self._check_regularly)
+                    await self._read()
+                    nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError, RelayError):
             pass
         finally:
             self.close()
 
     def close(self) -> None:
-        """Fail all calls in flight and refuse new ones."""
+        """End `run`, fail all calls in flight and refuse new ones."""
         self.closed = True
+        self._scope.cancel()
         channels = list(self._in_flight.values())
         self._in_flight.clear()
         for channel in channels:
             channel.close()
 
+    async def check(self, timeout: float = CHECK_TIMEOUT_S) -> bool:
+        """Return whether the link works; if nothing arrives in `timeout` seconds, close it.
+
+        A connection can go silent for good without ever ending, while new ones to the same instance
+        work. While another check runs, this one returns at once.
+        """
+        if self.closed or self._heard is not None:
+            return not self.closed
+        self._heard = heard = trio.Event()
+        try:
+            with trio.move_on_after(timeout):
+                await self._send(encode_frame(FrameKind.CALL, next(self._ids)))
+                await heard.wait()
+        except RelayError:
+            self.close()
+        finally:
+            self._heard = None
+        if not heard.is_set() and not self.closed:
+            event("link.silent", peer=self.peer, in_flight=len(self._in_flight))
+            self.close()
+        return not self.closed
+
+    async def _check_regularly(self) -> None:
+        while not self.closed:
+            received = self._received
+            await trio.sleep(CHECK_PERIOD_S)
+            if received == self._received:
+                await self.check()
+
     async def call(self, message: tuple) -> tuple:
         """Send a message and return its reply.
 
@@ -169,6 +214,9 @@
     async def _read(self) -> None:
         reader = FrameReader()
         while data := await self.stream.receive_some(RECEIVE_BYTES):
+            self._received += 1
+            if self._heard is not None:
+                self._heard.set()
             for frame in reader.feed(data):
                 self._deliver(frame)
 
@@ -231,13 +279,19 @@
         self.handlers = handlers
         self.writer = _FrameWriter(stream)
         self.scopes: dict[int, trio.CancelScope] = {}
+        #: Number of reads that returned bytes.
+        self.received = 0
+        #: Whether the client checks its links.
+        self.checked = False
 
     async def run(self) -> None:
         try:
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.writer.run)
+                nursery.start_soon(self._end_if_silent, nursery.cancel_scope)
                 reader = FrameReader()
                 while data := await self.stream.receive_some(RECEIVE_BYTES):
+                    self.received += 1
                     for frame in reader.feed(data):
                         self._handle_frame(frame, nursery)
                 nursery.cancel_scope.cancel()
@@ -256,6 +310,16 @@
                 self.scopes[frame.call_id] = scope
             nursery.start_soon(self._serve, frame, scope)
 
+    async def _end_if_silent(self, scope: trio.CancelScope) -> None:
+        """Cancel `scope` if a client that checks its links sends nothing for a long time."""
+        while True:
+            received = self.received
+            await trio.sleep(CLIENT_SILENCE_S)
+            if self.checked and received == self.received:
+                event("link.client_silent", running=len(self.scopes))
+                scope.cancel()
+                return
+
     async def _serve(self, frame: Frame, scope: trio.CancelScope) -> None:
         with scope:
             try:
@@ -273,6 +337,10 @@
                     self.scopes.pop(frame.call_id, None)
 
     async def _answer(self, frame: Frame) -> None:
+        if frame.kind is FrameKind.CALL and frame.message is None:
+            self.checked = True
+            await self.writer.sender.send(encode_frame(FrameKind.REPLY, frame.call_id))
+            return
         streamed = frame.kind is FrameKind.STREAM
         handlers = self.handlers.streams if streamed else self.handlers.calls
         handler = handlers.get(type(frame.message))
--- /dev/null
+++ b/tests/relay/silence.feature
@@ -0,0 +1,37 @@
+Feature: Kept connections that have gone silent for good are replaced
+  Guards against requests that fail until a process restarts, because an open connection delivers
+  nothing any more and is never closed, while new connections to the same place work.
+
+  Scenario Outline: Requests are gathered over a new link soon after the link went silent
+    Given 20 shards with searchers in domain b, an instance in a and one in b
+    And all connections go through proxies
+    When the links between instances go silent <direction> and a client gathers each 100 ms for 6 s
+    Then each response comes within 400 ms, and within the target of 118 ms in the last 4 s
+    And in the last 4 s the instance in a sent no request to a searcher
+
+    Examples:
+      | direction |
+      | to_target |
+      | to_client |
+      | both      |
+
+  Scenario: A request that meets a silent link is answered although no hedge is allowed
+    Given 20 shards with searchers in domain b, an instance in a and one in b
+    And all connections go through proxies
+    And a budget of 4 extra requests for each service, whatever the first ones
+    When the links between instances go silent both and a client gathers each 2000 ms for 1 s
+    Then each response misses 0 and comes within 600 ms
+
+  Scenario: A link that goes silent between two messages of a gather does not cost the request
+    Given 20 shards with searchers in domain b, an instance in a and one in b
+    And all connections go through proxies
+    And the searchers of 10 shards take 60 ms
+    When the links between instances go silent 45 ms after a client began to gather
+    Then each response misses 0 and comes within 600 ms
+
+  Scenario: An instance that is busy keeps its link
+    Given 20 shards with searchers in domain b, an instance in a and one in b
+    And all connections go through proxies
+    And all searchers hang
+    When a client gathers at the instance in a and gives up after 900 ms
+    Then there has been one link from the instance in a
--- /dev/null
+++ b/tests/steps/silence_steps.py
@@ -0,0 +1,130 @@
+"""Steps for kept connections that go silent for good while new ones work."""
+
+import trio
+from behave import given, then, when
+from relay_steps import signatures_of
+
+from rattanrelay.decide.extra_window import ExtraLimits
+from tests.harness.relay_world import BOUNDS, run_on_mock_clock
+
+#: Time in seconds in which the instances connect to each other and to searchers.
+SETTLE_S = 1.0
+
+
+@given("all connections go through proxies")
+def proxied(context):
+    context.world.proxied = True
+
+
+@given("a budget of {count:d} extra requests for each service, whatever the first ones")
+def small_budget(context, count):
+    context.world.bounds = BOUNDS._replace(extra=ExtraLimits(0.0, float(count), 10.0))
+
+
+@given("the searchers of {count:d} shards take {work:d} ms")
+def slow_shards(context, count, work):
+    for searcher in context.searchers:
+        if searcher.service in context.set[:count]:
+            searcher.work = work / 1000
+
+
+def _sent(world):
+    """Return the number of requests that the instance in a has sent to searchers."""
+    return sum(world.daemons["entry-1"].metrics.subrequest_counts.values())
+
+
+async def _ask(context, world, route="all"):
+    started = trio.current_time()
+    _, response = await world.ask(route)
+    context.results.append((started, trio.current_time() - started, response))
+
+
+@when(
+    "the links between instances go silent {direction} and a client gathers each {gap:d} ms "
+    "for {seconds:g} s"
+)
+def gather_after_silence(context, direction, gap, seconds):
+    async def scenario():
+        context.results, context.sent = [], []
+        async with context.world.open() as world:
+            await trio.sleep(SETTLE_S)
+            await world.ask("all")
+            assert world.silence("instance", direction)
+            end = trio.current_time() + seconds
+            async with trio.open_nursery() as clients:
+                while trio.current_time() < end:
+                    clients.start_soon(_ask, context, world)
+                    context.sent.append((end - trio.current_time(), _sent(world)))
+                    await trio.sleep(gap / 1000)
+            context.sent.append((0.0, _sent(world)))
+
+    run_on_mock_clock(scenario)
+
+
+@when("the links between instances go silent {delay:d} ms after a client began to gather")
+def silence_amid_gather(context, delay):
+    async def scenario():
+        context.results = []
+        async with context.world.open() as world:
+            await trio.sleep(SETTLE_S)
+            await world.ask("all")
+            async with trio.open_nursery() as clients:
+                clients.start_soon(_ask, context, world)
+                await trio.sleep(delay / 1000)
+                assert world.silence("instance")
+
+    run_on_mock_clock(scenario)
+
+
+@when("a client gathers at the instance in a and gives up after {wait:d} ms")
+def gather_and_give_up(context, wait):
+    async def scenario():
+        async with context.world.open() as world:
+            await trio.sleep(SETTLE_S)
+            before = world.proxies["instance/entry-2"].connections
+            with trio.move_on_after(wait / 1000):
+                await world.ask("all")
+            await trio.sleep(SETTLE_S)
+            context.links = world.proxies["instance/entry-2"].connections - before
+
+    run_on_mock_clock(scenario)
+
+
+@then("there has been one link from the instance in a")
+def one_link(context):
+    assert context.links == 1, context.links
+
+
+@then("each response misses 0 and comes within {most:d} ms")
+def all_complete(context, most):
+    total = len(context.world.routes[-1]["gather"])
+    found = [
+        (round(at, 3), response.status, _parts(response), round(seconds, 3))
+        for at, seconds, response in context.results
+    ]
+    wrong = [row for row in found if row[1:3] != (200, total) or row[3] > most / 1000]
+    assert found and not wrong, wrong
+
+
+@then(
+    "each response comes within {most:d} ms, and within the target of {target:d} ms "
+    "in the last {lately:g} s"
+)
+def all_answered(context, most, target, lately):
+    end = max(at for at, _, _ in context.results)
+    slow = [
+        (round(at, 3), response.status, round(seconds, 3))
+        for at, seconds, response in context.results
+        if response.status != 200 or seconds > (target if at > end - lately else most) / 1000
+    ]
+    assert not slow, slow
+
+
+def _parts(response):
+    return len(signatures_of(response)) if response.status == 200 else 0
+
+
+@then("in the last {seconds:g} s the instance in a sent no request to a searcher")
+def none_sent_lately(context, seconds):
+    late = [count for left, count in context.sent if left <= seconds]
+    assert late[0] == late[-1], context.sent
