Replace silent connections to the store within 2 s, and leave a reader at once that lost the store

Callers saw: requests reached a searcher up to 6.0 s after it had said that it leaves; it serves for 3.0 s. Cause: a watch on a silent connection was given up after 4.0 s, and the reader sent heartbeats meanwhile; a timeout left the other idle connections of the pool in use; one failed call made a reader refuse its followers although the store answered on a new connection, and they heard of it with the next heartbeat; a follower whose link went silent avoided a reader that worked. Change: a watch ends after 1.5 s and is given up 0.5 s later; a timeout closes the idle connections; a call without a response is repeated once on a new connection before the store counts as unavailable; when it does, the followers are told at once; a follower asks the same reader again over a new link, once.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -2,7 +2,7 @@
 
 import random
 from collections import Counter
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 import trio
@@ -13,6 +13,7 @@
 from ..errors import RelayError
 from ..log import event
 from ..relay import Change, DeploymentState, Instance, Item, Listen, Peer, Peers, StoreSharing
+from ..store import NoResponse
 from ..store.backoff import Backoff
 from ..wire import Handlers
 from . import documents
@@ -20,12 +21,10 @@
 
 __all__ = ["PlatformFeed"]
 
-#: Time in seconds after which a watch without changes ends; an outage of the store is noticed at
-#: most a second later.
-WATCH_WAIT_S = 3.0
-#: The same for the configuration while others follow this instance: a configuration must be in
-#: force within 5 s, in which followers have to notice that their reader is cut off from the store.
-FOLLOWED_WAIT_S = 1.5
+#: Time in seconds after which a watch without changes ends. A connection that has gone silent or a
+#: store that is gone is noticed a second later: a leaving searcher and an old configuration may be
+#: in use for 3 s, in which followers have to find another reader.
+WATCH_WAIT_S = 1.5
 #: The same after a call that failed, so that the answer shows at once that the store is back.
 RETURN_WAIT_S = 0.05
 #: Time in seconds, for each instance that reads the store, in which changes of searchers are
@@ -239,10 +238,10 @@
 
         reason = "another reader is preferred"
         try:
-            await self.sharing.follow(await peers.link(reader), keep_following)
+            if not await self._follow_link(reader, peers, keep_following):
+                await self._follow_link(reader, peers, keep_following, last=True)
         except RelayError as error:
             reason = str(error)
-            peers.check_link(reader)
             now = trio.current_time()
             self._reader_failed_at[name] = now
             self._avoided_until[name] = now + self._reader_pause(name, now)
@@ -251,6 +250,24 @@
         event("store.reader_left", reader=name, reason=reason)
         return followed
 
+    async def _follow_link(
+        self, reader: Peer, peers: Peers, keep_following: Callable[[], bool], *, last: bool = False
+    ) -> bool:
+        """Follow a reader; return False if the link to it has gone silent.
+
+        Raises `RelayError` if the reader fails, or with `last` for any end.
+        """
+        link = await peers.link(reader)
+        if last and not await link.check():
+            raise RelayError("peer_unavailable", "a new link is silent too", step="follow")
+        try:
+            await self.sharing.follow(link, keep_following)
+        except RelayError:
+            if last or link.closed or await link.check():
+                raise
+            return False
+        return True
+
     def _reader_pause(self, name: str, now: float) -> float:
         """Count a failure of a reader and return for how long to avoid it, in seconds."""
         if now < self.started + STARTUP_S:
@@ -295,11 +312,12 @@
         follower_backoff = Backoff(
             self.rng, first=FOLLOWER_FIRST_PAUSE_S, longest=FOLLOWER_LONGEST_PAUSE_S
         )
-        failed = False
+        #: Whether the last call failed, and whether one without a response was repeated at once.
+        failed = repeated = False
         while True:
             backoff = follower_backoff if self.follows else reader_backoff
             known = sharing.revisions[prefix]
-            wait = RETURN_WAIT_S if failed else self._watch_wait(prefix)
+            wait = RETURN_WAIT_S if failed or repeated else WATCH_WAIT_S
             try:
                 if known is None:
                     page = await self.store.list(prefix)
@@ -310,6 +328,11 @@
                 sharing.invalidate(prefix)
                 continue
             except RelayError as error:
+                if isinstance(error, NoResponse) and not (failed or repeated):
+                    repeated = True
+                    # The connection may have gone silent or been cut; the next call uses a new one.
+                    event("store.call_repeated", prefix=prefix, reason=str(error))
+                    continue
                 failed = True
                 sharing.record_failure(prefix)
                 deployment.mark_store_unavailable(str(error))
@@ -318,9 +341,9 @@
                     await self._store_back.wait()
                 continue
             if failed:
-                failed = False
                 self._store_back.set()
                 self._store_back = trio.Event()
+            failed = repeated = False
             backoff.record_success()
             deployment.mark_store_available(trio.current_time())
             sharing.publish(Change(prefix, tuple(page.items), known is None, page.store_revision))
@@ -338,10 +361,6 @@
         readers = deployment.domains if self.sharing.followed else deployment.instances
         return min(longest, max(MIN_BATCH_S, BATCH_S * readers))
 
-    def _watch_wait(self, prefix: str) -> float:
-        followed = self.sharing.followed and prefix == documents.OPERATOR_PREFIX
-        return FOLLOWED_WAIT_S if followed else WATCH_WAIT_S
-
     def _apply(self, change: Change) -> None:
         self.change_handlers[change.prefix](change.items, change.whole)
 
--- a/rattanrelay/platform/store.py
+++ b/rattanrelay/platform/store.py
@@ -15,7 +15,7 @@
 
 CALL_TIMEOUT_S = 1.0
 #: Time in seconds after the end of a watch's wait at which the call times out.
-WATCH_GRACE_S = 1.0
+WATCH_GRACE_S = 0.5
 JSON = {"content-type": "application/json"}
 
 
--- a/rattanrelay/relay/sharing.py
+++ b/rattanrelay/relay/sharing.py
@@ -21,8 +21,8 @@
 #: time for a list of all searchers on a slow link.
 SILENCE_TIMEOUT_S = 1.8
 #: Time in seconds after an answer of the store in which a reader serves its state, beside the pause
-#: until its next call: the longest time until that is answered, or ends without an answer.
-MAX_ANSWER_AGE_S = 4.5
+#: until its next call: the longest time until that is answered, or has failed twice.
+MAX_ANSWER_AGE_S = 3.0
 #: Maximum number of queued changes for a follower: the lists and some seconds of changes.
 FOLLOWER_CHANGES = 64
 #: Level of zlib. Entries of searchers are similar: 278 of them take 55 KB, and 9 KB at level 1.
@@ -89,16 +89,21 @@
                     follower.send_nowait(message)
                 except (trio.WouldBlock, trio.BrokenResourceError):
                     # The follower starts again with a list.
-                    self._followers.discard(follower)
-                    follower.close()
+                    self._drop_follower(follower)
+
+    def _drop_follower(self, follower: trio.MemorySendChannel) -> None:
+        self._followers.discard(follower)
+        follower.close()
 
     def record_answer(self, prefix: str, pause: float) -> None:
         """Record that the store answers; this instance calls it again after a pause in seconds."""
         self.current_until[prefix] = trio.current_time() + pause + MAX_ANSWER_AGE_S
 
     def record_failure(self, prefix: str) -> None:
-        """Record that a call failed, so that changes under the prefix may be unknown."""
+        """Record that calls failed, so that changes may be unknown, and end all followers."""
         self.current_until[prefix] = -math.inf
+        for follower in list(self._followers):
+            self._drop_follower(follower)
 
     def stop_reading(self) -> None:
         """Record that this instance no longer reads the store itself."""
@@ -181,6 +186,7 @@
                 self._check_reading()
                 await emit(change)
         except trio.EndOfChannel:
+            self._check_reading()
             raise RelayError("store_unavailable", "too many queued changes", step="share") from None
         finally:
             self._followers.discard(sender)
--- a/rattanrelay/store/calls.py
+++ b/rattanrelay/store/calls.py
@@ -7,11 +7,15 @@
 from ..errors import RelayError
 from ..http import HttpConnection, Request, Response
 
-__all__ = ["StoreCalls"]
+__all__ = ["NoResponse", "StoreCalls"]
 
 MAX_IDLE_CONNECTIONS = 4
 
 
+class NoResponse(RelayError):
+    """Raised when no response arrives: the connection may have failed rather than the store."""
+
+
 class StoreCalls:
     """Pooled connections to one store; `calls` counts the calls by kind, as the store does."""
 
@@ -31,8 +35,8 @@
     async def call(self, kind: str, request: Request, timeout: float) -> Response:
         """Send a request and return the store's response; `timeout` is in seconds.
 
-        Raises `store_unavailable` if there is no response in time, or one with status 429 or 5xx.
-        The error has `ran="unknown"` if a write may have taken effect.
+        Raises `store_unavailable` for a response with status 429 or 5xx, and `NoResponse` if there
+        is none in time. The error has `ran="unknown"` if a write may have taken effect.
         """
         self.calls[kind] += 1
         ran = "unknown" if kind == "write" else "not_run"
@@ -40,11 +44,14 @@
             with trio.fail_after(timeout):
                 response = await self._exchange(request)
         except trio.TooSlowError:
-            raise self._unavailable(kind, f"no response within {timeout} s", ran) from None
+            # The other connections may have gone silent at the same time.
+            while self._idle:
+                self._idle.pop().close_now()
+            text = f"no response within {timeout} s"
+            raise self._unavailable(kind, text, ran, NoResponse) from None
         except RelayError as error:
-            raise self._unavailable(
-                kind, str(error), error.ran if ran == "unknown" else ran
-            ) from error
+            ran = error.ran if ran == "unknown" else ran
+            raise self._unavailable(kind, str(error), ran, NoResponse) from error
         if response.status >= 500 or response.status == 429:
             raise self._unavailable(kind, f"status {response.status}", ran)
         self.failing = False
@@ -72,6 +79,8 @@
             connection.close_now()
         return None
 
-    def _unavailable(self, kind: str, text: str, ran: str) -> RelayError:
+    def _unavailable(
+        self, kind: str, text: str, ran: str, error: type[RelayError] = RelayError
+    ) -> RelayError:
         self.failing = True
-        return RelayError("store_unavailable", text, step=f"store {kind}", peer=self.peer, ran=ran)
+        return error("store_unavailable", text, step=f"store {kind}", peer=self.peer, ran=ran)
--- a/tests/relay/silence.feature
+++ b/tests/relay/silence.feature
@@ -35,3 +35,19 @@
     And all searchers hang
     When a client gathers at the instance in a and gives up after 900 ms
     Then there has been one link from the instance in a
+
+  Scenario Outline: A searcher that <leaves> is left alone in time although <what> went silent
+    Given <count> instances in 2 domains with readers, and 4 searchers
+    And all connections go through proxies
+    And searchers that leave serve for <drain> s more
+    When <what> go silent and then a searcher <leaves>
+    Then no instance uses that searcher <drain> s later
+
+    Examples:
+      | count | what                                   | leaves            | drain |
+      | 3     | the connections to the store           | says that it does | 3     |
+      | 6     | the connections to the store           | says that it does | 3     |
+      | 6     | the links between instances            | says that it does | 3     |
+      | 6     | the connections of a reader            | says that it does | 3     |
+      | 6     | the links and those to the store       | says that it does | 3     |
+      | 6     | the links and those to the store       | says that it does | 5     |
--- a/tests/steps/readers_steps.py
+++ b/tests/steps/readers_steps.py
@@ -25,10 +25,10 @@
 RETURN_BOUND_S = 3.0
 
 
-@given("6 instances in 2 domains with readers, and 4 searchers")
-def readers_world(context):
+@given("{count:d} instances in 2 domains with readers, and 4 searchers")
+def readers_world(context, count):
     searchers = [StandInSearcher(f"s{index}", "svc", "a") for index in range(4)]
-    instances = [(f"entry-{number}", "ab"[number % 2]) for number in range(INSTANCES)]
+    instances = [(f"entry-{number}", "ab"[number % 2]) for number in range(count)]
     build(context, searchers, instances=instances)
     context.world.route("one", service="svc")
     context.world.many = 4
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -9,6 +9,12 @@
 
 #: Time in seconds in which the instances connect to each other and to searchers.
 SETTLE_S = 1.0
+#: The same for a fleet in which some read the store for the others.
+FLEET_SETTLE_S = 16.0
+#: Time in seconds in which the use of a searcher that has left is observed.
+MEASURED_S = 12.0
+#: Words for the things to which connections go, by kind of proxy.
+KINDS = {"instance": "links", "store": "to the store"}
 
 
 @given("all connections go through proxies")
@@ -128,3 +134,43 @@
 def none_sent_lately(context, seconds):
     late = [count for left, count in context.sent if left <= seconds]
     assert late[0] == late[-1], context.sent
+
+
+def _silence(world, what):
+    """Make connections silent; a reader's are those to the store and from its followers."""
+    if what == "the connections of a reader":
+        readers = [name for name, one in world.daemons.items() if one.feed.sharing.followed]
+        counts = [world.silence(f"{kind}/{readers[0]}") for kind in ("store", "instance")]
+    else:
+        kinds = [kind for kind in ("instance", "store") if KINDS[kind] in what]
+        counts = [world.silence(kind) for kind in kinds]
+    assert all(counts), counts
+
+
+@when("{what} go silent and then a searcher {leaves}")
+def silent_and_leaves(context, what, leaves):
+    async def scenario():
+        async with context.world.open() as world:
+            await trio.sleep(FLEET_SETTLE_S)
+            _silence(world, what)
+            await trio.sleep(0.1)
+            if leaves == "loses its entry":
+                world.store.remove("servers/s1")
+            else:
+                world.store.write("servers/s1", world.searchers["s1"].entry(state="draining"))
+            left = trio.current_time()
+            context.known_after = dict.fromkeys(world.daemons, 0.0)
+            while (since := trio.current_time() - left) < MEASURED_S:
+                for name, daemon in world.daemons.items():
+                    searcher = daemon.deployment.searchers.get("s1")
+                    if searcher is not None and searcher.usable(trio.current_time()):
+                        context.known_after[name] = since
+                await trio.sleep(0.1)
+
+    run_on_mock_clock(scenario)
+
+
+@then("no instance uses that searcher {seconds:d} s later")
+def left_alone(context, seconds):
+    times = {name: round(after, 1) for name, after in context.known_after.items()}
+    assert max(times.values()) <= seconds, times
