Count the grace period of a missing entry from when it may have disappeared

Callers saw: requests reached a searcher up to 11.9 s after its entry was removed; it serves for 3.0 s. Cause: a searcher whose entry is missing may be used for 2.0 s more, since entries also expire in an outage of the store. That time began when an instance noticed, which adds to the time in which it could not. Change: a change carries for how long it may have been in the store, also to followers, and the grace period is that much shorter. After a gap in which entries can have expired, two periods of their renewal, it stays as it was. Result: the rows 'loses its entry' of tests/relay/silence.feature: 5 of 5 failed before (3.6 to 11.9 s) and pass.

--- a/rattanrelay/decide/missing_entries.py
+++ b/rattanrelay/decide/missing_entries.py
@@ -30,13 +30,19 @@
     return set(known) - set(listed)
 
 
-def grace_until(now: float, store_back: float | None, drain: float) -> float:
+def grace_until(
+    now: float, store_back: float | None, drain: float, *, age: float = 0.0, expiry: float = 0.0
+) -> float:
     """Return until when a searcher with a missing entry may still be used.
 
     `store_back` is when the store last became available to this instance, None while it is not.
     `drain` is the time for which a leaving searcher still serves. Only its return distinguishes an
-    entry that expired in a short outage from one whose searcher left.
+    entry that expired in a short outage from one whose searcher left. The entry may have been
+    missing for `age` seconds before this instance noticed. In less than `expiry` seconds no entry
+    expires, so that the searcher must have left.
     """
     if store_back is None:
         return now + MISSING_ENTRY_GRACE_S
-    return max(now, store_back) + max(0.0, min(MISSING_ENTRY_GRACE_S, drain - REACTION_S))
+    if age >= expiry or now < store_back + MISSING_ENTRY_GRACE_S:
+        age = 0.0
+    return max(now, store_back) + max(0.0, min(MISSING_ENTRY_GRACE_S, drain - REACTION_S - age))
--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -314,6 +314,8 @@
         )
         #: Whether the last call failed, and whether one without a response was repeated at once.
         failed = repeated = False
+        #: Pause before the next call.
+        pause = 0.0
         while True:
             backoff = follower_backoff if self.follows else reader_backoff
             known = sharing.revisions[prefix]
@@ -340,13 +342,16 @@
                 with trio.move_on_after(backoff.record_failure()):
                     await self._store_back.wait()
                 continue
+            age = sharing.unknown_for(prefix) if failed or repeated or known is None else pause
             if failed:
                 self._store_back.set()
                 self._store_back = trio.Event()
             failed = repeated = False
             backoff.record_success()
             deployment.mark_store_available(trio.current_time())
-            sharing.publish(Change(prefix, tuple(page.items), known is None, page.store_revision))
+            sharing.publish(
+                Change(prefix, tuple(page.items), known is None, page.store_revision, age)
+            )
             batched = page.items and known is not None and prefix != documents.OPERATOR_PREFIX
             pause = self._batch_time() if batched else 0.0
             sharing.record_answer(prefix, pause)
@@ -362,12 +367,12 @@
         return min(longest, max(MIN_BATCH_S, BATCH_S * readers))
 
     def _apply(self, change: Change) -> None:
-        self.change_handlers[change.prefix](change.items, change.whole)
+        self.change_handlers[change.prefix](change)
 
-    def _apply_operator(self, items: Sequence[Item], whole: bool) -> None:
+    def _apply_operator(self, change: Change) -> None:
         deployment = self.deployment
-        out = set() if whole else set(deployment.excluded_domains)
-        for item in items:
+        out = set() if change.whole else set(deployment.excluded_domains)
+        for item in change.items:
             domain = documents.out_domain(item.key)
             if domain is not None:
                 if item.value is None:
@@ -386,30 +391,30 @@
             return
         self.deployment.apply_catalog(catalog)
 
-    def _apply_searchers(self, items: Sequence[Item], whole: bool) -> None:
+    def _apply_searchers(self, change: Change) -> None:
         deployment = self.deployment
         now = trio.current_time()
         present = set()
-        for item in items:
+        for item in change.items:
             name = item.key.removeprefix(documents.SEARCHER_PREFIX)
             if item.value is None:
-                deployment.mark_missing(name, now)
+                deployment.mark_missing(name, now, change.age)
                 continue
             record = documents.searcher_record(item.key, item.value)
             if record is None:
                 event("searcher.unreadable", searcher=name, revision=item.revision)
-                deployment.mark_missing(name, now)
+                deployment.mark_missing(name, now, change.age)
                 continue
             present.add(name)
             deployment.apply_record(record, now)
-        if whole:
+        if change.whole:
             for name in set(deployment.searchers) - present:
-                deployment.mark_missing(name, now)
+                deployment.mark_missing(name, now, change.age)
             if not deployment.searchers_listed:
                 deployment.searchers_listed = True
                 event("searchers.listed", searchers=len(present))
 
-    def _apply_instances(self, items: Sequence[Item], whole: bool) -> None:
+    def _apply_instances(self, change: Change) -> None:
         self.listed = _instances(self.sharing.items[INSTANCE_PREFIX].values())
         self._use_instances(self.listed)
 
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -40,6 +40,8 @@
     drain: float
     #: Time from the stop signal until the process is killed.
     stop_grace: float
+    #: Shortest outage of the store in which entries of searchers can expire.
+    entry_expiry: float = 2.4
 
 
 class DeploymentState:
@@ -129,15 +131,21 @@
                 self._remove(searcher, "not shared")
         self.searchers_listed = True
 
-    def mark_missing(self, name: str, now: float) -> None:
-        """Start the grace period of a searcher without an entry; remove a draining one at once."""
+    def mark_missing(self, name: str, now: float, age: float = 0.0) -> None:
+        """Start the grace period of a searcher without an entry; remove a draining one at once.
+
+        The entry may have been missing for `age` seconds already.
+        """
         searcher = self.searchers.get(name)
         if searcher is None or searcher.grace_until is not None:
             return
         if searcher.record.draining:
             self._remove(searcher, "left")
             return
-        searcher.grace_until = grace_until(now, self.store_available_since, self.bounds.drain)
+        bounds = self.bounds
+        searcher.grace_until = grace_until(
+            now, self.store_available_since, bounds.drain, age=age, expiry=bounds.entry_expiry
+        )
         event("searcher.missing", searcher=name, usable_for=round(searcher.grace_until - now, 3))
 
     def remove_expired(self, now: float) -> None:
--- a/rattanrelay/relay/sharing.py
+++ b/rattanrelay/relay/sharing.py
@@ -46,6 +46,8 @@
     items: tuple[Item, ...]
     whole: bool
     revision: int
+    #: Longest time in seconds for which it may have been in the store before it was read.
+    age: float = 0.0
 
 
 class StoreSharing:
@@ -62,6 +64,8 @@
         #: Time until which the last answer of the store to this instance is current, by prefix; in
         #: the past if the last call failed, or if this instance does not read the store.
         self.current_until = dict.fromkeys(self.items, -math.inf)
+        #: Time at which all items under a prefix were known to be current, by prefix.
+        self.known_at = dict.fromkeys(self.items, -math.inf)
         self._followers: set[trio.MemorySendChannel] = set()
         self._snapshots: dict[str, StoreChange] = {}
 
@@ -97,8 +101,14 @@
 
     def record_answer(self, prefix: str, pause: float) -> None:
         """Record that the store answers; this instance calls it again after a pause in seconds."""
+        self.known_at[prefix] = trio.current_time()
         self.current_until[prefix] = trio.current_time() + pause + MAX_ANSWER_AGE_S
 
+    def unknown_for(self, prefix: str) -> float:
+        """Return the seconds in which changes may have been missed, 0 before the first list."""
+        known_at = self.known_at[prefix]
+        return 0.0 if known_at == -math.inf else trio.current_time() - known_at
+
     def record_failure(self, prefix: str) -> None:
         """Record that calls failed, so that changes may be unknown, and end all followers."""
         self.current_until[prefix] = -math.inf
@@ -128,7 +138,12 @@
                         raise RelayError(
                             "peer_unavailable", "the reader closed the stream", step="follow"
                         )
-                    pending -= self._apply_message(message)
+                    # The first change has all that was missed since the last reader's last message.
+                    first = message.prefix in pending
+                    age = self.unknown_for(message.prefix) if first else message.age_us / 1e6
+                    pending -= self._apply_message(message, age)
+                    if not pending:
+                        self.known_at = dict.fromkeys(self.items, trio.current_time())
                     if not pending and not keep_following():
                         return
                     continue
@@ -136,12 +151,12 @@
                     "peer_unavailable", "the reader sent no message in time", step="follow"
                 )
 
-    def _apply_message(self, message: StoreChange) -> set[str]:
+    def _apply_message(self, message: StoreChange, age: float = 0.0) -> set[str]:
         """Apply a change from a reader; return its prefix unless it is older than what is known."""
         if message.prefix not in self.items:
             return set()
         items = tuple(_decode(message.items))
-        change = Change(message.prefix, items, message.whole, message.revision)
+        change = Change(message.prefix, items, message.whole, message.revision, age)
         return {message.prefix} if self._apply_newer(change) else set()
 
     def _apply_newer(self, change: Change) -> bool:
@@ -209,7 +224,8 @@
 
 def _message(change: Change) -> StoreChange:
     data = zlib.compress(msgspec.msgpack.encode(change.items), COMPRESSION)
-    return StoreChange(change.prefix, change.whole, change.revision, data)
+    age = int(change.age * 1e6)
+    return StoreChange(change.prefix, change.whole, change.revision, data, age)
 
 
 def _decode(data: bytes) -> list[Item]:
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -399,6 +399,8 @@
     whole: bool = False
     revision: int = 0
     items: bytes = b""
+    #: Longest time for which the change may have been in the store before it was read.
+    age_us: int = 0
 
 
 @message(23)
--- a/rattanrelay/wire/structs.py
+++ b/rattanrelay/wire/structs.py
@@ -168,6 +168,7 @@
         (2, 2, "whole"),
         (3, 10, "revision"),
         (4, 18, "items"),
+        (5, 10, "age_us"),
     ),
     "Quarantined": ((1, ("BlockedRequest",), "requests"),),
 }
--- a/tests/relay/silence.feature
+++ b/tests/relay/silence.feature
@@ -46,8 +46,13 @@
     Examples:
       | count | what                                   | leaves            | drain |
       | 3     | the connections to the store           | says that it does | 3     |
+      | 3     | the connections to the store           | loses its entry   | 3     |
       | 6     | the connections to the store           | says that it does | 3     |
+      | 6     | the connections to the store           | loses its entry   | 3     |
       | 6     | the links between instances            | says that it does | 3     |
+      | 6     | the links between instances            | loses its entry   | 3     |
       | 6     | the connections of a reader            | says that it does | 3     |
+      | 6     | the connections of a reader            | loses its entry   | 3     |
       | 6     | the links and those to the store       | says that it does | 3     |
+      | 6     | the links and those to the store       | loses its entry   | 3     |
       | 6     | the links and those to the store       | says that it does | 5     |
