Keep a searcher out that has left, whatever older state says

Callers saw: requests would reach a leaving searcher again. Cause: an entry from before it left, in the state of another instance during an outage or in a list, replaced the newer one, and a searcher that was removed and listed again was a new object without its statement that it leaves. Change: a start of a searcher that has left is remembered for 60 s, and a draining one never becomes ready.

--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -25,8 +25,9 @@
 #: Time in seconds without another new service after which the new ones count as a complete set: its
 #: searchers start together, and their entries arrive within two of a reader's longest pauses.
 NEW_SERVICES_S = 0.5
-
-
+#: Time in seconds for which a searcher that has left is remembered: state from before it left may
+#: arrive later, from another instance or from a store that was restored.
+LEFT_MEMORY_S = 60.0
 #: Time in seconds for which the limits of searchers are looked at before a request is sent.
 RESTRICTED_S = 5.0
 
@@ -61,6 +62,8 @@
         self.searchers_listed = False
         self.searchers: dict[str, Searcher] = {}
         self.by_service: dict[str, list[Searcher]] = {}
+        #: Incarnations of searchers that have left, and the time until which each is remembered.
+        self.left: dict[tuple, float] = {}
         #: Failure domains whose searchers get no requests.
         self.excluded_domains: frozenset[str] = frozenset()
         #: Time since which the store answers; None while it does not.
@@ -101,9 +104,15 @@
         return True
 
     def apply_record(self, record: SearcherRecord, now: float) -> None:
-        """Apply the entry of a searcher; another address or start time means a new incarnation."""
+        """Apply the entry of a searcher; another address or start time means a new incarnation.
+
+        An incarnation that is draining never serves again, whatever an older entry says.
+        """
         known = self.searchers.get(record.searcher)
-        if known is not None and _same_incarnation(known.record, record):
+        same = known is not None and _incarnation(known.record) == _incarnation(record)
+        if _incarnation(record) in self.left or (same and known.record.draining):
+            record = record._replace(draining=True)
+        if same:
             was_draining = known.record.draining
             known.update(record, now)
             if record.draining and not was_draining:
@@ -111,7 +120,7 @@
                 event("searcher.draining", searcher=record.searcher, service=record.service)
             return
         if known is not None:
-            self._remove(known, "restarted")
+            self._remove(known, "restarted", now)
         searcher = Searcher(record, self.names, now)
         self.searchers[record.searcher] = searcher
         if self.searchers_listed and record.service not in self.by_service:
@@ -128,7 +137,7 @@
         for name in missing:
             searcher = self.searchers[name]
             if searcher.grace_until is None or now < searcher.grace_until:
-                self._remove(searcher, "not shared")
+                self._remove(searcher, "not shared", now)
         self.searchers_listed = True
 
     def mark_missing(self, name: str, now: float, age: float = 0.0) -> None:
@@ -140,7 +149,7 @@
         if searcher is None or searcher.grace_until is not None:
             return
         if searcher.record.draining:
-            self._remove(searcher, "left")
+            self._remove(searcher, "left", now)
             return
         bounds = self.bounds
         searcher.grace_until = grace_until(
@@ -160,7 +169,9 @@
                 if self.store_available_since is None:
                     searcher.grace_until = grace_until(now, None, self.bounds.drain)
                 else:
-                    self._remove(searcher, "missing")
+                    self._remove(searcher, "missing", now)
+        for incarnation in [one for one, until in self.left.items() if now >= until]:
+            del self.left[incarnation]
 
     def set_excluded_domains(self, domains: frozenset[str]) -> None:
         """Set the failure domains whose searchers get no requests."""
@@ -377,20 +388,17 @@
         cold_rate = None if row is None else row.cold_rate
         return Terms(senders, cold_rate, self.bounds.cold, self.fleet)
 
-    def _remove(self, searcher: Searcher, reason: str) -> None:
+    def _remove(self, searcher: Searcher, reason: str, now: float) -> None:
         searcher.removed = True
         searcher.close_idle()
         record = searcher.record
+        if record.draining or searcher.pacer.leaving:
+            self.left[_incarnation(record)] = now + LEFT_MEMORY_S
         if self.searchers.get(record.searcher) is searcher:
             del self.searchers[record.searcher]
         self.by_service[record.service].remove(searcher)
         event("searcher.removed", searcher=record.searcher, service=record.service, reason=reason)
 
 
-def _same_incarnation(known: SearcherRecord, new: SearcherRecord) -> bool:
-    return (known.host, known.port, known.service, known.started) == (
-        new.host,
-        new.port,
-        new.service,
-        new.started,
-    )
+def _incarnation(record: SearcherRecord) -> tuple:
+    return record.searcher, record.host, record.port, record.service, record.started
