Check unused links each 10 s after their last bytes, and test both sides of a silent link

Cause: the period of the regular check began with the check before, so that a link that went silent just after traffic was noticed after up to 20 s. Change: it begins with the last bytes that arrived, on both sides. Result: seven new rows of tests/wire/link.feature: closed within 11 s, the other side within 36 s; a link without traffic stays open for 120 s, and so does one to an older build.

--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -89,8 +89,8 @@
         self.writer = _FrameWriter(stream)
         self._ids = itertools.count(1)
         self._in_flight: dict[int, trio.MemorySendChannel] = {}
-        #: Number of reads that returned bytes.
-        self._received = 0
+        #: Time at which bytes arrived last.
+        self._received_at = trio.current_time()
         #: Set when bytes arrive during a check; None without one.
         self._heard: trio.Event | None = None
         self._scope = trio.CancelScope()
@@ -142,10 +142,9 @@
 
     async def _check_regularly(self) -> None:
         while not self.closed:
-            received = self._received
-            await trio.sleep(CHECK_PERIOD_S)
-            if received == self._received:
-                await self.check()
+            await trio.sleep_until(self._received_at + CHECK_PERIOD_S)
+            if trio.current_time() >= self._received_at + CHECK_PERIOD_S and await self.check():
+                self._received_at = trio.current_time()
 
     async def call(self, message: tuple) -> tuple:
         """Send a message and return its reply.
@@ -214,7 +213,7 @@
     async def _read(self) -> None:
         reader = FrameReader()
         while data := await self.stream.receive_some(RECEIVE_BYTES):
-            self._received += 1
+            self._received_at = trio.current_time()
             if self._heard is not None:
                 self._heard.set()
             for frame in reader.feed(data):
@@ -279,8 +278,8 @@
         self.handlers = handlers
         self.writer = _FrameWriter(stream)
         self.scopes: dict[int, trio.CancelScope] = {}
-        #: Number of reads that returned bytes.
-        self.received = 0
+        #: Time at which bytes arrived last.
+        self.received_at = trio.current_time()
         #: Whether the client checks its links.
         self.checked = False
 
@@ -291,7 +290,7 @@
                 nursery.start_soon(self._end_if_silent, nursery.cancel_scope)
                 reader = FrameReader()
                 while data := await self.stream.receive_some(RECEIVE_BYTES):
-                    self.received += 1
+                    self.received_at = trio.current_time()
                     for frame in reader.feed(data):
                         self._handle_frame(frame, nursery)
                 nursery.cancel_scope.cancel()
@@ -313,9 +312,11 @@
     async def _end_if_silent(self, scope: trio.CancelScope) -> None:
         """Cancel `scope` if a client that checks its links sends nothing for a long time."""
         while True:
-            received = self.received
-            await trio.sleep(CLIENT_SILENCE_S)
-            if self.checked and received == self.received:
+            await trio.sleep_until(self.received_at + CLIENT_SILENCE_S)
+            silent = trio.current_time() >= self.received_at + CLIENT_SILENCE_S
+            if silent and not self.checked:
+                self.received_at = trio.current_time()
+            elif silent:
                 event("link.client_silent", running=len(self.scopes))
                 scope.cancel()
                 return
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -10,10 +10,13 @@
 from behave import given, then, when
 from thriftpy2.thrift import TType
 
+from rattanrelay.emulator.config import ProxyConfig
+from rattanrelay.emulator.faultproxy import ProxyRoute
 from rattanrelay.errors import RelayError
 from rattanrelay.wire import (
     Document,
     DocumentRevision,
+    Failure,
     FollowStore,
     FrameKind,
     FrameReader,
@@ -30,7 +33,9 @@
     open_link,
     serve_peers,
 )
+from rattanrelay.wire.link import _PeerConnection
 from rattanrelay.wire.structs import STRUCTS
+from tests.harness.relay_world import run_on_mock_clock
 
 HANG_LIMIT_S = 20.0
 FRAME_HEADER_BYTES = 14
@@ -310,3 +315,110 @@
             "parsed_thrift", idl.__name__
         ), name
         assert built.default_spec == parsed.default_spec, name
+
+
+@given("a link through a proxy, with {calls:d} calls in flight")
+def link_through_proxy(context, calls):
+    context.calls = calls
+
+
+async def _through_proxy(context, use):
+    """Open a link to a peer whose calls never end; `use` gets the link and its proxy."""
+    handlers = Handlers()
+    context.errors, context.ended = [], []
+
+    @handlers.on(Pull)
+    async def pull(message):
+        await trio.sleep_forever()
+
+    async def serve(stream):
+        await _PeerConnection(stream, handlers).run()
+        context.ended.append(trio.current_time())
+
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        nursery.start_soon(trio.serve_listeners, serve, listeners)
+        route = ProxyRoute(ProxyConfig(name="peer", target=f"127.0.0.1:{port}"))
+        await nursery.start(route.run)
+
+        async def call(link):
+            try:
+                await link.call(Pull("doc", 1))
+            except RelayError as error:
+                context.errors.append(error.code)
+
+        async with open_link("127.0.0.1", int(route.address.rpartition(":")[2])) as link:
+            for _ in range(context.calls):
+                nursery.start_soon(call, link)
+            # The first regular check tells the peer that this side checks its links.
+            await trio.sleep(12.0)
+            await use(link, route)
+        nursery.cancel_scope.cancel()
+
+
+@when("the connection goes silent {direction}")
+def connection_silent(context, direction):
+    async def use(link, route):
+        assert route.silence(direction) == 1
+        silent_at = trio.current_time()
+        while not link.closed:  # noqa: ASYNC110
+            await trio.sleep(0.05)
+        context.closed_after = trio.current_time() - silent_at
+        await trio.sleep(30.0)
+        context.ended_after = [at - silent_at for at in context.ended]
+
+    run_on_mock_clock(_through_proxy, context, use)
+
+
+@then('the link is closed within {most:g} s, and its calls fail with "{code}"')
+def link_closed(context, most, code):
+    assert context.closed_after <= most, context.closed_after
+    assert context.errors == [code] * context.calls, context.errors
+
+
+@then("the other side closes its connection within {most:g} s")
+def other_side_closed(context, most):
+    assert context.ended_after and max(context.ended_after) <= most, context.ended_after
+
+
+@when("nothing is sent for {seconds:g} s")
+def quiet_link(context, seconds):
+    async def use(link, route):
+        await trio.sleep(seconds)
+        context.open = not link.closed, list(context.ended), route.connections
+
+    run_on_mock_clock(_through_proxy, context, use)
+
+
+@then("the link is still the first one, on both sides")
+def link_kept(context):
+    assert context.open == (True, [], 1), context.open
+
+
+@given("a peer that answers a check with an error, as older builds do")
+def older_peer(context):
+    async def serve(stream):
+        failure = Failure("bad_request", "no handler for NoneType", "peer call", "", "not_run")
+        reader = FrameReader()
+        async for data in stream:
+            for frame in reader.feed(data):
+                await stream.send_all(encode_frame(FrameKind.ERROR, frame.call_id, failure))
+
+    async def listen(listeners):
+        await trio.serve_listeners(serve, listeners)
+
+    context.serve = listen
+
+
+@when("the link is checked")
+def check_link(context):
+    async def use(link):
+        context.works = await link.check()
+
+    trio.run(_with_link, context.serve, use)
+
+
+@then("it is still open")
+def still_open(context):
+    assert context.works
--- a/tests/wire/link.feature
+++ b/tests/wire/link.feature
@@ -48,3 +48,27 @@
     Given a peer that replies after 60 s
     When the frames that open and cancel a stream are sent together
     Then the peer has no call in flight
+
+  Scenario Outline: A link that has gone silent for good is closed, used or not
+    Given a link through a proxy, with <calls> calls in flight
+    When the connection goes silent <direction>
+    Then the link is closed within 11 s, and its calls fail with "peer_unavailable"
+    And the other side closes its connection within 36 s
+
+    Examples:
+      | direction | calls |
+      | to_target | 0     |
+      | to_target | 3     |
+      | to_client | 3     |
+      | both      | 0     |
+      | both      | 3     |
+
+  Scenario: A link without traffic stays open
+    Given a link through a proxy, with 0 calls in flight
+    When nothing is sent for 120 s
+    Then the link is still the first one, on both sides
+
+  Scenario: A link to a build that does not know the check stays open
+    Given a peer that answers a check with an error, as older builds do
+    When the link is checked
+    Then it is still open
