Send a request again on a new connection if all its kept ones may be silent

Callers saw: if the kept connections to both searchers of a service had gone silent, the requests in flight got a 504 at their deadline, with searchers that accept new connections. Cause: a hedge took a kept connection too, and with all attempts used nothing more was sent. The other idle connections stayed in use unless a request reached its deadline on one. Change: after 0.25 s, or four times the median latency if that is longer, a request whose sub-requests in flight are all on kept connections is sent again to the same searcher on a new one, within the hedge budget; idle connections without a response since then are closed, also when a hedge elsewhere was faster.

--- a/rattanrelay/decide/timing.py
+++ b/rattanrelay/decide/timing.py
@@ -18,6 +18,7 @@
     "first_message_due_at",
     "hedge_delay",
     "response_due_at",
+    "silence_delay",
 ]
 
 #: Number of latencies over which the median of a kind of request is taken.
@@ -42,6 +43,10 @@
 #: Shortest hedge delay, in seconds: two round trips between failure domains and the time until a
 #: task is scheduled.
 MIN_HEDGE_S = 0.006
+#: Multiple of the median latency, and shortest time in seconds, without any response after which a
+#: kept connection may have gone silent: longer than the pauses of searchers that work.
+SILENCE_FACTOR = 4.0
+MIN_SILENCE_S = 0.25
 #: Share of the target latency after which a response with enough parts is sent at the latest.
 TARGET_SHARE = 0.88
 #: Time for accepting and reading the request, merging the parts and scheduling the task, in seconds
@@ -158,6 +163,14 @@
     return max(MIN_HEDGE_S, HEDGE_FACTOR * min(expected, median_latency))
 
 
+def silence_delay(median_latency: float) -> float:
+    """Return the time without a response after which a kept connection is suspected, in seconds.
+
+    The requests in flight on such connections would otherwise all wait for their deadlines.
+    """
+    return max(MIN_SILENCE_S, SILENCE_FACTOR * median_latency)
+
+
 def first_message_due_at(
     asked: float, first_after: float, *, lag: float = 0.0, cores: float = 1.0
 ) -> float:
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -23,7 +23,12 @@
     Refusal,
     refusal,
 )
-from ..decide.timing import first_message_due_at, hedge_delay, response_due_at
+from ..decide.timing import (
+    first_message_due_at,
+    hedge_delay,
+    response_due_at,
+    silence_delay,
+)
 from ..errors import RelayError
 from ..http import Response
 from ..log import event, traceback
@@ -92,6 +97,8 @@
         self.failure: Response | None = None
         #: Cancel scopes of the sub-requests in flight, by their number.
         self.in_flight: dict[int, trio.CancelScope] = {}
+        #: Searchers of the sub-requests that were sent on kept connections, by their number.
+        self.kept: dict[int, Searcher] = {}
         self.tried: set[Searcher] = set()
         self.sends = 0
         #: Whether a searcher may have received a request for it.
@@ -282,12 +289,18 @@
             return self._refuse(self._rate_limited(self._wait_for(shard, trio.current_time())))
         return self._refuse(refusal(reason, may_have_run=may_have_run, timed_out=late))
 
-    def _launch(self, shard: _Shard, now: float, *, hedge: bool = False) -> bool:
-        """Send a sub-request to a searcher; return False if none can be sent now."""
+    def _launch(
+        self, shard: _Shard, now: float, *, hedge: bool = False, again: Searcher | None = None
+    ) -> bool:
+        """Send a sub-request to a searcher; return False if none can be sent now.
+
+        It goes to the searcher `again`, on a new connection, or to the one that is expected to
+        respond first.
+        """
         if self.quarantine.time_left(self.sub, shard.service):
             self._hold_quarantined(shard, now)
             return False
-        searcher = self._choose(shard, now)
+        searcher = again or self._choose(shard, now)
         if searcher is None:
             if not hedge:
                 self._schedule_retry(shard, now)
@@ -314,13 +327,34 @@
         scope = trio.CancelScope()
         number = shard.sends
         shard.in_flight[number] = scope
-        self.background.start_soon(self._send, shard, number, searcher, scope, hedge, extra)
+        send = partial(self._send, new_connection=again is not None)
+        self.background.start_soon(send, shard, number, searcher, scope, hedge, extra)
+        if self.sub.idempotent and again is None and searcher.has_idle(now):
+            shard.kept[number] = searcher
+            delay = silence_delay(self.latency.median)
+            self._schedule(now + delay, partial(self._suspect_connection, shard, number))
         if self.sub.idempotent and number < self.route.attempts:
             expected = searcher.estimate.expected_latency(self.latency.median, now)
             delay = hedge_delay(expected, self.latency.median)
             self._schedule(now + delay, partial(self._hedge, shard))
         return True
 
+    def _suspect_connection(self, shard: _Shard, number: int, now: float) -> None:
+        """Send a sub-request again on a new connection if all in flight may be on silent ones."""
+        searcher = shard.kept[number]
+        if shard.answer is not None or shard.exhausted or number not in shard.in_flight:
+            return
+        if not shard.kept.keys() >= shard.in_flight.keys():
+            return
+        if not searcher.usable(now) or self.deployment.wait(searcher, now):
+            return
+        if self._launch(shard, now, hedge=True, again=searcher):
+            event(
+                "connection.silent", request=self.sub.request_id, searcher=searcher.record.searcher
+            )
+            shard.may_have_run = True
+            shard.in_flight[number].cancel()
+
     async def _send(
         self,
         shard: _Shard,
@@ -329,12 +363,16 @@
         scope: trio.CancelScope,
         hedge: bool,
         extra: bool,
+        *,
+        new_connection: bool,
     ) -> None:
         started = trio.current_time()
         outcome = None
         with scope:
             try:
-                outcome = await searcher.exchange(self.sub, self.latency.median, scope)
+                outcome = await searcher.exchange(
+                    self.sub, self.latency.median, scope, new_connection=new_connection
+                )
             except Exception as error:
                 event("subrequest.failed", request=self.sub.request_id, reason=traceback(error))
                 outcome = Outcome("lost", "internal")
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -9,6 +9,7 @@
 from ..decide.choice import Candidate, Estimate
 from ..decide.name_hashes import name_hash
 from ..decide.pacing import Pacer
+from ..decide.timing import silence_delay
 from ..errors import RelayError
 from ..http import MAX_RESPONSE_BYTES, HttpConnection, Request, Response
 from ..log import event
@@ -89,6 +90,8 @@
 
 class _Idle(NamedTuple):
     connection: HttpConnection
+    #: Time of its last response.
+    since: float
     #: Time until which it may be reused.
     until: float
 
@@ -156,8 +159,17 @@
         """Return whether a connection is idle, or another one may be opened within `limit`."""
         return (bool(self._idle) and not new_connection) or self.open_connections < limit
 
+    def has_idle(self, now: float) -> bool:
+        """Return whether a request can be sent on a kept connection."""
+        return any(idle.until > now for idle in self._idle)
+
     async def exchange(
-        self, sub: SubRequest, median_latency: float, scope: trio.CancelScope
+        self,
+        sub: SubRequest,
+        median_latency: float,
+        scope: trio.CancelScope,
+        *,
+        new_connection: bool = False,
     ) -> Outcome:
         """Send a request and classify the response; raises nothing but `trio.Cancelled`.
 
@@ -169,9 +181,11 @@
             median_latency, self.estimate.expected_latency(median_latency, started)
         )
         try:
-            outcome = await self._exchange(sub, scope)
+            outcome = await self._exchange(sub, scope, new_connection=new_connection)
         except trio.Cancelled:
             now = trio.current_time()
+            if now - started >= silence_delay(median_latency):
+                self.close_idle(started)
             self.estimate.record_unanswered(now - started, median_latency, now)
             raise
         finally:
@@ -208,10 +222,14 @@
         self._release(connection, None)
         return False
 
-    def close_idle(self) -> None:
-        """Close all idle connections."""
-        while self._idle:
-            self._close(self._idle.pop().connection)
+    def close_idle(self, unused_since: float = math.inf) -> None:
+        """Close the idle connections without a response since a time, or all of them."""
+        idle, self._idle = self._idle, []
+        for one in idle:
+            if one.since < unused_since:
+                self._close(one.connection)
+            else:
+                self._idle.append(one)
 
     def close_expired_idle(self, now: float) -> None:
         """Close the idle connections that have expired or were closed by the searcher."""
@@ -223,8 +241,10 @@
                 self._close(idle.connection)
         self._idle = kept
 
-    async def _exchange(self, sub: SubRequest, scope: trio.CancelScope) -> Outcome:
-        connection = None if not sub.idempotent else self._reuse_idle()
+    async def _exchange(
+        self, sub: SubRequest, scope: trio.CancelScope, *, new_connection: bool
+    ) -> Outcome:
+        connection = self._reuse_idle() if sub.idempotent and not new_connection else None
         reused = connection is not None
         if connection is None:
             try:
@@ -357,7 +377,8 @@
         if lifetime <= 0.0:
             self._close(connection)
             return
-        self._idle.append(_Idle(connection, trio.current_time() + lifetime))
+        now = trio.current_time()
+        self._idle.append(_Idle(connection, now, now + lifetime))
 
     def _close(self, connection: HttpConnection) -> None:
         self.open_connections -= 1
--- a/tests/relay/silence.feature
+++ b/tests/relay/silence.feature
@@ -56,3 +56,21 @@
       | 6     | the links and those to the store       | says that it does | 3     |
       | 6     | the links and those to the store       | loses its entry   | 3     |
       | 6     | the links and those to the store       | says that it does | 5     |
+
+  Scenario Outline: Requests are answered although the connections to all searchers went silent
+    Given a service with 2 good searchers
+    And all connections go through proxies
+    When the connections to searchers go silent <direction> and a client asks each 100 ms for 4 s
+    Then each response comes within 1000 ms, and within the target of 100 ms in the last 2 s
+
+    Examples:
+      | direction |
+      | to_target |
+      | to_client |
+      | both      |
+
+  Scenario: A gather is answered although the connections to all searchers went silent
+    Given 20 shards with 2 searchers each
+    And all connections go through proxies
+    When the connections to searchers go silent both and a client gathers each 100 ms for 4 s
+    Then each response comes within 1000 ms, and within the target of 118 ms in the last 2 s
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -50,16 +50,32 @@
     "for {seconds:g} s"
 )
 def gather_after_silence(context, direction, gap, seconds):
+    _ask_after_silence(context, "instance", direction, "all", gap, seconds)
+
+
+@when(
+    "the connections to searchers go silent {direction} and a client {asks} each {gap:d} ms "
+    "for {seconds:g} s"
+)
+def ask_after_silence(context, direction, asks, gap, seconds):
+    route = {"asks": "one", "gathers": "all"}[asks]
+    _ask_after_silence(context, "searcher", direction, route, gap, seconds)
+
+
+def _ask_after_silence(context, kind, direction, route, gap, seconds):
     async def scenario():
         context.results, context.sent = [], []
         async with context.world.open() as world:
             await trio.sleep(SETTLE_S)
-            await world.ask("all")
-            assert world.silence("instance", direction)
+            async with trio.open_nursery() as clients:
+                # Several at once, so that several connections are kept.
+                for _ in range(4):
+                    clients.start_soon(world.ask, route)
+            assert world.silence(kind, direction)
             end = trio.current_time() + seconds
             async with trio.open_nursery() as clients:
                 while trio.current_time() < end:
-                    clients.start_soon(_ask, context, world)
+                    clients.start_soon(_ask, context, world, route)
                     context.sent.append((end - trio.current_time(), _sent(world)))
                     await trio.sleep(gap / 1000)
             context.sent.append((0.0, _sent(world)))
