Tell the histories of a restored store apart

Callers would see: a confirmed change of the configuration that is never in force on any instance (CONFIG), and a leaving searcher in use. Cause: after a restore revisions are given out again. A watch from a revision that the new history has passed gets no 410 and begins in its middle; a follower dropped what its reader sent as older. Nothing read the store's number of its history. Change: a page, a change and a message between instances carry the history; a later one begins with a list, an earlier one is refused, and an answer from before a restore counts as none.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -342,6 +342,9 @@
                 with trio.move_on_after(backoff.record_failure()):
                     await self._store_back.wait()
                 continue
+            if known is not None and page.era != sharing.eras[prefix]:
+                sharing.invalidate(prefix)
+                continue
             age = sharing.unknown_for(prefix) if failed or repeated or known is None else pause
             if failed:
                 self._store_back.set()
@@ -350,7 +353,7 @@
             backoff.record_success()
             deployment.mark_store_available(trio.current_time())
             sharing.publish(
-                Change(prefix, tuple(page.items), known is None, page.store_revision, age)
+                Change(prefix, tuple(page.items), known is None, page.store_revision, age, page.era)
             )
             batched = page.items and known is not None and prefix != documents.OPERATOR_PREFIX
             pause = self._batch_time() if batched else 0.0
@@ -367,6 +370,9 @@
         return min(longest, max(MIN_BATCH_S, BATCH_S * readers))
 
     def _apply(self, change: Change) -> None:
+        if change.restored:
+            event("store.restored", prefix=change.prefix, era=change.era, revision=change.revision)
+            self.deployment.mark_store_restored(trio.current_time())
         self.change_handlers[change.prefix](change)
 
     def _apply_operator(self, change: Change) -> None:
--- a/rattanrelay/platform/store.py
+++ b/rattanrelay/platform/store.py
@@ -8,8 +8,9 @@
 
 from ..errors import DECODE_ERRORS, RelayError
 from ..http import Request, Response
+from ..log import event
 from ..relay import Item
-from ..store import StoreCalls
+from ..store import NoResponse, StoreCalls
 
 __all__ = ["HistoryGone", "Page", "PlatformStore"]
 
@@ -17,6 +18,8 @@
 #: Time in seconds after the end of a watch's wait at which the call times out.
 WATCH_GRACE_S = 0.5
 JSON = {"content-type": "application/json"}
+#: Header with a number that rises each time the store returns from a copy.
+ERA = "store-era"
 
 
 class HistoryGone(Exception):
@@ -28,6 +31,8 @@
 
     items: list[Item]
     store_revision: int
+    #: The history to which the revisions belong; they start again in a later one.
+    era: int = 0
 
 
 class _Item(msgspec.Struct):
@@ -59,10 +64,26 @@
 class PlatformStore(StoreCalls):
     """Reads, watches, writes and leases; each call raises `store_unavailable` without an answer."""
 
+    #: The latest history from which the store has answered.
+    era = 0
+
+    async def call(self, kind: str, request: Request, timeout: float) -> Response:
+        """Send a request as `StoreCalls.call` does; an answer from before a restore is none."""
+        response = await super().call(kind, request, timeout)
+        era = _era(response)
+        if era < self.era:
+            text = f"an answer of era {era} in era {self.era}"
+            raise NoResponse("store_unavailable", text, step=f"store {kind}", peer=self.peer)
+        if era > self.era:
+            event("store.era", era=era, before=self.era)
+            self.era = era
+        return response
+
     async def list(self, prefix: str, *, stale: bool = False) -> Page:
         """Return all items under a prefix, with the lowest store revision of their pages."""
         items: list[Item] = []
         oldest: int | None = None
+        era = None
         after = ""
         while True:
             query = {"prefix": prefix}
@@ -73,10 +94,13 @@
             kind = "stale_read" if stale else "read"
             response = await self._get(kind, "/kv-range", query, CALL_TIMEOUT_S)
             page = self._decode(response, _Range)
+            if era not in (None, self.era):
+                return await self.list(prefix, stale=stale)
+            era = self.era
             items += [_item(item) for item in page.items]
             oldest = page.store_revision if oldest is None else min(oldest, page.store_revision)
             if not page.has_more or not page.items:
-                return Page(items, oldest)
+                return Page(items, oldest, era)
             after = page.items[-1].key
 
     async def watch(self, prefix: str, after: int, wait: float) -> Page:
@@ -86,7 +110,7 @@
         if response.status == 410:
             raise HistoryGone
         page = self._decode(response, _Watch)
-        return Page([_item(item) for item in page.events], page.store_revision)
+        return Page([_item(item) for item in page.events], page.store_revision, _era(response))
 
     async def lease(self, seconds: float) -> int:
         """Return a new lease."""
@@ -130,6 +154,11 @@
             raise RelayError("bad_answer", text, step="store read", peer=self.peer) from error
 
 
+def _era(response: Response) -> int:
+    text = response.headers.get(ERA, "")
+    return int(text) if text.isascii() and text.isdigit() else 0
+
+
 def _item(item: _Item) -> Item:
     if item.tombstone or item.value is None:
         return Item(item.key, None, item.revision)
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -195,6 +195,10 @@
             event("store.lost", reason=reason)
         self.store_available_since = None
 
+    def mark_store_restored(self, now: float) -> None:
+        """Record that the store has returned from a copy, in which entries may be missing."""
+        self.store_available_since = now
+
     def mark_store_available(self, now: float) -> None:
         """Record that the store answers; restart the grace periods if it did not answer before."""
         if self.store_available_since is None:
--- a/rattanrelay/relay/sharing.py
+++ b/rattanrelay/relay/sharing.py
@@ -48,6 +48,10 @@
     revision: int
     #: Longest time in seconds for which it may have been in the store before it was read.
     age: float = 0.0
+    #: The history to which the revision belongs; revisions start again in a later one.
+    era: int = 0
+    #: Whether it is the first one of its history, and the former one was known here.
+    restored: bool = False
 
 
 class StoreSharing:
@@ -61,6 +65,8 @@
         self.items: dict[str, dict[str, Item]] = {prefix: {} for prefix in prefixes}
         #: Revision up to which all changes are known, by prefix; None if a list is needed.
         self.revisions: dict[str, int | None] = dict.fromkeys(self.items)
+        #: The history of the store to which each revision belongs, by prefix.
+        self.eras = dict.fromkeys(self.items, 0)
         #: Time until which the last answer of the store to this instance is current, by prefix; in
         #: the past if the last call failed, or if this instance does not read the store.
         self.current_until = dict.fromkeys(self.items, -math.inf)
@@ -156,15 +162,22 @@
         if message.prefix not in self.items:
             return set()
         items = tuple(_decode(message.items))
-        change = Change(message.prefix, items, message.whole, message.revision, age)
+        change = Change(message.prefix, items, message.whole, message.revision, age, message.era)
         return {message.prefix} if self._apply_newer(change) else set()
 
     def _apply_newer(self, change: Change) -> bool:
         """Apply the newer items of a change; return False if all of it is older than what is known.
 
-        A change from a reader and a response of the store to this instance may overtake each other.
+        A store that returns from a copy begins a new history, in which revisions are given out
+        again. A change from a reader and a response of the store may overtake each other.
         """
-        known = self.revisions[change.prefix]
+        known, era = self.revisions[change.prefix], self.eras[change.prefix]
+        if change.era != era:
+            if change.era < era or not change.whole:
+                return False
+            self.eras[change.prefix] = change.era
+            self._apply(change._replace(restored=era > 0))
+            return True
         if known is not None and change.revision < known:
             return False
         if known is not None and not change.whole:
@@ -217,7 +230,8 @@
         snapshot = self._snapshots.get(prefix)
         if snapshot is None:
             items = tuple(self.items[prefix].values())
-            snapshot = _message(Change(prefix, items, True, self.revisions[prefix]))
+            change = Change(prefix, items, True, self.revisions[prefix], era=self.eras[prefix])
+            snapshot = _message(change)
             self._snapshots[prefix] = snapshot
         return snapshot
 
@@ -225,7 +239,7 @@
 def _message(change: Change) -> StoreChange:
     data = zlib.compress(msgspec.msgpack.encode(change.items), COMPRESSION)
     age = int(change.age * 1e6)
-    return StoreChange(change.prefix, change.whole, change.revision, data, age)
+    return StoreChange(change.prefix, change.whole, change.revision, data, age, change.era)
 
 
 def _decode(data: bytes) -> list[Item]:
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -401,6 +401,8 @@
     items: bytes = b""
     #: Longest time for which the change may have been in the store before it was read.
     age_us: int = 0
+    #: The history to which the revision belongs.
+    era: int = 0
 
 
 @message(23)
--- a/rattanrelay/wire/structs.py
+++ b/rattanrelay/wire/structs.py
@@ -169,6 +169,7 @@
         (3, 10, "revision"),
         (4, 18, "items"),
         (5, 10, "age_us"),
+        (6, 10, "era"),
     ),
     "Quarantined": ((1, ("BlockedRequest",), "requests"),),
 }
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -73,6 +73,10 @@
         #: Age in seconds of answers that may be stale, and the time at which each key was written.
         self.stale_age = 0.0
         self.written_at: dict[str, float] = {}
+        #: Number that rises each time the store returns from a copy.
+        self.era = 1
+        #: Copies of the state, at most one a second, the newest last.
+        self._copies: list[tuple] = []
 
     async def serve(self, instance: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run the listener of one instance until cancelled."""
@@ -86,8 +90,7 @@
         """Set the mode of the listeners of some instances, or of all if none are named."""
         for instance in instances or tuple(self.modes):
             self.modes[instance] = mode
-        self.changed.set()
-        self.changed = trio.Event()
+        self._wake_watches()
 
     def write(self, key: str, value: dict | bytes, lease: int = 0) -> None:
         """Write a key; values other than bytes are encoded as JSON."""
@@ -116,8 +119,33 @@
         self.history.clear()
         self.oldest = self.revision
 
+    def restore(self, age: float) -> dict[str, dict]:
+        """Return to the state of some seconds ago; return the items that there were before."""
+        before, latest = self.items, trio.current_time() - age
+        copies = [copy for copy in self._copies if copy[0] <= latest] or self._copies[:1]
+        _, self.revision, items, history, self.oldest, leases = copies[-1]
+        self.items, self.history, self.leases = dict(items), list(history), set(leases)
+        self.era += 1
+        self._copies.clear()
+        self._wake_watches()
+        return before
+
+    def write_again(self, before: dict[str, dict]) -> None:
+        """Let the operator and the searchers write what a restore has lost, and remove the rest."""
+        for key in sorted(self.items.keys() | before.keys()):
+            if not key.startswith(("op/", "servers/")):
+                continue
+            if key not in before:
+                self.remove(key)
+            elif self.items.get(key, {}).get("value") != before[key]["value"]:
+                self.write(key, base64.b64decode(before[key]["value"]))
+
     async def answer(self, instance: str, request: Request) -> Response:
         """Answer one call."""
+        response = await self._answer(instance, request)
+        return response._replace(headers={**response.headers, "store-era": str(self.era)})
+
+    async def _answer(self, instance: str, request: Request) -> Response:
         parts = urlsplit(request.target)
         query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
         name = parts.path.strip("/").split("/")[0]
@@ -151,7 +179,7 @@
         prefix, after = query.get("prefix", ""), int(query["after"])
         with trio.move_on_after(int(query["wait_ms"]) / 1000):
             while True:
-                if after < self.oldest:
+                if not self.oldest <= after <= self.revision:
                     return Response(410)
                 found = [
                     entry
@@ -191,6 +219,13 @@
 
     def _note(self, entry: dict) -> None:
         self.history.append(entry)
+        now = trio.current_time()
+        if not self._copies or now >= self._copies[-1][0] + 1.0:
+            state = dict(self.items), list(self.history), self.oldest, set(self.leases)
+            self._copies = [*self._copies[-20:], (now, self.revision, *state)]
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
         self.changed.set()
         self.changed = trio.Event()
 
--- /dev/null
+++ b/tests/relay/restored.feature
@@ -0,0 +1,17 @@
+Feature: The store returns from a copy that is some seconds old
+  Guards against changes that are refused as older or missed because revisions go back and are given
+  out again, against older state that is taken for newer, and against leases of other instances.
+
+  Scenario Outline: A change after the restore is in force on all instances
+    Given <count> instances in 2 domains with readers, and 4 searchers
+    When the store is down for <down> s, returns from a copy 9 s old, and has <other> other changes
+    Then each instance knows a later change of the configuration and a searcher within 3 s
+
+    Examples:
+      | count | down | other |
+      | 3     | 2    | 0     |
+      | 3     | 0    | 60    |
+      | 3     | 2    | 60    |
+      | 6     | 2    | 0     |
+      | 6     | 0    | 60    |
+      | 6     | 2    | 60    |
