Keep out for 5 s after a restore what had left or was taken out

Callers would see: requests to searchers that had left and to a failure domain that was taken out. Cause: the list of a restored store is some seconds old, until operators and searchers write theirs again. Change: for 5 s after a restore, failure domains that were out stay out and starts of searchers whose entry was gone stay away unless they are written again; then the store's state holds.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -1,5 +1,6 @@
 """Feed from the platform's store: configuration, searchers and instances."""
 
+import math
 import random
 from collections import Counter
 from collections.abc import Callable, Iterable, Sequence
@@ -66,6 +67,9 @@
 STARTING_READER_PAUSE_S = 0.1
 #: `READER_CHECK_S` until then.
 STARTING_CHECK_S = 0.2
+#: Time in seconds after a restore of the store in which operators and searchers write again what it
+#: has lost. Until then, what had left or was taken out stays so.
+HOLD_S = 5.0
 INSTANCE_PREFIX = "rattanrelay/instances/"
 QUARANTINE_PREFIX = "rattanrelay/quarantine/"
 #: Number of attempts to keep a quarantine in the store.
@@ -100,6 +104,9 @@
         self.sharing = StoreSharing(self.change_handlers, self._apply)
         #: Cancel scope of this instance's own watches while it reads the store itself.
         self.direct_scope: trio.CancelScope | None = None
+        #: Time until which lists may lack what is written again, by prefix.
+        self._held_until = dict.fromkeys(self.change_handlers, -math.inf)
+        self._nursery: trio.Nursery | None = None
         #: Set when the store answers a call after a failed one.
         self._store_back = trio.Event()
         #: Whether other instances read the store for this one.
@@ -134,6 +141,7 @@
         self.deployment = deployment
         self.peers = peers
         async with trio.open_nursery() as nursery:
+            self._nursery = nursery
             if self.first_start:
                 await self._try_register()
                 await trio.sleep(REGISTRATION_S)
@@ -370,14 +378,31 @@
         return min(longest, max(MIN_BATCH_S, BATCH_S * readers))
 
     def _apply(self, change: Change) -> None:
+        now = trio.current_time()
         if change.restored:
             event("store.restored", prefix=change.prefix, era=change.era, revision=change.revision)
-            self.deployment.mark_store_restored(trio.current_time())
+            self.deployment.mark_store_restored(now)
+            self._nursery.start_soon(self._apply_again, change.prefix)
+            self._held_until[change.prefix] = now + HOLD_S
         self.change_handlers[change.prefix](change)
 
+    async def _apply_again(self, prefix: str) -> None:
+        """Apply the state under a prefix some time after a restore, as the store has it then."""
+        await trio.sleep(HOLD_S)
+        items, revision = self.sharing.items[prefix], self.sharing.revisions[prefix]
+        if revision is not None:
+            self._apply(
+                Change(prefix, tuple(items.values()), True, revision, era=self.sharing.eras[prefix])
+            )
+
+    def _holds(self, change: Change) -> bool:
+        """Return whether a list may lack what is written again after a restore."""
+        return change.whole and trio.current_time() < self._held_until[change.prefix]
+
     def _apply_operator(self, change: Change) -> None:
         deployment = self.deployment
-        out = set() if change.whole else set(deployment.excluded_domains)
+        keep = not change.whole or self._holds(change)
+        out = set(deployment.excluded_domains) if keep else set()
         for item in change.items:
             domain = documents.out_domain(item.key)
             if domain is not None:
@@ -411,6 +436,8 @@
                 event("searcher.unreadable", searcher=name, revision=item.revision)
                 deployment.mark_missing(name, now, change.age)
                 continue
+            if self._holds(change) and deployment.has_gone(record):
+                continue
             present.add(name)
             deployment.apply_record(record, now)
         if change.whole:
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -64,6 +64,8 @@
         self.by_service: dict[str, list[Searcher]] = {}
         #: Incarnations of searchers that have left, and the time until which each is remembered.
         self.left: dict[tuple, float] = {}
+        #: The same of those whose entry was missing for too long; they may come back.
+        self.gone: dict[tuple, float] = {}
         #: Failure domains whose searchers get no requests.
         self.excluded_domains: frozenset[str] = frozenset()
         #: Time since which the store answers; None while it does not.
@@ -157,6 +159,10 @@
         )
         event("searcher.missing", searcher=name, usable_for=round(searcher.grace_until - now, 3))
 
+    def has_gone(self, record: SearcherRecord) -> bool:
+        """Return whether an incarnation was removed because its entry was missing."""
+        return record.searcher not in self.searchers and _incarnation(record) in self.gone
+
     def remove_expired(self, now: float) -> None:
         """Remove searchers whose grace period has ended, and close expired connections.
 
@@ -170,8 +176,9 @@
                     searcher.grace_until = grace_until(now, None, self.bounds.drain)
                 else:
                     self._remove(searcher, "missing", now)
-        for incarnation in [one for one, until in self.left.items() if now >= until]:
-            del self.left[incarnation]
+        for memory in (self.left, self.gone):
+            for incarnation in [one for one, until in memory.items() if now >= until]:
+                del memory[incarnation]
 
     def set_excluded_domains(self, domains: frozenset[str]) -> None:
         """Set the failure domains whose searchers get no requests."""
@@ -398,6 +405,8 @@
         record = searcher.record
         if record.draining or searcher.pacer.leaving:
             self.left[_incarnation(record)] = now + LEFT_MEMORY_S
+        else:
+            self.gone[_incarnation(record)] = now + LEFT_MEMORY_S
         if self.searchers.get(record.searcher) is searcher:
             del self.searchers[record.searcher]
         self.by_service[record.service].remove(searcher)
--- a/tests/relay/restored.feature
+++ b/tests/relay/restored.feature
@@ -15,3 +15,17 @@
       | 6     | 2    | 0     |
       | 6     | 0    | 60    |
       | 6     | 2    | 60    |
+
+  Scenario Outline: What left or was taken out just before the restore is not used again
+    Given <count> instances in 2 domains with readers, and 4 searchers
+    When <what> 5 s before the store returns from a copy 9 s old, and is written again 3 s later
+    Then no instance uses it after the restore
+
+    Examples:
+      | count | what                     |
+      | 3     | a domain is taken out    |
+      | 3     | a searcher drains        |
+      | 3     | a searcher's entry goes  |
+      | 6     | a domain is taken out    |
+      | 6     | a searcher drains        |
+      | 6     | a searcher's entry goes  |
