Take a lease of an earlier history of the store as lost

Cause: a restored store gives out the numbers of lost leases again, so that an instance renewed the lease of another one, put its own entry under it, and would have ended it in a planned stop. Change: a lease is used only in the history in which it was granted.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -88,6 +88,8 @@
         #: Whether the other instances register at the same time as this one.
         self.first_start = first_start
         self.lease: int | None = None
+        #: The history of the store in which the lease was granted.
+        self.lease_era = 0
         self.leaving = False
         #: Whether the last list of instances has this one, and the time of its registration.
         self.is_listed = False
@@ -152,7 +154,7 @@
     async def leave(self) -> None:
         """Remove this instance from the list; errors are logged."""
         self.leaving = True
-        if self.lease is not None:
+        if self._lease_valid:
             try:
                 await self.store.end(self.lease)
             except RelayError as error:
@@ -505,14 +507,20 @@
         if not self._instances_watched:
             self._use_instances(_instances(page.items))
 
+    @property
+    def _lease_valid(self) -> bool:
+        """Whether the lease was granted in the present history; others may have its number now."""
+        return self.lease is not None and self.lease_era == self.store.era
+
     async def _renew(self) -> None:
         """Renew the lease; write the entry again if it is gone, as can happen under a lease."""
-        if self.lease is not None and await self.store.keep(self.lease):
+        if self._lease_valid and await self.store.keep(self.lease) and self._lease_valid:
             if self.is_listed or trio.current_time() < self.registered_at + LISTED_S:
                 return
             event("instance.not_listed")
         else:
             self.lease = await self.store.lease(LEASE_S)
+            self.lease_era = self.store.era
         self.registered_at = trio.current_time()
         key = INSTANCE_PREFIX + self.instance.name
         if not await self.store.put(key, msgspec.json.encode(self.instance), self.lease):
--- a/tests/relay/restored.feature
+++ b/tests/relay/restored.feature
@@ -29,3 +29,13 @@
       | 6     | a domain is taken out    |
       | 6     | a searcher drains        |
       | 6     | a searcher's entry goes  |
+
+  Scenario Outline: Instances are listed again under leases of their own
+    Given <count> instances in 2 domains with readers, and 4 searchers
+    When the store returns from a copy without their leases, whose numbers others get
+    Then all instances are listed 6 s later, and none under a lease of the others
+
+    Examples:
+      | count |
+      | 3     |
+      | 6     |
