Refuse state of another instance that is older than what is known

Cause: an instance that cannot reach the store pulls the state of another one, which can be some seconds older or of an earlier history; it replaced the newer state but for the version of the configuration. Change: shared state says up to which history and revision it is complete, by prefix, and older state is refused.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -386,6 +386,7 @@
             self.deployment.mark_store_restored(now)
             self._nursery.start_soon(self._apply_again, change.prefix)
             self._held_until[change.prefix] = now + HOLD_S
+        self.deployment.positions[change.prefix] = change.era, change.revision
         self.change_handlers[change.prefix](change)
 
     async def _apply_again(self, prefix: str) -> None:
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -66,6 +66,8 @@
         self.left: dict[tuple, float] = {}
         #: The same of those whose entry was missing for too long; they may come back.
         self.gone: dict[tuple, float] = {}
+        #: History and revision of the store up to which changes are known, by prefix.
+        self.positions: dict[str, tuple[int, int]] = {}
         #: Failure domains whose searchers get no requests.
         self.excluded_domains: frozenset[str] = frozenset()
         #: Time since which the store answers; None while it does not.
--- a/rattanrelay/relay/peers.py
+++ b/rattanrelay/relay/peers.py
@@ -54,6 +54,8 @@
     catalog: Catalog
     records: list[SearcherRecord]
     excluded_domains: list[str]
+    #: History and revision of the store up to which it has all changes, by prefix.
+    positions: dict[str, tuple[int, int]] = {}
 
 
 class Peer:
@@ -226,6 +228,7 @@
                 if searcher.grace_until is None
             ],
             sorted(deployment.excluded_domains),
+            deployment.positions,
         )
         return Document(KNOWLEDGE, deployment.catalog.version, msgspec.msgpack.encode(shared))
 
@@ -254,6 +257,11 @@
             return
         if deployment.catalog is not None and shared.catalog.version < deployment.catalog.version:
             return
+        known = {prefix: deployment.positions.get(prefix, (0, 0)) for prefix in shared.positions}
+        if any(position < known[prefix] for prefix, position in shared.positions.items()):
+            event("knowledge.older", peer=name, positions=shared.positions, known=known)
+            return
+        deployment.positions.update(shared.positions)
         now = trio.current_time()
         deployment.apply_catalog(shared.catalog)
         deployment.set_excluded_domains(frozenset(shared.excluded_domains))
--- a/tests/relay/restored.feature
+++ b/tests/relay/restored.feature
@@ -39,3 +39,15 @@
       | count |
       | 3     |
       | 6     |
+
+  Scenario Outline: State of another instance is taken only if it is not older
+    When an instance without the store knows <known> and another one shares <shared>
+    Then the shared state is <result>
+
+    Examples:
+      | known              | shared             | result  |
+      | era 1, revision 50 | era 1, revision 60 | taken   |
+      | era 1, revision 50 | era 1, revision 40 | refused |
+      | era 1, revision 50 | era 2, revision 10 | taken   |
+      | era 2, revision 10 | era 1, revision 90 | refused |
+      | nothing            | era 1, revision 10 | taken   |
