Check links in use too, so that the other side hears from a follower

Cause: a link was checked only after 10 s without bytes. A follower gets a heartbeat each 0.7 s, so it sent nothing, and the reader closed its side after 25 s without bytes from it. Change: a link is checked each 10 s whether it is used or not.

--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -23,7 +23,7 @@
 RECEIVE_BYTES = 65536
 WRITE_QUEUE_FRAMES = 1024
 STREAM_QUEUE_ITEMS = 4096
-#: Time in seconds between two checks of a link that is not used otherwise.
+#: Time in seconds between two regular checks of a link.
 CHECK_PERIOD_S = 10.0
 #: Time in seconds in which an instance that works answers a check.
 CHECK_TIMEOUT_S = 0.25
@@ -89,8 +89,6 @@
         self.writer = _FrameWriter(stream)
         self._ids = itertools.count(1)
         self._in_flight: dict[int, trio.MemorySendChannel] = {}
-        #: Time at which bytes arrived last.
-        self._received_at = trio.current_time()
         #: Set when bytes arrive during a check; None without one.
         self._heard: trio.Event | None = None
         self._scope = trio.CancelScope()
@@ -141,10 +139,10 @@
         return not self.closed
 
     async def _check_regularly(self) -> None:
+        """Check the link, in use or not: the other side expects bytes from this one as well."""
         while not self.closed:
-            await trio.sleep_until(self._received_at + CHECK_PERIOD_S)
-            if trio.current_time() >= self._received_at + CHECK_PERIOD_S and await self.check():
-                self._received_at = trio.current_time()
+            await trio.sleep(CHECK_PERIOD_S)
+            await self.check()
 
     async def call(self, message: tuple) -> tuple:
         """Send a message and return its reply.
@@ -213,7 +211,6 @@
     async def _read(self) -> None:
         reader = FrameReader()
         while data := await self.stream.receive_some(RECEIVE_BYTES):
-            self._received_at = trio.current_time()
             if self._heard is not None:
                 self._heard.set()
             for frame in reader.feed(data):
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -27,6 +27,7 @@
     Pull,
     ShardResult,
     ShardResults,
+    StoreChange,
     encode_frame,
     framing,
     idl,
@@ -331,6 +332,12 @@
     async def pull(message):
         await trio.sleep_forever()
 
+    @handlers.on_stream(FollowStore)
+    async def send_items(message, emit):
+        while True:
+            await trio.sleep(1 / context.items)
+            await emit(StoreChange())
+
     async def serve(stream):
         await _PeerConnection(stream, handlers).run()
         context.ended.append(trio.current_time())
@@ -382,10 +389,18 @@
     assert context.ended_after and max(context.ended_after) <= most, context.ended_after
 
 
-@when("nothing is sent for {seconds:g} s")
-def quiet_link(context, seconds):
+@when("the peer sends {items:d} items a second for {seconds:g} s, and nothing else is sent")
+def quiet_link(context, items, seconds):
+    context.items = items
+
     async def use(link, route):
-        await trio.sleep(seconds)
+        if items:
+            with trio.move_on_after(seconds):
+                async with link.open_stream(FollowStore()) as stream:
+                    async for _ in stream:
+                        pass
+        else:
+            await trio.sleep(seconds)
         context.open = not link.closed, list(context.ended), route.connections
 
     run_on_mock_clock(_through_proxy, context, use)
--- a/tests/wire/link.feature
+++ b/tests/wire/link.feature
@@ -63,11 +63,17 @@
       | both      | 0     |
       | both      | 3     |
 
-  Scenario: A link without traffic stays open
-    Given a link through a proxy, with 0 calls in flight
-    When nothing is sent for 120 s
+  Scenario Outline: A link on which <who> stays open
+    Given a link through a proxy, with <calls> calls in flight
+    When the peer sends <items> items a second for 120 s, and nothing else is sent
     Then the link is still the first one, on both sides
 
+    Examples:
+      | who                      | calls | items |
+      | nothing is sent          | 0     | 0     |
+      | no call is answered      | 3     | 0     |
+      | only the peer sends      | 0     | 2     |
+
   Scenario: A link to a build that does not know the check stays open
     Given a peer that answers a check with an error, as older builds do
     When the link is checked
