Close the connection of a caller that does not read its response

Cause: the time for sending a response had no bound. A caller whose connection had gone silent, or that read nothing, held a large response and its task until the process ended. Change: a response that cannot be sent within the idle timeout of callers' connections ends the connection. Result: the last scenario of tests/relay/silence.feature failed before and passes.

--- a/rattanrelay/relay/front.py
+++ b/rattanrelay/relay/front.py
@@ -9,6 +9,7 @@
 from ..decide.timing import ROUND_TRIP_S
 from ..http import Request, Response
 from ..http.plain import PlainStream
+from ..log import event
 from .model import ClientLimits
 
 __all__ = ["Arrival", "ClientConnection", "FrontPort", "Handler"]
@@ -220,10 +221,13 @@
             if response.body and not head_only:
                 data += self.h11.send(h11.Data(data=response.body))
             data += self.h11.send(h11.EndOfMessage())
-            await self.stream.send_all(data)
+            with trio.move_on_after(self.front.limits.idle_timeout):
+                await self.stream.send_all(data)
+                return True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
-        return True
+        event("client.silent", unsent_of=len(data))
+        return False
 
 
 def _request(head: h11.Request, body: bytes) -> Request:
--- a/tests/relay/silence.feature
+++ b/tests/relay/silence.feature
@@ -74,3 +74,9 @@
     And all connections go through proxies
     When the connections to searchers go silent both and a client gathers each 100 ms for 4 s
     Then each response comes within 1000 ms, and within the target of 118 ms in the last 2 s
+
+  Scenario: A caller that reads nothing does not hold its response for good
+    Given a service with 2 good searchers
+    And their responses have 6 MB
+    When a caller sends a request and reads nothing for 25 s
+    Then the instance has no connection left
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -5,6 +5,7 @@
 from relay_steps import signatures_of
 
 from rattanrelay.decide.extra_window import ExtraLimits
+from rattanrelay.platform.documents import HEADERS
 from tests.harness.relay_world import BOUNDS, run_on_mock_clock
 
 #: Time in seconds in which the instances connect to each other and to searchers.
@@ -190,3 +191,33 @@
 def left_alone(context, seconds):
     times = {name: round(after, 1) for name, after in context.known_after.items()}
     assert max(times.values()) <= seconds, times
+
+
+@given("their responses have {size:d} MB")
+def large_responses(context, size):
+    for searcher in context.searchers:
+        searcher.records = bytes(size * 1024 * 1024)
+
+
+@when("a caller sends a request and reads nothing for {seconds:g} s")
+def silent_caller(context, seconds):
+    async def scenario():
+        async with context.world.open() as world:
+            daemon = world.daemons["entry-1"]
+            stream = await trio.open_tcp_stream(*daemon.settings.clients)
+            async with stream:
+                head = (
+                    f"GET /one/x HTTP/1.1\r\nhost: test.example\r\n{HEADERS.request_id}: q1\r\n\r\n"
+                )
+                await stream.send_all(head.encode())
+                await trio.sleep(SETTLE_S)
+                assert daemon.connections
+                await trio.sleep(seconds)
+                context.connections = set(daemon.connections)
+
+    run_on_mock_clock(scenario)
+
+
+@then("the instance has no connection left")
+def no_connection(context):
+    assert not context.connections
