Let connections go silent and the store return from a copy in the soak

Cause: the soak's proxies stood before the store and the searchers only, so a link between instances failed only with its process, and each fault of a link ended with the proxy healed. Written values of the store's stand-in outlive overlapping restores, its copies hold the last state of a second, and it grants no number of a lease that is in use.

--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -19,7 +19,7 @@
 from rattanrelay.emulator.faultproxy import ProxyRoute
 from rattanrelay.http import HttpConnection, Request, Response, json_response, serve_http
 from rattanrelay.platform.documents import HEADERS
-from rattanrelay.platform.feed import PlatformFeed
+from rattanrelay.platform.feed import INSTANCE_PREFIX, PlatformFeed
 from rattanrelay.relay import Bounds, Instance, Listen, RelayDaemon, RelaySettings
 
 __all__ = ["RelayWorld", "StandInSearcher", "StandInStore", "free_port", "run_on_mock_clock"]
@@ -75,8 +75,12 @@
         self.written_at: dict[str, float] = {}
         #: Number that rises each time the store returns from a copy.
         self.era = 1
-        #: Copies of the state, at most one a second, the newest last.
+        #: Values as they were written last, which a restore does not change.
+        self.own: dict[str, str] = {}
+        #: Copies of the state, the last one of each second, the newest last.
         self._copies: list[tuple] = []
+        #: Port at which instances are listed instead of their own, by name.
+        self.listed_ports: dict[str, int] = {}
 
     async def serve(self, instance: str, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Run the listener of one instance until cancelled."""
@@ -106,10 +110,12 @@
             "lease": lease,
         }
         self.items[key] = item
+        self.own[key] = item["value"]
         self._note(item)
 
     def remove(self, key: str) -> None:
         """Remove a key."""
+        self.own.pop(key, None)
         if self.items.pop(key, None) is not None:
             self.revision += 1
             self._note({"key": key, "revision": self.revision, "tombstone": True})
@@ -119,26 +125,25 @@
         self.history.clear()
         self.oldest = self.revision
 
-    def restore(self, age: float) -> dict[str, dict]:
-        """Return to the state of some seconds ago; return the items that there were before."""
-        before, latest = self.items, trio.current_time() - age
+    def restore(self, age: float) -> None:
+        """Return to the state of some seconds ago."""
+        latest = trio.current_time() - age
         copies = [copy for copy in self._copies if copy[0] <= latest] or self._copies[:1]
         _, self.revision, items, history, self.oldest, leases = copies[-1]
         self.items, self.history, self.leases = dict(items), list(history), set(leases)
         self.era += 1
         self._copies.clear()
         self._wake_watches()
-        return before
 
-    def write_again(self, before: dict[str, dict]) -> None:
+    def write_again(self) -> None:
         """Let the operator and the searchers write what a restore has lost, and remove the rest."""
-        for key in sorted(self.items.keys() | before.keys()):
+        for key in sorted(self.items.keys() | self.own.keys()):
             if not key.startswith(("op/", "servers/")):
                 continue
-            if key not in before:
+            if key not in self.own:
                 self.remove(key)
-            elif self.items.get(key, {}).get("value") != before[key]["value"]:
-                self.write(key, base64.b64decode(before[key]["value"]))
+            elif key not in self.items or self.items[key]["value"] != self.own[key]:
+                self.write(key, base64.b64decode(self.own[key]))
 
     async def answer(self, instance: str, request: Request) -> Response:
         """Answer one call."""
@@ -193,6 +198,8 @@
 
     async def _kv_lease(self, path, query, request) -> Response:
         self.revision += 1
+        while self.revision in self.leases:
+            self.revision += 1
         self.leases.add(self.revision)
         ttl = msgspec.json.decode(request.body)["ttl_ms"]
         return json_response(200, {"lease": self.revision, "ttl_ms": ttl})
@@ -214,15 +221,25 @@
         for put in body["puts"]:
             if put["lease"] and put["lease"] not in self.leases:
                 return Response(404)
-            self.write(put["key"], base64.b64decode(put["value"]), put["lease"])
+            value = self._listed(put["key"], base64.b64decode(put["value"]))
+            self.write(put["key"], value, put["lease"])
         return json_response(200, {"revision": self.revision})
 
+    def _listed(self, key: str, value: bytes) -> bytes:
+        """Return the entry of an instance with the address of its proxy, other values unchanged."""
+        port = self.listed_ports.get(key.removeprefix(INSTANCE_PREFIX))
+        if not key.startswith(INSTANCE_PREFIX) or port is None:
+            return value
+        name, _, _, *rest = msgspec.json.decode(value)
+        return msgspec.json.encode([name, HOST, port, *rest])
+
     def _note(self, entry: dict) -> None:
         self.history.append(entry)
         now = trio.current_time()
-        if not self._copies or now >= self._copies[-1][0] + 1.0:
-            state = dict(self.items), list(self.history), self.oldest, set(self.leases)
-            self._copies = [*self._copies[-20:], (now, self.revision, *state)]
+        if self._copies and int(self._copies[-1][0]) == int(now):
+            self._copies.pop()
+        state = dict(self.items), list(self.history), self.oldest, set(self.leases)
+        self._copies = [*self._copies[-20:], (now, self.revision, *state)]
         self._wake_watches()
 
     def _wake_watches(self) -> None:
@@ -545,10 +562,10 @@
             cores=self.cores_of.get(name, self.cores),
         )
         rng = random.Random(self.rng.random())
-        peers_port = settings.peers.port
         if self.proxied:
-            peers_port = await self._proxy(f"instance/{name}", peers_port)
-        instance = Instance(name, HOST, peers_port, domain, settings.cores)
+            port = await self._proxy(f"instance/{name}", settings.peers.port)
+            self.store.listed_ports[name] = port
+        instance = Instance(name, *settings.peers, domain, settings.cores)
         feed = PlatformFeed(settings.store, instance, rng, first_start=self.first_start)
         if self.many is not None:
             feed.min_instances = self.many
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -307,6 +307,29 @@
     soak.world.set_faults(name, ProxyFaults(), cut=soak.rng.random() < 0.5)
 
 
+@fault
+async def silence(soak: Soak) -> None:
+    """Let most open connections to instances, searchers or the store go silent for good."""
+    kind = soak.rng.choice(["instance/", "instance/", "searcher/", "store/"])
+    names = sorted(name for name in soak.world.proxies if name.startswith(kind))
+    chosen = [name for name in names if soak.rng.random() < 0.7]
+    soak.world.silence(chosen, soak.rng.choice(["to_target", "to_client", "both", "both"]))
+
+
+@fault
+async def restore_store(soak: Soak) -> None:
+    """Let the store return from a copy; operator and searchers write again what it has lost."""
+    world = soak.world
+    world.store_disturbed_until = float("inf")
+    world.store.set_mode("refuse")
+    await trio.sleep(soak.rng.uniform(0.1, 2.0))
+    world.store.restore(soak.rng.uniform(1.0, 8.0))
+    world.store.set_mode("up")
+    await trio.sleep(soak.rng.uniform(0.1, 1.5))
+    world.store.write_again()
+    world.store_disturbed_until = trio.current_time()
+
+
 @fault
 async def change_split(soak: Soak) -> None:
     """Add a service to the split routes."""
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -11,6 +11,10 @@
       | 1    | 10      | 4         |
       | 2    | 10      | 4         |
 
+    Examples: Links that had gone silent were never replaced
+      | seed | seconds | instances |
+      | 3    | 10      | 4         |
+
   Scenario: A signal for new settings right after the start does not end the process
     When SIGHUP is sent 10 times while an instance starts
     Then the instance still runs
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -112,6 +112,9 @@
             await nursery.start(self.store.serve, instance.name)
             target = f"{HOST}:{self.store.ports[instance.name]}"
             await self._proxy(f"store/{instance.name}", target)
+            link = f"instance/{instance.name}"
+            proxy = await self._proxy(link, f"{instance.host}:{instance.peers}")
+            self.store.listed_ports[instance.name] = _port(proxy, link)
             self._write_settings(instance)
             self.launch(instance)
         with trio.fail_after(START_LIMIT_S):
@@ -143,7 +146,7 @@
 
         await self._nursery.start(run)
         proxy = await self._proxy(f"searcher/{name}", f"{HOST}:{searcher.port}")
-        searcher.listed_port = int(proxy.addresses()[f"searcher/{name}"].rpartition(":")[2])
+        searcher.listed_port = _port(proxy, f"searcher/{name}")
         self.store.write(f"servers/{name}", searcher.entry())
         return searcher
 
@@ -186,6 +189,11 @@
         if cut:
             route.cut()
 
+    def silence(self, names: Iterable[str], direction: str) -> None:
+        """Make the open connections of proxies silent for good."""
+        for name in names:
+            self.proxies[name].routes[name].silence(direction)
+
     def launch(self, instance: SoakInstance) -> None:
         """Start the process of an instance, or start it again."""
         instance.terminated = instance.frozen = False
@@ -226,3 +234,7 @@
 
     def _settings_path(self, instance: SoakInstance):
         return self.processes.directory / f"{instance.name}.toml"
+
+
+def _port(proxy: FaultProxy, name: str) -> int:
+    return int(proxy.addresses()[name].rpartition(":")[2])
--- a/tests/steps/restored_steps.py
+++ b/tests/steps/restored_steps.py
@@ -32,11 +32,11 @@
             if down:
                 world.store.set_mode("refuse")
                 await trio.sleep(down)
-            before = world.store.restore(9.0)
+            world.store.restore(9.0)
             if not other:
                 world.store.set_mode("up")
                 await trio.sleep(0.5)
-            world.store.write_again(before)
+            world.store.write_again()
             world.route("added", service="svc")
             world.configure()
             world.store.write("servers/s1", world.searchers["s1"].entry(state="draining"))
@@ -49,7 +49,7 @@
                 (name, daemon.deployment.catalog.version)
                 for name, daemon in world.daemons.items()
                 if daemon.deployment.catalog.version != world.version
-                or daemon.deployment.searchers["s1"].usable(trio.current_time())
+                or _used(daemon, "a searcher drains")
             ]
 
     run_on_mock_clock(scenario)
@@ -86,11 +86,11 @@
             assert not any(_used(daemon, what) for daemon in world.daemons.values())
             world.store.set_mode("refuse")
             await trio.sleep(2.0)
-            before = world.store.restore(9.0)
+            world.store.restore(9.0)
             world.store.set_mode("up")
             for step in range(100):
                 if step == 30:
-                    world.store.write_again(before)
+                    world.store.write_again()
                 context.users |= {name for name, one in world.daemons.items() if _used(one, what)}
                 await trio.sleep(0.1)
 
@@ -113,7 +113,7 @@
             for key in [key for key in store.items if key.startswith(feed.INSTANCE_PREFIX)]:
                 store.remove(key)
             store.leases = set(others)
-            store.write_again({})
+            store.write_again()
             await trio.sleep(6.0)
             keys = {feed.INSTANCE_PREFIX + name for name in world.daemons}
             context.unlisted = keys - store.items.keys()
