--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -128,11 +128,10 @@
     def restore(self, age: float) -> None:
         """Return to the state of some seconds ago."""
         latest = trio.current_time() - age
-        copies = [copy for copy in self._copies if copy[0] <= latest] or self._copies[:1]
-        _, self.revision, items, history, self.oldest, leases = copies[-1]
+        self._copies = [copy for copy in self._copies if copy[0] <= latest] or self._copies[:1]
+        _, self.revision, items, history, self.oldest, leases = self._copies[-1]
         self.items, self.history, self.leases = dict(items), list(history), set(leases)
         self.era += 1
-        self._copies.clear()
         self._wake_watches()
 
     def write_again(self) -> None:
