Do not take a link for silent while this instance is busy

Cause, by review: a check that is due while this instance computes expires together with the arrival of its answer, which is read two iterations of the event loop later; and a regular check, for which nothing waits, had 0.25 s only. Change: two more iterations before a link counts as silent, and 1.0 s for a regular check.

--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -25,8 +25,13 @@
 STREAM_QUEUE_ITEMS = 4096
 #: Time in seconds between two regular checks of a link.
 CHECK_PERIOD_S = 10.0
-#: Time in seconds in which an instance that works answers a check.
+#: Time in seconds in which an instance that works answers a check for which a request waits, and
+#: one for which nothing waits.
 CHECK_TIMEOUT_S = 0.25
+REGULAR_CHECK_TIMEOUT_S = 1.0
+#: Further times in seconds to wait for bytes: while this instance is busy, its timers expire
+#: together with the arrival of messages, which are read two iterations of the event loop later.
+LATE_READ_S = (0.001, 0.001)
 #: Time in seconds without any bytes after which the server side closes a connection: two checks of
 #: a client, and half a period for late ones.
 CLIENT_SILENCE_S = 2.5 * CHECK_PERIOD_S
@@ -129,6 +134,9 @@
             with trio.move_on_after(timeout):
                 await self._send(encode_frame(FrameKind.CALL, next(self._ids)))
                 await heard.wait()
+            for seconds in LATE_READ_S:
+                with trio.move_on_after(seconds):
+                    await heard.wait()
         except RelayError:
             self.close()
         finally:
@@ -142,7 +150,7 @@
         """Check the link, in use or not: the other side expects bytes from this one as well."""
         while not self.closed:
             await trio.sleep(CHECK_PERIOD_S)
-            await self.check()
+            await self.check(REGULAR_CHECK_TIMEOUT_S)
 
     async def call(self, message: tuple) -> tuple:
         """Send a message and return its reply.
--- a/tests/wire/link.feature
+++ b/tests/wire/link.feature
@@ -78,3 +78,13 @@
     Given a peer that answers a check with an error, as older builds do
     When the link is checked
     Then it is still open
+
+  Scenario Outline: A check whose answer comes while this side is busy finds the link in order
+    Given a link through a proxy, with 0 calls in flight
+    When the link is checked and this side is busy for <busy> ms
+    Then the link works
+
+    Examples:
+      | busy |
+      | 100  |
+      | 600  |
