--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -18,6 +18,8 @@
 TESTS = Path(__file__).resolve().parent
 ROOT = TESTS.parent
 SYSTEM = TESTS / "system"
+#: Features that take several minutes in all, and run beside the other unit features.
+RELAY = TESTS / "relay"
 
 #: Number of system features, each with its own fleets, that run concurrently.
 SYSTEM_WORKERS = 3
@@ -96,19 +98,19 @@
 
 def run_all() -> Iterator[Finished]:
     """Run unit and system features concurrently, then the features that must run alone."""
-    units = sorted(
-        str(path.relative_to(ROOT))
-        for path in TESTS.rglob("*.feature")
-        if not path.is_relative_to(SYSTEM)
-    )
+    units: dict[str, list[str]] = {"unit features": [], "relay features": []}
+    for path in sorted(TESTS.rglob("*.feature")):
+        if not path.is_relative_to(SYSTEM):
+            name = "relay features" if path.is_relative_to(RELAY) else "unit features"
+            units[name].append(str(path.relative_to(ROOT)))
     system = sorted(SYSTEM.glob("*.feature"))
     alone = [path for path in system if ALONE.search(path.read_text("utf-8"))]
     shared = [path for path in system if path not in alone]
     # Longest first, so that no worker runs a long feature alone at the end.
     shared.sort(key=lambda path: len(SIZE.findall(path.read_text("utf-8"))), reverse=True)
-    unit_ports, *ranges = port_ranges(SYSTEM_WORKERS + 1)
+    ranges = port_ranges(len(units) + SYSTEM_WORKERS)
     free = SimpleQueue()
-    for ports in ranges:
+    for ports in ranges[len(units) :]:
         free.put(ports)
 
     def run_system(path: Path) -> Finished:
@@ -118,10 +120,13 @@
         finally:
             free.put(ports)
 
-    with ThreadPoolExecutor(1) as unit_pool, ThreadPoolExecutor(SYSTEM_WORKERS) as system_pool:
-        unit_run = unit_pool.submit(run, "unit features", units, unit_ports)
+    with (
+        ThreadPoolExecutor(len(units)) as unit_pool,
+        ThreadPoolExecutor(SYSTEM_WORKERS) as system_pool,
+    ):
+        unit_runs = unit_pool.map(run, units, units.values(), ranges)
         yield from system_pool.map(run_system, shared)
-        yield unit_run.result()
+        yield from unit_runs
     yield from map(run_system, alone)
 
 
