Give each feature of the relay a process and a range of ports of its own

Cause: a range of ports is used up by a process, not reused, and the relay's features take most of them. Change: as for the system's features, with two workers.

--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -7,7 +7,7 @@
 import tempfile
 import time
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from queue import SimpleQueue
@@ -18,11 +18,12 @@
 TESTS = Path(__file__).resolve().parent
 ROOT = TESTS.parent
 SYSTEM = TESTS / "system"
-#: Features that take several minutes in all, and run beside the other unit features.
 RELAY = TESTS / "relay"
 
 #: Number of system features, each with its own fleets, that run concurrently.
 SYSTEM_WORKERS = 3
+#: Number of features of the relay that run concurrently; they take minutes, mostly of waiting.
+RELAY_WORKERS = 2
 #: Features with this tag measure load or latency and run while nothing else does.
 ALONE = re.compile(r"^@alone$", re.MULTILINE)
 #: Scenarios and rows of examples; a feature with more of them takes longer.
@@ -96,37 +97,55 @@
     return Finished(name, ended.returncode, ended.stdout, time.monotonic() - start, text)
 
 
-def run_all() -> Iterator[Finished]:
-    """Run unit and system features concurrently, then the features that must run alone."""
-    units: dict[str, list[str]] = {"unit features": [], "relay features": []}
-    for path in sorted(TESTS.rglob("*.feature")):
-        if not path.is_relative_to(SYSTEM):
-            name = "relay features" if path.is_relative_to(RELAY) else "unit features"
-            units[name].append(str(path.relative_to(ROOT)))
-    system = sorted(SYSTEM.glob("*.feature"))
-    alone = [path for path in system if ALONE.search(path.read_text("utf-8"))]
-    shared = [path for path in system if path not in alone]
-    # Longest first, so that no worker runs a long feature alone at the end.
-    shared.sort(key=lambda path: len(SIZE.findall(path.read_text("utf-8"))), reverse=True)
-    ranges = port_ranges(len(units) + SYSTEM_WORKERS)
+def _relative(path: Path) -> str:
+    return str(path.relative_to(ROOT))
+
+
+def _longest_first(paths: list[Path]) -> list[Path]:
+    """Sort features, so that no worker runs a long one alone at the end."""
+    return sorted(paths, key=lambda path: len(SIZE.findall(path.read_text("utf-8"))), reverse=True)
+
+
+def _with_ports(ranges: list[str]) -> Callable[[Path], Finished]:
+    """Return a function that runs a feature with a range of ports that no other one uses then."""
     free = SimpleQueue()
-    for ports in ranges[len(units) :]:
+    for ports in ranges:
         free.put(ports)
 
-    def run_system(path: Path) -> Finished:
+    def run_one(path: Path) -> Finished:
         ports = free.get()
         try:
-            return run(path.name, [str(path.relative_to(ROOT))], ports)
+            return run(path.name, [_relative(path)], ports)
         finally:
             free.put(ports)
 
+    return run_one
+
+
+def run_all() -> Iterator[Finished]:
+    """Run all features concurrently, and then those that must run alone.
+
+    Features of the system and of the relay have processes of their own, the others share one.
+    """
+    paths = sorted(TESTS.rglob("*.feature"))
+    system = [path for path in paths if path.is_relative_to(SYSTEM)]
+    relay = [path for path in paths if path.is_relative_to(RELAY)]
+    units = [_relative(path) for path in paths if path not in system and path not in relay]
+    alone = [path for path in system if ALONE.search(path.read_text("utf-8"))]
+    shared = [path for path in system if path not in alone]
+    ranges = port_ranges(1 + RELAY_WORKERS + SYSTEM_WORKERS)
+    run_relay = _with_ports(ranges[1 : 1 + RELAY_WORKERS])
+    run_system = _with_ports(ranges[1 + RELAY_WORKERS :])
     with (
-        ThreadPoolExecutor(len(units)) as unit_pool,
+        ThreadPoolExecutor(1) as unit_pool,
+        ThreadPoolExecutor(RELAY_WORKERS) as relay_pool,
         ThreadPoolExecutor(SYSTEM_WORKERS) as system_pool,
     ):
-        unit_runs = unit_pool.map(run, units, units.values(), ranges)
-        yield from system_pool.map(run_system, shared)
-        yield from unit_runs
+        unit_run = unit_pool.submit(run, "unit features", units, ranges[0])
+        relay_runs = relay_pool.map(run_relay, _longest_first(relay))
+        yield from system_pool.map(run_system, _longest_first(shared))
+        yield from relay_runs
+        yield unit_run.result()
     yield from map(run_system, alone)
 
 
