Call the store less often as a follower in an outage

Cause: an outage is noticed about 2 s sooner since watches end after 1.5 s, so that a follower begins to call the store itself sooner. Change: its first pause is 3 s in place of 2 s.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -40,7 +40,7 @@
 LONGEST_PAUSE_S = 0.5
 #: The same for an instance with readers, which are back first after an outage. Otherwise the calls
 #: in an outage would grow with the fleet.
-FOLLOWER_FIRST_PAUSE_S = 2.0
+FOLLOWER_FIRST_PAUSE_S = 3.0
 FOLLOWER_LONGEST_PAUSE_S = 8.0
 #: Duration of an instance's lease, and period of its renewal, in seconds.
 LEASE_S = 15.0
