--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -11,7 +11,7 @@
       | 1    | 10      | 4         |
       | 2    | 10      | 4         |
 
-    Examples: Links that had gone silent were never replaced
+    Examples: Silent connections and a restored store, not seen to fail
       | seed | seconds | instances |
       | 3    | 10      | 4         |
 
