--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -72,6 +72,9 @@
 HOLD_S = 5.0
 INSTANCE_PREFIX = "rattanrelay/instances/"
 QUARANTINE_PREFIX = "rattanrelay/quarantine/"
+#: An answer of the store is logged if its changes may be this old, in seconds, or are this many.
+LATE_S = 2.0
+MANY_CHANGES = 100
 #: Number of attempts to keep a quarantine in the store.
 SAVE_ATTEMPTS = 5
 
@@ -133,6 +136,11 @@
         """Calls to the store by kind."""
         return self.store.calls
 
+    @property
+    def searchers_unknown_for(self) -> float:
+        """Seconds in which changes of searchers may have been missed; 0 before the first list."""
+        return self.sharing.unknown_for(documents.SEARCHER_PREFIX)
+
     def serve(self, handlers: Handlers) -> None:
         """Let other instances follow this one."""
         self.sharing.serve(handlers)
@@ -355,7 +363,18 @@
             if known is not None and page.era != sharing.eras[prefix]:
                 sharing.invalidate(prefix)
                 continue
-            age = sharing.unknown_for(prefix) if failed or repeated or known is None else pause
+            unknown = sharing.unknown_for(prefix)
+            age = unknown if failed or repeated or known is None else pause
+            if page.items and (unknown >= LATE_S or len(page.items) >= MANY_CHANGES):
+                event(
+                    "store.changes",
+                    prefix=prefix,
+                    changes=len(page.items),
+                    whole=known is None,
+                    revision=page.store_revision,
+                    last_changed=max(item.revision for item in page.items),
+                    unknown_s=round(unknown, 3),
+                )
             if failed:
                 self._store_back.set()
                 self._store_back = trio.Event()
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -84,6 +84,8 @@
     """Source of the configuration, the searchers and the list of instances."""
 
     calls: dict[str, int]
+    #: Seconds in which changes of searchers may have been missed; 0 before the first list.
+    searchers_unknown_for: float
 
     def serve(self, handlers: Handlers) -> None:
         """Register handlers for messages of other instances."""
@@ -303,6 +305,7 @@
                 hedges=summary.hedges,
                 retries=summary.retries,
                 store="up" if deployment.store_available_since is not None else "away",
+                view_ms=self._view_age_ms(),
                 **details,
             )
         return response
@@ -366,9 +369,14 @@
                 sent=summary.sent,
                 hedges=summary.hedges,
                 retries=summary.retries,
+                view_ms=self._view_age_ms(),
                 missing=summary.missing,
             )
 
+    def _view_age_ms(self) -> int:
+        """Return in milliseconds how old the state of the searchers is that requests use."""
+        return round(self.feed.searchers_unknown_for * 1000)
+
     def _refuse(
         self, request_id: str, route: str, reason: str, arrived: float, retry_after: float = 0.0
     ) -> Response:
@@ -440,6 +448,7 @@
         metrics.version.set({}, deployment.catalog.version if deployment.catalog else 0)
         metrics.searchers.set({}, len(deployment.searchers))
         metrics.store_up.set({}, int(deployment.store_available_since is not None))
+        metrics.view_age.set({}, self.feed.searchers_unknown_for)
         metrics.log_dropped.set({}, self.sink.dropped if self.sink else 0)
         for kind, calls in self.feed.calls.items():
             metrics.store_calls.set({"kind": kind}, calls)
