Answer watches of the stand-in store with the revision that its changes belong to

The stand-in stated its latest revision in an answer without changes if a write came in the moment in which the wait ended, so that the change was in no answer: a fault of the test harness, which could make instances miss a change.

--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -69,6 +69,7 @@
         self.changed = trio.Event()
         #: Prefix of which an instance may read nothing, by instance.
         self.refused_prefix: dict[str, str] = {}
+        #: Maximum number of items or changes in an answer.
         self.page = 500
         #: Age in seconds of answers that may be stale, and the time at which each key was written.
         self.stale_age = 0.0
@@ -181,10 +182,13 @@
 
     async def _kv_watch(self, path, query, request) -> Response:
         prefix, after = query.get("prefix", ""), int(query["after"])
+        found, revision = [], after
         with trio.move_on_after(int(query["wait_ms"]) / 1000):
             while True:
                 if not self.oldest <= after <= self.revision:
                     return Response(410)
+                # A write in the moment in which the wait ends is left to the next call.
+                revision = self.revision
                 found = [
                     entry
                     for entry in self.history
@@ -193,7 +197,10 @@
                 if found:
                     break
                 await self.changed.wait()
-        return json_response(200, {"events": found, "store_revision": self.revision})
+        if len(found) > self.page:
+            found = found[: self.page]
+            revision = found[-1]["revision"]
+        return json_response(200, {"events": found, "store_revision": revision})
 
     async def _kv_lease(self, path, query, request) -> Response:
         self.revision += 1
