--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -601,6 +601,25 @@
         routes = [route for name, route in self.proxies.items() if name.startswith(kind)]
         return sum(route.silence(direction) for route in routes)
 
+    def let_leave(self, name: str, how: str) -> None:
+        """Let a searcher say that it leaves or, if `how` is "loses its entry", remove its entry."""
+        if how == "loses its entry":
+            self.store.remove(f"servers/{name}")
+        else:
+            self.store.write(f"servers/{name}", self.searchers[name].entry(state="draining"))
+
+    async def used_for(self, name: str, seconds: float) -> dict[str, float]:
+        """Return for how many of the next seconds each instance uses a searcher."""
+        start = trio.current_time()
+        used = dict.fromkeys(self.daemons, 0.0)
+        while (since := trio.current_time() - start) < seconds:
+            for instance, daemon in self.daemons.items():
+                searcher = daemon.deployment.searchers.get(name)
+                if searcher is not None and searcher.usable(trio.current_time()):
+                    used[instance] = round(since, 2)
+            await trio.sleep(0.05)
+        return used
+
     def kill(self, name: str) -> None:
         """Cancel an instance without a planned stop."""
         self.scopes[name].cancel()
--- a/tests/steps/silence_steps.py
+++ b/tests/steps/silence_steps.py
@@ -171,26 +171,15 @@
             await trio.sleep(FLEET_SETTLE_S)
             _silence(world, what)
             await trio.sleep(0.1)
-            if leaves == "loses its entry":
-                world.store.remove("servers/s1")
-            else:
-                world.store.write("servers/s1", world.searchers["s1"].entry(state="draining"))
-            left = trio.current_time()
-            context.known_after = dict.fromkeys(world.daemons, 0.0)
-            while (since := trio.current_time() - left) < MEASURED_S:
-                for name, daemon in world.daemons.items():
-                    searcher = daemon.deployment.searchers.get("s1")
-                    if searcher is not None and searcher.usable(trio.current_time()):
-                        context.known_after[name] = since
-                await trio.sleep(0.1)
+            world.let_leave("s1", leaves)
+            context.used = await world.used_for("s1", MEASURED_S)
 
     run_on_mock_clock(scenario)
 
 
-@then("no instance uses that searcher {seconds:d} s later")
+@then("no instance uses that searcher {seconds:g} s later")
 def left_alone(context, seconds):
-    times = {name: round(after, 1) for name, after in context.known_after.items()}
-    assert max(times.values()) <= seconds, times
+    assert max(context.used.values()) <= seconds, context.used
 
 
 @given("their responses have {size:d} MB")
