Read missed changes without pauses, and count as current only with all of them

What callers saw: a request reached a searcher 5.0 s after it had said that it leaves. Cause: an answer of the store has a limited number of changes. An instance that had been cut off read what it had missed in answers of 500 with the pause for batching after each, 1.5 s without followers, and counted as current from the first answer on, with an age of 1.5 s. A full answer is now followed by the next call at once, and only an answer that has all changes makes the state current; until then followers stay elsewhere.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -9,6 +9,7 @@
 import trio
 
 from ..decide.canary import BLOCK_S, SharedEntry
+from ..decide.freshness import WatchPace
 from ..decide.missing_entries import unlisted_in_use
 from ..decide.store_readers import MIN_FLEET_WITH_READERS, readers_for
 from ..errors import RelayError
@@ -18,7 +19,7 @@
 from ..store.backoff import Backoff
 from ..wire import Handlers
 from . import documents
-from .store import HistoryGone, PlatformStore
+from .store import HistoryGone, Page, PlatformStore
 
 __all__ = ["PlatformFeed"]
 
@@ -26,8 +27,6 @@
 #: store that is gone is noticed a second later: a leaving searcher and an old configuration may be
 #: in use for 3 s, in which followers have to find another reader.
 WATCH_WAIT_S = 1.5
-#: The same after a call that failed, so that the answer shows at once that the store is back.
-RETURN_WAIT_S = 0.05
 #: Time in seconds, for each instance that reads the store, in which changes of searchers are
 #: batched into one call: every change wakes all readers, so calls would grow with their square.
 BATCH_S = 0.02
@@ -330,24 +329,23 @@
         follower_backoff = Backoff(
             self.rng, first=FOLLOWER_FIRST_PAUSE_S, longest=FOLLOWER_LONGEST_PAUSE_S
         )
+        pace = WatchPace(WATCH_WAIT_S)
         #: Whether the last call failed, and whether one without a response was repeated at once.
         failed = repeated = False
-        #: Pause before the next call.
-        pause = 0.0
         while True:
             backoff = follower_backoff if self.follows else reader_backoff
             known = sharing.revisions[prefix]
-            wait = RETURN_WAIT_S if failed or repeated else WATCH_WAIT_S
             try:
                 if known is None:
                     page = await self.store.list(prefix)
                 else:
-                    page = await self.store.watch(prefix, known, wait)
+                    page = await self.store.watch(prefix, known, pace.wait)
             except HistoryGone:
                 event("store.history_gone", prefix=prefix, revision=known)
                 sharing.invalidate(prefix)
                 continue
             except RelayError as error:
+                pace.record_failure()
                 if isinstance(error, NoResponse) and not (failed or repeated):
                     repeated = True
                     # The connection may have gone silent or been cut; the next call uses a new one.
@@ -364,17 +362,8 @@
                 sharing.invalidate(prefix)
                 continue
             unknown = sharing.unknown_for(prefix)
-            age = unknown if failed or repeated or known is None else pause
-            if page.items and (unknown >= LATE_S or len(page.items) >= MANY_CHANGES):
-                event(
-                    "store.changes",
-                    prefix=prefix,
-                    changes=len(page.items),
-                    whole=known is None,
-                    revision=page.store_revision,
-                    last_changed=max(item.revision for item in page.items),
-                    unknown_s=round(unknown, 3),
-                )
+            age = pace.pause if pace.caught_up and known is not None else unknown
+            self._log_late(prefix, page, known is None, unknown)
             if failed:
                 self._store_back.set()
                 self._store_back = trio.Event()
@@ -384,11 +373,28 @@
             sharing.publish(
                 Change(prefix, tuple(page.items), known is None, page.store_revision, age, page.era)
             )
-            batched = page.items and known is not None and prefix != documents.OPERATOR_PREFIX
-            pause = self._batch_time() if batched else 0.0
-            sharing.record_answer(prefix, pause)
-            if pause:
-                await trio.sleep(pause)
+            if known is None:
+                pace.record_list()
+            else:
+                batch = 0.0 if prefix == documents.OPERATOR_PREFIX else self._batch_time()
+                pace.record_changes(len(page.items), page.to_latest, batch)
+            if pace.caught_up:
+                sharing.record_known(prefix, pace.pause)
+            if pace.pause:
+                await trio.sleep(pace.pause)
+
+    def _log_late(self, prefix: str, page: Page, whole: bool, unknown: float) -> None:
+        """Log an answer with many changes, or with changes that may be old."""
+        if page.items and (unknown >= LATE_S or len(page.items) >= MANY_CHANGES):
+            event(
+                "store.changes",
+                prefix=prefix,
+                changes=len(page.items),
+                whole=whole,
+                revision=page.store_revision,
+                to_latest=whole or page.to_latest,
+                unknown_s=round(unknown, 3),
+            )
 
     def _batch_time(self) -> float:
         deployment = self.deployment
--- a/rattanrelay/platform/store.py
+++ b/rattanrelay/platform/store.py
@@ -34,6 +34,11 @@
     #: The history to which the revisions belong; they start again in a later one.
     era: int = 0
 
+    @property
+    def to_latest(self) -> bool:
+        """Whether no change can follow the last one; a full answer ends with its revision."""
+        return all(item.revision < self.store_revision for item in self.items)
+
 
 class _Item(msgspec.Struct):
     key: str
--- a/rattanrelay/relay/sharing.py
+++ b/rattanrelay/relay/sharing.py
@@ -67,8 +67,8 @@
         self.revisions: dict[str, int | None] = dict.fromkeys(self.items)
         #: The history of the store to which each revision belongs, by prefix.
         self.eras = dict.fromkeys(self.items, 0)
-        #: Time until which the last answer of the store to this instance is current, by prefix; in
-        #: the past if the last call failed, or if this instance does not read the store.
+        #: Time until which this instance counts as knowing all changes, by prefix; in the past if
+        #: the last call failed, or if this instance does not read the store.
         self.current_until = dict.fromkeys(self.items, -math.inf)
         #: Time at which all items under a prefix were known to be current, by prefix.
         self.known_at = dict.fromkeys(self.items, -math.inf)
@@ -105,8 +105,8 @@
         self._followers.discard(follower)
         follower.close()
 
-    def record_answer(self, prefix: str, pause: float) -> None:
-        """Record that the store answers; this instance calls it again after a pause in seconds."""
+    def record_known(self, prefix: str, pause: float) -> None:
+        """Record that all changes are known; the store is called again after `pause` seconds."""
         self.known_at[prefix] = trio.current_time()
         self.current_until[prefix] = trio.current_time() + pause + MAX_ANSWER_AGE_S
 
--- /dev/null
+++ b/tests/decide/freshness.feature
@@ -0,0 +1,20 @@
+Feature: An instance that may have missed changes reads on without a pause
+
+  Scenario Outline: The pause after an answer, in which changes are batched
+    Given answers of at most 500 changes so far
+    When an answer has <changes> changes and <may> be followed by more
+    Then the next call comes after <pause> s and waits for <wait> s
+
+    Examples:
+      | changes | may    | pause | wait |
+      | 0       | cannot | 0     | 1.5  |
+      | 3       | may    | 0.4   | 1.1  |
+      | 200     | may    | 0.4   | 1.1  |
+      | 300     | may    | 0     | 0.05 |
+      | 500     | may    | 0     | 0.05 |
+      | 500     | cannot | 0.4   | 1.1  |
+
+  Scenario: After a failure the next answer comes at once
+    Given answers of at most 500 changes so far
+    When a call fails
+    Then the next call comes after 0 s and waits for 0.05 s
--- /dev/null
+++ b/tests/steps/freshness_decide_steps.py
@@ -0,0 +1,30 @@
+"""Steps for the decisions on how fresh the state of the searchers is."""
+
+from behave import given, then, when
+
+from rattanrelay.decide.freshness import WatchPace
+
+CYCLE_S = 1.5
+BATCH_S = 0.4
+
+
+@given("answers of at most {count:d} changes so far")
+def full_answers(context, count):
+    context.pace = WatchPace(CYCLE_S)
+    context.pace.record_changes(count, False, BATCH_S)
+
+
+@when("an answer has {changes:d} changes and {may} be followed by more")
+def answer(context, changes, may):
+    context.pace.record_changes(changes, may == "cannot", BATCH_S)
+
+
+@when("a call fails")
+def call_fails(context):
+    context.pace.record_failure()
+
+
+@then("the next call comes after {pause:g} s and waits for {wait:g} s")
+def next_call(context, pause, wait):
+    found = round(context.pace.pause, 3), round(context.pace.wait, 3)
+    assert found == (pause, wait), found
