Bound the whole way of an announcement, with a margin below the time for which searchers serve

What callers can see: requests reach a searcher that has left, later than it serves, if a fault of the store, a reader or a link meets an announcement. Cause: each step had a time limit of its own, whose sum passed the time for which searchers serve: a pause of 1.5 s, 3.0 s after it in which a reader counted as current, a heartbeat, and a grace period of 2.0 s that began anew if more than 2.4 s were unknown. Change: decide/freshness states one bound, 0.85 of that time, and divides it: a pause is part of the time between two answers, a reader passes its state on until a watch and its repetition had no answer, and tells its followers how old it is, so that they leave it by age. The grace period ends within the bound.

--- a/rattanrelay/decide/freshness.py
+++ b/rattanrelay/decide/freshness.py
@@ -3,16 +3,68 @@
 The load: entries of searchers change one by one, in bursts while an index is divided anew, and by
 thousands while an instance is cut off. Batching keeps the calls of its readers few, and must not
 delay a change that is older already.
+
+A searcher that leaves, or whose entry is gone, serves for a known time. In it lies the whole way of
+the change: a reader's pause and watch, one that has gone silent and its repetition, the message to
+the followers, a lost reader or link and the choice of another one, and the grace period of an entry
+that is gone. `ViewTimes` divides that time among them.
 """
 
-__all__ = ["WatchPace"]
+from typing import NamedTuple
+
+__all__ = ["WATCH_GRACE_S", "ViewTimes", "WatchPace", "known_within", "view_times"]
 
+#: Share of the time for which a searcher that leaves still serves, in which all instances that
+#: reach the store have stopped sending to it, also with two faults in a row.
+KNOWN_SHARE = 0.85
+#: Longest time in seconds between two answers of the store, and the same as a share of that time,
+#: for an instance that reads for itself, and for one that reads for others, which learn later.
+LONGEST_CYCLE_S = 1.3
+CYCLE_SHARE = 0.4
+SHARED_CYCLE_SHARE = 0.2
+#: Time in seconds after the end of a watch's wait at which the call times out.
+WATCH_GRACE_S = 0.5
+#: Time in seconds for delays of messages and tasks.
+DELAY_S = 0.1
+#: Time in seconds after which a reader without changes sends a heartbeat.
+HEARTBEAT_S = 0.7
 #: Answers with fewer changes than this are complete: even large entries fit into one answer.
 SHORT_ANSWER = 8
 #: Time in seconds for which a watch waits that shows whether there are more changes.
 PROBE_WAIT_S = 0.05
 
 
+def known_within(drain: float) -> float:
+    """Return the time in seconds from the store's acknowledgement of a change to the last request.
+
+    `drain` is the time for which a searcher that leaves still serves.
+    """
+    return KNOWN_SHARE * drain
+
+
+class ViewTimes(NamedTuple):
+    """Times of the way from the store to a request; in seconds."""
+
+    #: Longest time between two answers of the store, for an instance that reads for itself.
+    cycle: float
+    #: The same for an instance that reads for others.
+    shared_cycle: float
+    #: Age of a reader's state at which it is passed on no more: a watch and its repetition on a new
+    #: connection had no answer.
+    passed_on: float
+    #: Age of the state at which a follower leaves its reader, whatever it hears from it.
+    followed: float
+
+
+def view_times(drain: float) -> ViewTimes:
+    """Return the times if a searcher that leaves still serves for `drain` seconds."""
+    shared = min(LONGEST_CYCLE_S, SHARED_CYCLE_SHARE * drain)
+    passed_on = shared + 2 * WATCH_GRACE_S + PROBE_WAIT_S + DELAY_S
+    return ViewTimes(
+        min(LONGEST_CYCLE_S, CYCLE_SHARE * drain), shared, passed_on, passed_on + HEARTBEAT_S
+    )
+
+
 class WatchPace:
     """Pause and wait of the next watch of a prefix; times in seconds."""
 
@@ -50,4 +102,5 @@
         full = changes >= max(SHORT_ANSWER, self.longest_answer / 2)
         self.longest_answer = max(self.longest_answer, changes)
         self.caught_up = to_latest or not full
-        self.pause = batch if self.caught_up and changes else 0.0
+        longest = max(0.0, self.cycle - PROBE_WAIT_S)
+        self.pause = min(batch, longest) if self.caught_up and changes else 0.0
--- a/rattanrelay/decide/missing_entries.py
+++ b/rattanrelay/decide/missing_entries.py
@@ -6,12 +6,14 @@
 
 from collections.abc import Iterable
 
+from .freshness import known_within
+
 __all__ = ["MISSING_ENTRY_GRACE_S", "REGISTRATION_GRACE_S", "grace_until", "unlisted_in_use"]
 
 #: Entries that expired in an outage of the store reappear within about this time, in seconds.
 MISSING_ENTRY_GRACE_S = 2.0
 #: Time from a change of an entry until this instance acts on it, in seconds.
-REACTION_S = 0.7
+REACTION_S = 0.2
 #: Time in seconds after an outage of the store in which the instances whose leases have expired
 #: register again: two of their renewals.
 REGISTRATION_GRACE_S = 9.0
@@ -30,19 +32,17 @@
     return set(known) - set(listed)
 
 
-def grace_until(
-    now: float, store_back: float | None, drain: float, *, age: float = 0.0, expiry: float = 0.0
-) -> float:
+def grace_until(now: float, store_back: float | None, drain: float, *, age: float = 0.0) -> float:
     """Return until when a searcher with a missing entry may still be used.
 
     `store_back` is when the store last became available to this instance, None while it is not.
     `drain` is the time for which a leaving searcher still serves. Only its return distinguishes an
     entry that expired in a short outage from one whose searcher left. The entry may have been
-    missing for `age` seconds before this instance noticed. In less than `expiry` seconds no entry
-    expires, so that the searcher must have left.
+    missing for `age` seconds before this instance noticed.
     """
     if store_back is None:
         return now + MISSING_ENTRY_GRACE_S
-    if age >= expiry or now < store_back + MISSING_ENTRY_GRACE_S:
+    if now < store_back + MISSING_ENTRY_GRACE_S:
         age = 0.0
-    return max(now, store_back) + max(0.0, min(MISSING_ENTRY_GRACE_S, drain - REACTION_S - age))
+    left = known_within(drain) - REACTION_S - age
+    return max(now, store_back) + max(0.0, min(MISSING_ENTRY_GRACE_S, left))
--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -9,7 +9,7 @@
 import trio
 
 from ..decide.canary import BLOCK_S, SharedEntry
-from ..decide.freshness import WatchPace
+from ..decide.freshness import WatchPace, view_times
 from ..decide.missing_entries import unlisted_in_use
 from ..decide.store_readers import MIN_FLEET_WITH_READERS, readers_for
 from ..errors import RelayError
@@ -23,16 +23,12 @@
 
 __all__ = ["PlatformFeed"]
 
-#: Time in seconds after which a watch without changes ends. A connection that has gone silent or a
-#: store that is gone is noticed a second later: a leaving searcher and an old configuration may be
-#: in use for 3 s, in which followers have to find another reader.
-WATCH_WAIT_S = 1.5
 #: Time in seconds, for each instance that reads the store, in which changes of searchers are
 #: batched into one call: every change wakes all readers, so calls would grow with their square.
 BATCH_S = 0.02
 MIN_BATCH_S = 0.15
 #: Longest batching time, as a share of the time for which a draining searcher still serves.
-MAX_BATCH_SHARE = 0.3
+MAX_BATCH_SHARE = 0.2
 #: Time in seconds after the start in which other instances may not be known yet.
 STARTUP_S = 10.0
 FIRST_PAUSE_S = 0.1
@@ -149,6 +145,7 @@
         self.started = trio.current_time()
         self.deployment = deployment
         self.peers = peers
+        self.sharing.times = view_times(deployment.bounds.drain)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             if self.first_start:
@@ -329,11 +326,13 @@
         follower_backoff = Backoff(
             self.rng, first=FOLLOWER_FIRST_PAUSE_S, longest=FOLLOWER_LONGEST_PAUSE_S
         )
-        pace = WatchPace(WATCH_WAIT_S)
+        times = view_times(deployment.bounds.drain)
+        pace = WatchPace(times.cycle)
         #: Whether the last call failed, and whether one without a response was repeated at once.
         failed = repeated = False
         while True:
             backoff = follower_backoff if self.follows else reader_backoff
+            pace.cycle = times.shared_cycle if self.is_reader else times.cycle
             known = sharing.revisions[prefix]
             try:
                 if known is None:
@@ -379,7 +378,7 @@
                 batch = 0.0 if prefix == documents.OPERATOR_PREFIX else self._batch_time()
                 pace.record_changes(len(page.items), page.to_latest, batch)
             if pace.caught_up:
-                sharing.record_known(prefix, pace.pause)
+                sharing.record_known(prefix)
             if pace.pause:
                 await trio.sleep(pace.pause)
 
--- a/rattanrelay/platform/settings.py
+++ b/rattanrelay/platform/settings.py
@@ -65,7 +65,6 @@
     #: First and last port for messages between instances.
     internal_ports: Annotated[list[Port], msgspec.Meta(min_length=1)]
     #: Period with which searchers renew their entries.
-    heartbeat_interval_ms: Duration = 1200.0
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
     #: True only while the whole fleet starts for the first time.
@@ -100,8 +99,6 @@
             cold=ColdLimits(bounds.warmup_overshoot, bounds.warmup_slack),
             drain=bounds.drain_ms / 1000.0,
             stop_grace=bounds.grace_s,
-            # Entries expire after three intervals, one of which may precede the outage.
-            entry_expiry=2.0 * file.heartbeat_interval_ms / 1000.0,
         ),
         first_start=file.bootstrap,
         cores=file.limits.cpu_share * file.limits.cpu_cores,
--- a/rattanrelay/platform/store.py
+++ b/rattanrelay/platform/store.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..decide.freshness import WATCH_GRACE_S
 from ..errors import DECODE_ERRORS, RelayError
 from ..http import Request, Response
 from ..log import event
@@ -15,8 +16,6 @@
 __all__ = ["HistoryGone", "Page", "PlatformStore"]
 
 CALL_TIMEOUT_S = 1.0
-#: Time in seconds after the end of a watch's wait at which the call times out.
-WATCH_GRACE_S = 0.5
 JSON = {"content-type": "application/json"}
 #: Header with a number that rises each time the store returns from a copy.
 ERA = "store-era"
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -41,8 +41,6 @@
     drain: float
     #: Time from the stop signal until the process is killed.
     stop_grace: float
-    #: Shortest outage of the store in which entries of searchers can expire.
-    entry_expiry: float = 2.4
 
 
 class DeploymentState:
@@ -155,9 +153,8 @@
         if searcher.record.draining:
             self._remove(searcher, "left", now)
             return
-        bounds = self.bounds
         searcher.grace_until = grace_until(
-            now, self.store_available_since, bounds.drain, age=age, expiry=bounds.entry_expiry
+            now, self.store_available_since, self.bounds.drain, age=age
         )
         event("searcher.missing", searcher=name, usable_for=round(searcher.grace_until - now, 3))
 
--- a/rattanrelay/relay/sharing.py
+++ b/rattanrelay/relay/sharing.py
@@ -9,20 +9,19 @@
 import msgspec
 import trio
 
+from ..decide.freshness import HEARTBEAT_S, view_times
 from ..errors import DECODE_ERRORS, RelayError
 from ..wire import FollowStore, Handlers, PeerLink, StoreChange
 from ..wire.link import Emit
 
 __all__ = ["Change", "Item", "StoreSharing"]
 
-#: Time in seconds after which a reader without changes sends a heartbeat.
-HEARTBEAT_S = 0.7
+#: Time in seconds for which a searcher that leaves still serves, until the feed states it.
+DRAIN_S = 3.0
+
 #: Time in seconds without a message after which a reader counts as lost: two heartbeats and the
 #: time for a list of all searchers on a slow link.
 SILENCE_TIMEOUT_S = 1.8
-#: Time in seconds after an answer of the store in which a reader serves its state, beside the pause
-#: until its next call: the longest time until that is answered, or has failed twice.
-MAX_ANSWER_AGE_S = 3.0
 #: Maximum number of queued changes for a follower: the lists and some seconds of changes.
 FOLLOWER_CHANGES = 64
 #: Level of zlib. Entries of searchers are similar: 278 of them take 55 KB, and 9 KB at level 1.
@@ -67,8 +66,9 @@
         self.revisions: dict[str, int | None] = dict.fromkeys(self.items)
         #: The history of the store to which each revision belongs, by prefix.
         self.eras = dict.fromkeys(self.items, 0)
-        #: Time until which this instance counts as knowing all changes, by prefix; in the past if
-        #: the last call failed, or if this instance does not read the store.
+        self.times = view_times(DRAIN_S)
+        #: Time until which this instance passes its state on, by prefix; in the past if the last
+        #: call failed, or if this instance does not read the store.
         self.current_until = dict.fromkeys(self.items, -math.inf)
         #: Time at which all items under a prefix were known to be current, by prefix.
         self.known_at = dict.fromkeys(self.items, -math.inf)
@@ -105,10 +105,10 @@
         self._followers.discard(follower)
         follower.close()
 
-    def record_known(self, prefix: str, pause: float) -> None:
-        """Record that all changes are known; the store is called again after `pause` seconds."""
+    def record_known(self, prefix: str) -> None:
+        """Record that this instance has read all changes under a prefix."""
         self.known_at[prefix] = trio.current_time()
-        self.current_until[prefix] = trio.current_time() + pause + MAX_ANSWER_AGE_S
+        self.current_until[prefix] = trio.current_time() + self.times.passed_on
 
     def unknown_for(self, prefix: str) -> float:
         """Return the seconds in which changes may have been missed, 0 before the first list."""
@@ -138,7 +138,7 @@
         pending = set(self.items)
         async with link.open_stream(FollowStore()) as stream, aclosing(stream) as messages:
             while True:
-                with trio.move_on_after(SILENCE_TIMEOUT_S):
+                with trio.move_on_at(self._reader_lost_at(bool(pending))):
                     message = await anext(messages, None)
                     if message is None:
                         raise RelayError(
@@ -149,7 +149,8 @@
                     age = self.unknown_for(message.prefix) if first else message.age_us / 1e6
                     pending -= self._apply_message(message, age)
                     if not pending:
-                        self.known_at = dict.fromkeys(self.items, trio.current_time())
+                        known_at = trio.current_time() - message.unknown_us / 1e6
+                        self.known_at = dict.fromkeys(self.items, known_at)
                     if not pending and not keep_following():
                         return
                     continue
@@ -157,6 +158,13 @@
                     "peer_unavailable", "the reader sent no message in time", step="follow"
                 )
 
+    def _reader_lost_at(self, starting: bool) -> float:
+        """Return the time at which a reader without a message counts as lost."""
+        silent = trio.current_time() + SILENCE_TIMEOUT_S
+        if starting:
+            return silent
+        return min(silent, min(self.known_at.values()) + self.times.followed)
+
     def _apply_message(self, message: StoreChange, age: float = 0.0) -> set[str]:
         """Apply a change from a reader; return its prefix unless it is older than what is known."""
         if message.prefix not in self.items:
@@ -212,7 +220,8 @@
                 with trio.move_on_after(HEARTBEAT_S):
                     change = await receiver.receive()
                 self._check_reading()
-                await emit(change)
+                unknown = max(self.unknown_for(prefix) for prefix in self.items)
+                await emit(change._replace(unknown_us=int(unknown * 1e6)))
         except trio.EndOfChannel:
             self._check_reading()
             raise RelayError("store_unavailable", "too many queued changes", step="share") from None
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -403,6 +403,8 @@
     age_us: int = 0
     #: The history to which the revision belongs.
     era: int = 0
+    #: Time for which the sender may have missed changes.
+    unknown_us: int = 0
 
 
 @message(23)
--- a/rattanrelay/wire/relay.thrift
+++ b/rattanrelay/wire/relay.thrift
@@ -67,7 +67,7 @@
 struct FollowStore { 1: bool whole }
 struct StoreChange {
   1: string prefix, 2: bool whole, 3: i64 revision, 4: binary items, 5: i64 age_us,
-  6: i64 era
+  6: i64 era, 7: i64 unknown_us
 }
 
 struct Quarantined { 1: list<BlockedRequest> requests }
--- a/rattanrelay/wire/structs.py
+++ b/rattanrelay/wire/structs.py
@@ -170,6 +170,7 @@
         (4, 18, "items"),
         (5, 10, "age_us"),
         (6, 10, "era"),
+        (7, 10, "unknown_us"),
     ),
     "Quarantined": ((1, ("BlockedRequest",), "requests"),),
 }
--- a/tests/relay/announcements.feature
+++ b/tests/relay/announcements.feature
@@ -22,3 +22,31 @@
       | all readers | says that it does |
       | a follower  | loses its entry   |
       | all         | says that it does |
+
+  Scenario Outline: Searchers that leave around faults are left alone within the bound
+    Given <count> instances in 2 domains with readers, and 10 searchers
+    And all connections go through proxies
+    And searchers that leave serve for <drain> s more
+    And readers batch changes for as long as in a large fleet
+    When <faults>, while 9 searchers leave one after the other
+    Then no other instance uses any of them later than the stated bound, which is below <drain> s
+
+    Examples:
+      | count | drain | faults                                                                                             |
+      | 6     | 5     | nothing else happens                                                                               |
+      | 6     | 5     | the connections of the readers to the store go silent                                              |
+      | 6     | 5     | the links go silent                                                                                |
+      | 6     | 5     | a reader is refused by the store                                                                   |
+      | 6     | 5     | a reader is cut off from the store                                                                 |
+      | 6     | 5     | all readers are cut off from the store                                                             |
+      | 6     | 5     | a reader is killed                                                                                 |
+      | 6     | 5     | all readers are killed                                                                             |
+      | 6     | 5     | the entries of the readers are removed                                                             |
+      | 6     | 5     | all readers start again, all readers are cut off from the store                                    |
+      | 6     | 5     | the links go silent, all readers are cut off from the store                                        |
+      | 6     | 5     | the connections of the readers to the store go silent, a reader is killed                          |
+      | 6     | 5     | a reader is killed, the links go silent                                                            |
+      | 6     | 5     | the entries of the readers are removed, a reader is refused by the store                           |
+      | 6     | 5     | all readers are killed, the links go silent, the connections of the readers to the store go silent |
+      | 3     | 3     | nothing else happens                                                                               |
+      | 3     | 3     | the connections of all to the store go silent                                                      |
--- a/tests/steps/announcements_steps.py
+++ b/tests/steps/announcements_steps.py
@@ -4,6 +4,7 @@
 import trio
 from behave import given, then, when
 
+from rattanrelay.decide.freshness import known_within
 from rattanrelay.http import Request
 from rattanrelay.platform import feed
 from tests.harness.relay_world import StandInStore, run_on_mock_clock
@@ -12,6 +13,9 @@
 FLEET_SETTLE_S = 16.0
 #: Time in seconds in which the use of a searcher that has left is observed.
 MEASURED_S = 12.0
+#: Time in seconds between two searchers that leave, and from the first one to the last fault.
+LEAVE_GAP_S = 0.4
+FAULT_AFTER_S = 1.3
 
 
 async def _watch(store, after, wait_ms):
@@ -87,3 +91,138 @@
             context.used = await world.used_for("s1", MEASURED_S)
 
     run_on_mock_clock(scenario)
+
+
+#: Functions that cause a fault and return the instances that cannot reach the store after it.
+FAULTS = {}
+
+
+def fault(text):
+    """Register a function under the words of a scenario."""
+
+    def register(function):
+        FAULTS[text] = function
+        return function
+
+    return register
+
+
+def _readers(world):
+    return [name for name, one in world.daemons.items() if one.feed.sharing.followed]
+
+
+@fault("nothing else happens")
+async def no_fault(world):
+    return []
+
+
+@fault("the connections of the readers to the store go silent")
+async def readers_silent(world):
+    for name in _readers(world):
+        world.silence(f"store/{name}")
+    return []
+
+
+@fault("the connections of all to the store go silent")
+async def all_silent(world):
+    assert world.silence("store")
+    return []
+
+
+@fault("the links go silent")
+async def links_silent(world):
+    world.silence("instance")
+    return []
+
+
+@fault("a reader is refused by the store")
+async def reader_refused(world):
+    names = _readers(world)[:1]
+    world.store.set_mode("refuse", *names)
+    return names
+
+
+@fault("a reader is cut off from the store")
+async def reader_cut(world):
+    names = _readers(world)[:1]
+    world.store.set_mode("silent", *names)
+    return names
+
+
+@fault("all readers are cut off from the store")
+async def readers_cut(world):
+    names = _readers(world)
+    world.store.set_mode("silent", *names)
+    return names
+
+
+@fault("a reader is killed")
+async def reader_killed(world):
+    for name in _readers(world)[:1]:
+        world.kill(name)
+    return []
+
+
+@fault("all readers are killed")
+async def readers_killed(world):
+    for name in _readers(world):
+        world.kill(name)
+    return []
+
+
+@fault("the entries of the readers are removed")
+async def entries_removed(world):
+    for name in _readers(world):
+        world.store.remove(feed.INSTANCE_PREFIX + name)
+    return []
+
+
+@fault("all readers start again")
+async def readers_restarted(world):
+    names = _readers(world)
+    for name in names:
+        world.kill(name)
+    for name in names:
+        await world.start(name)
+    await trio.sleep(4.0)
+    return []
+
+
+@when("{faults}, while {count:d} searchers leave one after the other")
+def leave_around_faults(context, faults, count):
+    async def scenario():
+        async with context.world.open() as world:
+            await trio.sleep(FLEET_SETTLE_S)
+            [*names] = sorted(world.searchers)[1 : count + 1]
+            async with trio.open_nursery() as nursery:
+
+                async def leave():
+                    for number, name in enumerate(names):
+                        world.let_leave(name, ("says that it does", "loses its entry")[number % 2])
+                        nursery.start_soon(observe, name)
+                        await trio.sleep(LEAVE_GAP_S)
+
+                async def observe(name):
+                    context.used[name] = await world.used_for(name, MEASURED_S)
+
+                texts = faults.split(", ")
+                for text in texts[:-1]:
+                    context.exempt.update(await FAULTS[text](world))
+                nursery.start_soon(leave)
+                await trio.sleep(FAULT_AFTER_S)
+                context.exempt.update(await FAULTS[texts[-1]](world))
+
+    context.used, context.exempt = {}, set()
+    run_on_mock_clock(scenario)
+
+
+@then("no other instance uses any of them later than the stated bound, which is below {drain:g} s")
+def within_bound(context, drain):
+    bound = known_within(drain)
+    assert bound < drain
+    late = {
+        name: {one: used for one, used in times.items() if one not in context.exempt}
+        for name, times in context.used.items()
+    }
+    late = {name: times for name, times in late.items() if max(times.values()) > bound}
+    assert context.used and not late, (bound, late)
--- a/tests/steps/readers_steps.py
+++ b/tests/steps/readers_steps.py
@@ -25,9 +25,9 @@
 RETURN_BOUND_S = 3.0
 
 
-@given("{count:d} instances in 2 domains with readers, and 4 searchers")
-def readers_world(context, count):
-    searchers = [StandInSearcher(f"s{index}", "svc", "a") for index in range(4)]
+@given("{count:d} instances in 2 domains with readers, and {searchers:d} searchers")
+def readers_world(context, count, searchers):
+    searchers = [StandInSearcher(f"s{index}", "svc", "a") for index in range(searchers)]
     instances = [(f"entry-{number}", "ab"[number % 2]) for number in range(count)]
     build(context, searchers, instances=instances)
     context.world.route("one", service="svc")
