Do not refuse newer state of another instance because its list of instances is older

What callers can see: an instance that the store turns away goes on using a searcher that has left, although others know of it. Cause: pulled state was refused as a whole if any prefix had a lower position, also the list of instances, which is not part of it and old at all instances that are no readers. Change: only the positions of what is exchanged are compared.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -70,6 +70,8 @@
 #: An answer of the store is logged if its changes may be this old, in seconds, or are this many.
 LATE_S = 2.0
 MANY_CHANGES = 100
+#: Prefixes of which instances exchange the state while the store does not answer one of them.
+SHARED_PREFIXES = (documents.OPERATOR_PREFIX, documents.SEARCHER_PREFIX)
 #: Number of attempts to keep a quarantine in the store.
 SAVE_ATTEMPTS = 5
 
@@ -410,7 +412,8 @@
             self.deployment.mark_store_restored(now)
             self._nursery.start_soon(self._apply_again, change.prefix)
             self._held_until[change.prefix] = now + HOLD_S
-        self.deployment.positions[change.prefix] = change.era, change.revision
+        if change.prefix in SHARED_PREFIXES:
+            self.deployment.positions[change.prefix] = change.era, change.revision
         self.change_handlers[change.prefix](change)
 
     async def _apply_again(self, prefix: str) -> None:
--- a/tests/relay/announcements.feature
+++ b/tests/relay/announcements.feature
@@ -50,3 +50,14 @@
       | 6     | 5     | all readers are killed, the links go silent, the connections of the readers to the store go silent |
       | 3     | 3     | nothing else happens                                                                               |
       | 3     | 3     | the connections of all to the store go silent                                                      |
+
+  Scenario Outline: State of another instance is taken if its searchers are newer, and not if older
+    Given an instance that the store turns away, which knows searchers up to revision 40
+    When it pulls state with a leaving searcher from an instance whose <what>
+    Then the leaving searcher is <result>
+
+    Examples:
+      | what                                       | result     |
+      | searchers are newer                        | left out   |
+      | searchers are newer, but not its instances | left out   |
+      | searchers are older                        | still used |
--- a/tests/steps/announcements_steps.py
+++ b/tests/steps/announcements_steps.py
@@ -1,5 +1,7 @@
 """Steps for the way of an announcement from the store to the last request."""
 
+import random
+
 import msgspec
 import trio
 from behave import given, then, when
@@ -7,7 +9,20 @@
 from rattanrelay.decide.freshness import known_within
 from rattanrelay.http import Request
 from rattanrelay.platform import feed
-from tests.harness.relay_world import StandInStore, run_on_mock_clock
+from rattanrelay.platform.documents import HEADERS, SEARCHER_PREFIX
+from rattanrelay.platform.feed import PlatformFeed
+from rattanrelay.relay import (
+    Catalog,
+    Change,
+    ClientLimits,
+    DeploymentState,
+    Instance,
+    Listen,
+    Peers,
+    SearcherRecord,
+)
+from rattanrelay.relay.peers import SharedState
+from tests.harness.relay_world import BOUNDS, StandInStore, run_on_mock_clock
 
 #: Time in seconds in which the instances find their readers and no longer count as starting.
 FLEET_SETTLE_S = 16.0
@@ -226,3 +241,38 @@
     }
     late = {name: times for name, times in late.items() if max(times.values()) > bound}
     assert context.used and not late, (bound, late)
+
+
+@given("an instance that the store turns away, which knows searchers up to revision {revision:d}")
+def knows_searchers(context, revision):
+    context.deployment = deployment = DeploymentState("entry-1", "a", HEADERS, BOUNDS)
+    context.peers = peers = Peers(deployment, random.Random(1))
+    instance = Instance("entry-1", "127.0.0.1", 1, "a")
+    context.feed = PlatformFeed(Listen("127.0.0.1", 1), instance, random.Random(1))
+    context.feed.deployment, context.feed.peers = deployment, peers
+    context.revision = revision
+
+
+@when("it pulls state with a leaving searcher from an instance whose {what}")
+def pulls_state(context, what):
+    catalog = Catalog(1, {}, {}, ClientLimits())
+    ready = SearcherRecord("s1", "svc", "127.0.0.1", 1, "a", 2, False, 0.0, 1000)
+    theirs = {
+        SEARCHER_PREFIX: (0, context.revision + (-10 if "older" in what else 10)),
+        feed.INSTANCE_PREFIX: (0, 1 if "instances" in what else context.revision + 10),
+    }
+
+    async def scenario():
+        for prefix in (SEARCHER_PREFIX, feed.INSTANCE_PREFIX):
+            context.feed._apply(Change(prefix, (), True, context.revision))
+        context.deployment.apply_record(ready, 0.0)
+        shared = SharedState(catalog, [ready._replace(draining=True)], [], theirs)
+        context.peers._apply("entry-2", shared)
+
+    run_on_mock_clock(scenario)
+
+
+@then("the leaving searcher is {result}")
+def leaving_searcher_is(context, result):
+    used = context.deployment.searchers["s1"].usable(0.0)
+    assert used == (result == "still used"), result
