--- a/rattanrelay/emulator/addresses.py
+++ b/rattanrelay/emulator/addresses.py
@@ -1,9 +1,15 @@
 """Ports that stay reserved while their listener is closed, and the search for free ports."""
 
+import atexit
 import errno
+import fcntl
 import os
 import random
 import socket
+import tempfile
+from collections.abc import Iterator
+from contextlib import contextmanager
+from pathlib import Path
 
 import trio
 
@@ -12,9 +18,11 @@
 #: Below the ephemeral range of Linux (32768), so that no outgoing connection takes the port.
 FIRST_FREE_PORT = 10_000
 LAST_FREE_PORT = 32_000
-#: Environment variable with a range `first-end` within these limits. Fleets that run concurrently
-#: need ranges of their own: a port returned to one fleet and not bound yet looks free to another.
+#: Environment variable with a range `first-end` within these limits.
 PORTS_VARIABLE = "RATTANRELAY_FREE_PORTS"
+#: Directory with a file for each port that a process was given, which holds the process's id: such
+#: a port may not be bound yet and would look free to another process.
+CLAIMS = Path(tempfile.gettempdir()) / f"rattanrelay-ports-{os.getuid()}"
 
 BACKLOG = 1024
 
@@ -47,22 +55,63 @@
 
 
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return ports that are not bound now and that no earlier call returned.
+    """Return ports that are not bound now and that no other call has returned.
+
+    This holds for all running processes on this machine.
 
     Raises `OSError` when the range does not contain enough of them.
     """
     rng = random.Random(os.urandom(8))
     ports: list[int] = []
     candidates = _port_range()
-    for port in rng.sample(candidates, len(candidates)):
-        if len(ports) == count:
-            return ports
-        if port not in _returned_ports and _is_free(host, port):
-            ports.append(port)
-            _returned_ports.add(port)
+    with _claims_locked():
+        for port in rng.sample(candidates, len(candidates)):
+            if len(ports) == count:
+                return ports
+            if port not in _returned_ports and _is_free(host, port) and _claim(port):
+                ports.append(port)
+                _returned_ports.add(port)
     raise OSError(errno.EADDRINUSE, f"fewer than {count} free ports in the range")
 
 
+@contextmanager
+def _claims_locked() -> Iterator[None]:
+    CLAIMS.mkdir(exist_ok=True)
+    with (CLAIMS / "lock").open("w") as lock:
+        fcntl.flock(lock, fcntl.LOCK_EX)
+        yield
+
+
+def _claim(port: int) -> bool:
+    """Claim a port for this process; return False if another one that is running has it."""
+    path = CLAIMS / str(port)
+    if path.exists() and _is_running(int(path.read_text() or 0)):
+        return False
+    if not _returned_ports:
+        atexit.register(_release_claims, os.getpid())
+    path.write_text(str(os.getpid()))
+    return True
+
+
+def _release_claims(owner: int) -> None:
+    if os.getpid() == owner:
+        with _claims_locked():
+            for port in _returned_ports:
+                (CLAIMS / str(port)).unlink(missing_ok=True)
+
+
+def _is_running(process: int) -> bool:
+    if process in (0, os.getpid()):
+        return False
+    try:
+        os.kill(process, 0)
+    except ProcessLookupError:
+        return False
+    except PermissionError:
+        pass
+    return True
+
+
 def _port_range() -> range:
     text = os.environ.get(PORTS_VARIABLE, f"{FIRST_FREE_PORT}-{LAST_FREE_PORT}")
     first, _, end = text.partition("-")
