--- a/tests/relay/announcements.feature
+++ b/tests/relay/announcements.feature
@@ -48,6 +48,10 @@
       | 6     | 5     | a reader is killed, the links go silent                                                            |
       | 6     | 5     | the entries of the readers are removed, a reader is refused by the store                           |
       | 6     | 5     | all readers are killed, the links go silent, the connections of the readers to the store go silent |
+      | 6     | 3     | a reader is refused by the store                                                                   |
+      | 6     | 3     | all readers are cut off from the store                                                             |
+      | 6     | 3     | the links go silent                                                                                |
+      | 6     | 6     | the links go silent, all readers are cut off from the store                                        |
       | 3     | 3     | nothing else happens                                                                               |
       | 3     | 3     | the connections of all to the store go silent                                                      |
 
