--- a/tests/decide/freshness.feature
+++ b/tests/decide/freshness.feature
@@ -18,3 +18,14 @@
     Given answers of at most 500 changes so far
     When a call fails
     Then the next call comes after 0 s and waits for 0.05 s
+
+  Scenario Outline: The times of the way of an announcement lie below its bound
+    Then the bound for searchers that serve for <drain> s is <bound> s
+    And the state of a reader and of its followers is given up <margin> s before it or earlier
+
+    Examples:
+      | drain | bound | margin |
+      | 3     | 2.55  | 0.1    |
+      | 5     | 4.25  | 1.4    |
+      | 6     | 5.1   | 2.0    |
+      | 20    | 17    | 13     |
--- a/tests/relay/announcements.feature
+++ b/tests/relay/announcements.feature
@@ -32,28 +32,28 @@
     Then no other instance uses any of them later than the stated bound, which is below <drain> s
 
     Examples:
-      | count | drain | faults                                                                                             |
-      | 6     | 5     | nothing else happens                                                                               |
-      | 6     | 5     | the connections of the readers to the store go silent                                              |
-      | 6     | 5     | the links go silent                                                                                |
-      | 6     | 5     | a reader is refused by the store                                                                   |
-      | 6     | 5     | a reader is cut off from the store                                                                 |
-      | 6     | 5     | all readers are cut off from the store                                                             |
-      | 6     | 5     | a reader is killed                                                                                 |
-      | 6     | 5     | all readers are killed                                                                             |
-      | 6     | 5     | the entries of the readers are removed                                                             |
-      | 6     | 5     | all readers start again, all readers are cut off from the store                                    |
-      | 6     | 5     | the links go silent, all readers are cut off from the store                                        |
-      | 6     | 5     | the connections of the readers to the store go silent, a reader is killed                          |
-      | 6     | 5     | a reader is killed, the links go silent                                                            |
-      | 6     | 5     | the entries of the readers are removed, a reader is refused by the store                           |
-      | 6     | 5     | all readers are killed, the links go silent, the connections of the readers to the store go silent |
-      | 6     | 3     | a reader is refused by the store                                                                   |
-      | 6     | 3     | all readers are cut off from the store                                                             |
-      | 6     | 3     | the links go silent                                                                                |
-      | 6     | 6     | the links go silent, all readers are cut off from the store                                        |
-      | 3     | 3     | nothing else happens                                                                               |
-      | 3     | 3     | the connections of all to the store go silent                                                      |
+      | count | drain | faults                                                                                     |
+      | 6     | 5     | nothing else happens                                                                       |
+      | 6     | 5     | the connections of the readers to the store go silent                                      |
+      | 6     | 5     | the links go silent                                                                        |
+      | 6     | 5     | a reader is refused by the store                                                           |
+      | 6     | 5     | a reader is cut off from the store                                                         |
+      | 6     | 5     | all readers are cut off from the store                                                     |
+      | 6     | 5     | a reader is killed                                                                         |
+      | 6     | 5     | all readers are killed                                                                     |
+      | 6     | 5     | the entries of the readers are removed                                                     |
+      | 6     | 5     | all readers start again, all readers are cut off from the store                            |
+      | 6     | 5     | the links go silent, all readers are cut off from the store                                |
+      | 6     | 5     | the connections of the readers to the store go silent, a reader is killed                  |
+      | 6     | 5     | a reader is killed, the links go silent                                                    |
+      | 6     | 5     | the entries of the readers are removed, a reader is refused by the store                   |
+      | 6     | 5     | all readers are killed, the links go silent, the connections of all to the store go silent |
+      | 6     | 3     | a reader is refused by the store                                                           |
+      | 6     | 3     | all readers are cut off from the store                                                     |
+      | 6     | 3     | the links go silent                                                                        |
+      | 6     | 6     | the links go silent, all readers are cut off from the store                                |
+      | 3     | 3     | nothing else happens                                                                       |
+      | 3     | 3     | the connections of all to the store go silent                                              |
 
   Scenario Outline: State of another instance is taken if its searchers are newer, and not if older
     Given an instance that the store turns away, which knows searchers up to revision 40
--- a/tests/steps/announcements_steps.py
+++ b/tests/steps/announcements_steps.py
@@ -28,7 +28,9 @@
 FLEET_SETTLE_S = 16.0
 #: Time in seconds in which the use of a searcher that has left is observed.
 MEASURED_S = 12.0
-#: Time in seconds between two searchers that leave, and from the first one to the last fault.
+#: Time in seconds between two faults, after which instances have found another reader, between two
+#: searchers that leave, and from the first one to the last fault.
+FAULT_GAP_S = 1.0
 LEAVE_GAP_S = 0.4
 FAULT_AFTER_S = 1.3
 
@@ -91,7 +93,7 @@
     async def scenario():
         async with context.world.open() as world:
             await trio.sleep(FLEET_SETTLE_S)
-            readers = [name for name, one in world.daemons.items() if one.feed.sharing.followed]
+            readers = _readers(world)
             followers = [name for name in world.daemons if name not in readers]
             names = {"a reader": readers[:1], "all readers": readers, "a follower": followers[:1]}
             chosen = names.get(who, list(world.daemons))
@@ -123,7 +125,9 @@
 
 
 def _readers(world):
-    return [name for name, one in world.daemons.items() if one.feed.sharing.followed]
+    readers = [name for name, one in world.daemons.items() if one.feed.sharing.followed]
+    assert readers, "no instance has followers"
+    return readers
 
 
 @fault("nothing else happens")
@@ -223,6 +227,7 @@
                 texts = faults.split(", ")
                 for text in texts[:-1]:
                     context.exempt.update(await FAULTS[text](world))
+                    await trio.sleep(FAULT_GAP_S)
                 nursery.start_soon(leave)
                 await trio.sleep(FAULT_AFTER_S)
                 context.exempt.update(await FAULTS[texts[-1]](world))
--- a/tests/steps/freshness_decide_steps.py
+++ b/tests/steps/freshness_decide_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from rattanrelay.decide.freshness import WatchPace
+from rattanrelay.decide.freshness import WatchPace, known_within, view_times
 
 CYCLE_S = 1.5
 BATCH_S = 0.4
@@ -28,3 +28,16 @@
 def next_call(context, pause, wait):
     found = round(context.pace.pause, 3), round(context.pace.wait, 3)
     assert found == (pause, wait), found
+
+
+@then("the bound for searchers that serve for {drain:g} s is {bound:g} s")
+def bound_is(context, drain, bound):
+    context.drain = drain
+    assert abs(known_within(drain) - bound) < 1e-9 and bound < drain, known_within(drain)
+
+
+@then("the state of a reader and of its followers is given up {margin:g} s before it or earlier")
+def given_up_before(context, margin):
+    times = view_times(context.drain)
+    ages = times.cycle, times.shared_cycle, times.passed_on, times.followed
+    assert max(ages) <= known_within(context.drain) - margin + 1e-9, times
