--- a/rattanrelay/decide/freshness.py
+++ b/rattanrelay/decide/freshness.py
@@ -7,12 +7,12 @@
 A searcher that leaves, or whose entry is gone, serves for a known time. In it lies the whole way of
 the change: a reader's pause and watch, one that has gone silent and its repetition, the message to
 the followers, a lost reader or link and the choice of another one, and the grace period of an entry
-that is gone. `ViewTimes` divides that time among them.
+that is gone. `FreshnessTimes` divides that time among them.
 """
 
 from typing import NamedTuple
 
-__all__ = ["WATCH_GRACE_S", "ViewTimes", "WatchPace", "known_within", "view_times"]
+__all__ = ["WATCH_GRACE_S", "FreshnessTimes", "WatchPace", "freshness_times", "known_within"]
 
 #: Share of the time for which a searcher that leaves still serves, in which all instances that
 #: reach the store have stopped sending to it, also with two faults in a row.
@@ -42,7 +42,7 @@
     return KNOWN_SHARE * drain
 
 
-class ViewTimes(NamedTuple):
+class FreshnessTimes(NamedTuple):
     """Times of the way from the store to a request; in seconds."""
 
     #: Longest time between two answers of the store, for an instance that reads for itself.
@@ -56,11 +56,11 @@
     followed: float
 
 
-def view_times(drain: float) -> ViewTimes:
+def freshness_times(drain: float) -> FreshnessTimes:
     """Return the times if a searcher that leaves still serves for `drain` seconds."""
     shared = min(LONGEST_CYCLE_S, SHARED_CYCLE_SHARE * drain)
     passed_on = shared + 2 * WATCH_GRACE_S + PROBE_WAIT_S + DELAY_S
-    return ViewTimes(
+    return FreshnessTimes(
         min(LONGEST_CYCLE_S, CYCLE_SHARE * drain), shared, passed_on, passed_on + HEARTBEAT_S
     )
 
--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -9,7 +9,7 @@
 import trio
 
 from ..decide.canary import BLOCK_S, SharedEntry
-from ..decide.freshness import WatchPace, view_times
+from ..decide.freshness import WatchPace, freshness_times
 from ..decide.missing_entries import unlisted_in_use
 from ..decide.store_readers import MIN_FLEET_WITH_READERS, readers_for
 from ..errors import RelayError
@@ -147,7 +147,7 @@
         self.started = trio.current_time()
         self.deployment = deployment
         self.peers = peers
-        self.sharing.times = view_times(deployment.bounds.drain)
+        self.sharing.times = freshness_times(deployment.bounds.drain)
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             if self.first_start:
@@ -328,7 +328,7 @@
         follower_backoff = Backoff(
             self.rng, first=FOLLOWER_FIRST_PAUSE_S, longest=FOLLOWER_LONGEST_PAUSE_S
         )
-        times = view_times(deployment.bounds.drain)
+        times = freshness_times(deployment.bounds.drain)
         pace = WatchPace(times.cycle)
         #: Whether the last call failed, and whether one without a response was repeated at once.
         failed = repeated = False
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -305,7 +305,7 @@
                 hedges=summary.hedges,
                 retries=summary.retries,
                 store="up" if deployment.store_available_since is not None else "away",
-                view_ms=self._view_age_ms(),
+                state_age_ms=self._state_age_ms(),
                 **details,
             )
         return response
@@ -369,11 +369,11 @@
                 sent=summary.sent,
                 hedges=summary.hedges,
                 retries=summary.retries,
-                view_ms=self._view_age_ms(),
+                state_age_ms=self._state_age_ms(),
                 missing=summary.missing,
             )
 
-    def _view_age_ms(self) -> int:
+    def _state_age_ms(self) -> int:
         """Return in milliseconds how old the state of the searchers is that requests use."""
         return round(self.feed.searchers_unknown_for * 1000)
 
@@ -448,7 +448,7 @@
         metrics.version.set({}, deployment.catalog.version if deployment.catalog else 0)
         metrics.searchers.set({}, len(deployment.searchers))
         metrics.store_up.set({}, int(deployment.store_available_since is not None))
-        metrics.view_age.set({}, self.feed.searchers_unknown_for)
+        metrics.state_age.set({}, self.feed.searchers_unknown_for)
         metrics.log_dropped.set({}, self.sink.dropped if self.sink else 0)
         for kind, calls in self.feed.calls.items():
             metrics.store_calls.set({"kind": kind}, calls)
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -36,7 +36,7 @@
         self.searchers = self.add(Gauge, "searchers", "Searchers known")
         self.store_calls = self.add(Gauge, "store_calls_total", "Calls to the store by kind")
         self.store_up = self.add(Gauge, "store_up", "1 while the store answers this instance")
-        self.view_age = self.add(
+        self.state_age = self.add(
             Gauge,
             "searchers_unknown_seconds",
             "Time in which changes of searchers may have been missed",
--- a/rattanrelay/relay/sharing.py
+++ b/rattanrelay/relay/sharing.py
@@ -9,7 +9,7 @@
 import msgspec
 import trio
 
-from ..decide.freshness import HEARTBEAT_S, view_times
+from ..decide.freshness import HEARTBEAT_S, freshness_times
 from ..errors import DECODE_ERRORS, RelayError
 from ..wire import FollowStore, Handlers, PeerLink, StoreChange
 from ..wire.link import Emit
@@ -66,7 +66,7 @@
         self.revisions: dict[str, int | None] = dict.fromkeys(self.items)
         #: The history of the store to which each revision belongs, by prefix.
         self.eras = dict.fromkeys(self.items, 0)
-        self.times = view_times(DRAIN_S)
+        self.times = freshness_times(DRAIN_S)
         #: Time until which this instance passes its state on, by prefix; in the past if the last
         #: call failed, or if this instance does not read the store.
         self.current_until = dict.fromkeys(self.items, -math.inf)
--- a/tests/steps/freshness_decide_steps.py
+++ b/tests/steps/freshness_decide_steps.py
@@ -2,7 +2,7 @@
 
 from behave import given, then, when
 
-from rattanrelay.decide.freshness import WatchPace, known_within, view_times
+from rattanrelay.decide.freshness import WatchPace, freshness_times, known_within
 
 CYCLE_S = 1.5
 BATCH_S = 0.4
@@ -38,6 +38,6 @@
 
 @then("the state of a reader and of its followers is given up {margin:g} s before it or earlier")
 def given_up_before(context, margin):
-    times = view_times(context.drain)
+    times = freshness_times(context.drain)
     ages = times.cycle, times.shared_cycle, times.passed_on, times.followed
     assert max(ages) <= known_within(context.drain) - margin + 1e-9, times
