--- a/rattanrelay/decide/freshness.py
+++ b/rattanrelay/decide/freshness.py
@@ -15,7 +15,7 @@
 __all__ = ["WATCH_GRACE_S", "FreshnessTimes", "WatchPace", "freshness_times", "known_within"]
 
 #: Share of the time for which a searcher that leaves still serves, in which all instances that
-#: reach the store have stopped sending to it, also with two faults in a row.
+#: reach the store have stopped sending to it.
 KNOWN_SHARE = 0.85
 #: Least time in seconds between the two.
 LEAST_MARGIN_S = 0.5
