Treat an address that names no host as a failed connection

Searcher.preconnect runs as a task of the process and catches RelayError only. So it is the contract of open rather than one character of one address; the pool, the list of instances and the store's client rely on it too.

Change: open raises connect_failed for ValueError and OverflowError as well, also from the start of TLS; scopes of IPv6 addresses are checked when entries are decoded.

--- a/rattanrelay/http/client.py
+++ b/rattanrelay/http/client.py
@@ -3,7 +3,6 @@
 Errors state whether the server may have run the request.
 """
 
-import socket
 import ssl
 
 import trio
@@ -11,7 +10,7 @@
 from ..errors import RelayError
 from .model import Request, Response
 from .parsing import MalformedResponse, ResponseParser
-from .plain import PlainStream
+from .plain import PlainStream, is_ipv4
 
 __all__ = ["MAX_RESPONSE_BYTES", "HttpConnection"]
 
@@ -39,16 +38,14 @@
     async def open(
         cls, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> "HttpConnection":
-        """Connect, with TLS if `tls` is given; raises `connect_failed`."""
+        """Connect, with TLS if `tls` is given; raises `connect_failed`, also for a malformed host."""
         peer = f"{host}:{port}"
-        if tls is None and _is_ipv4(host):
-            try:
-                return cls(await PlainStream.connect(host, port), peer)
-            except OSError as error:
-                raise RelayError("connect_failed", str(error), step="connect", peer=peer) from error
         try:
+            if tls is None and is_ipv4(host):
+                return cls(await PlainStream.connect(host, port), peer)
             stream = await trio.open_tcp_stream(host, port)
-        except OSError as error:
+        except (OSError, ValueError, OverflowError) as error:
+            # Names that cannot be encoded or resolved raise a ValueError, ports an OverflowError.
             raise RelayError("connect_failed", str(error), step="connect", peer=peer) from error
         if tls is None:
             return cls(PlainStream.adopt(stream), peer)
@@ -163,22 +160,14 @@
         )
 
 
-def _is_ipv4(host: str) -> bool:
-    try:
-        socket.inet_pton(socket.AF_INET, host)
-    except OSError:
-        return False
-    return True
-
-
 async def _start_tls(
     stream: trio.SocketStream, host: str, peer: str, tls: ssl.SSLContext
 ) -> trio.SSLStream:
     """Return a TLS stream after the handshake, which verifies the certificate of the server."""
-    tls_stream = trio.SSLStream(stream, tls, server_hostname=host, https_compatible=True)
     try:
+        tls_stream = trio.SSLStream(stream, tls, server_hostname=host, https_compatible=True)
         await tls_stream.do_handshake()
-    except trio.BrokenResourceError as error:
+    except (trio.BrokenResourceError, ValueError) as error:
         await trio.aclose_forcefully(stream)
         text = f"TLS: {error.__cause__ or error}"
         raise RelayError("connect_failed", text, step="connect", peer=peer) from error
--- a/rattanrelay/http/plain.py
+++ b/rattanrelay/http/plain.py
@@ -7,13 +7,22 @@
 
 import trio
 
-__all__ = ["PlainStream"]
+__all__ = ["PlainStream", "is_ipv4"]
 
 #: Bytes of Linux's `struct tcp_info` that are read, and the offset of `tcpi_rtt` in them.
 TCP_INFO_BYTES = 72
 TCP_INFO_RTT_OFFSET = 68
 
 
+def is_ipv4(host: str) -> bool:
+    """Return whether a text is an IPv4 address in dotted decimal form."""
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except (OSError, ValueError):
+        return False
+    return True
+
+
 class PlainStream(trio.abc.Stream):
     """A connected socket that one task uses.
 
--- a/rattanrelay/platform/documents.py
+++ b/rattanrelay/platform/documents.py
@@ -43,6 +43,8 @@
 
 #: Names of hosts in DNS; an address of IPv6 has no brackets.
 HOST_NAME = re.compile(r"(?=.{1,253}\Z)[A-Za-z0-9_-]{1,63}(\.[A-Za-z0-9_-]{1,63})*", re.ASCII)
+#: Names of interfaces in the scope of an IPv6 address; Linux allows up to 15 characters.
+SCOPE = re.compile(r"(?=.{1,15}\Z)[A-Za-z0-9_-]+(\.[A-Za-z0-9_-]+)*", re.ASCII)
 PORT = re.compile(r"[1-9][0-9]{0,4}", re.ASCII)
 #: The longest time in milliseconds for which a searcher can be cold, one day.
 MAX_COLD_MS = 86_400_000
@@ -177,10 +179,11 @@
 def _is_host(text: str) -> bool:
     """Return whether a text is an IP address or a host name."""
     try:
-        ipaddress.ip_address(text)
+        address = ipaddress.ip_address(text)
     except ValueError:
         return HOST_NAME.fullmatch(text) is not None
-    return True
+    scope = getattr(address, "scope_id", None)
+    return scope is None or SCOPE.fullmatch(scope) is not None
 
 
 def _route(row: _Route) -> Route:
--- a/tests/http/server.feature
+++ b/tests/http/server.feature
@@ -31,6 +31,22 @@
       | closes in the middle of a response | connection_lost | unknown |
       | responds with garbage              | connection_lost | unknown |
 
+  Scenario Outline: An address that names no host is an error of the connection
+    Guards against a process that ends because of an address that another writer has stored.
+    Then opening a connection to <what> raises "connect_failed"
+
+    Examples:
+      | what                          |
+      | a null character              |
+      | a scope with a null character |
+      | a scope of no interface       |
+      | a scope with an empty label   |
+      | a scope with a line separator |
+      | a scope that is not ASCII     |
+      | a name with an empty label    |
+      | a label of 300 letters        |
+      | half of a surrogate pair      |
+
   Scenario: A caller listener with TLS
     Given a certificate for 127.0.0.1
     When a request is sent to an HTTP server over TLS
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -17,6 +17,12 @@
       | an address with a space                  |
       | an address with an empty label           |
       | an address without a port                |
+      | a scope with a null character            |
+      | a scope with an empty label              |
+      | a scope of 300 letters                   |
+      | a scope with a line separator            |
+      | a scope that is not ASCII                |
+      | an empty scope                           |
       | a concurrency of 10^30                   |
       | a concurrency of 0                       |
       | a warmup of 10^300 ms                    |
--- a/tests/steps/http_steps.py
+++ b/tests/steps/http_steps.py
@@ -257,3 +257,31 @@
     assert context.answer.json()["path"] == "/safe"
     assert context.refused
     assert context.again.status == 200
+
+
+#: Addresses that name no host, by what is wrong with them.
+NO_HOSTS = {
+    "a null character": "\0",
+    "a scope with a null character": "::1%\0",
+    "a scope of no interface": "::1%none0",
+    "a scope with an empty label": "::1%a..b",
+    "a scope with a line separator": "::1%\u2028",
+    "a scope that is not ASCII": "::1%\u00e9",
+    "a name with an empty label": "a..b",
+    "a label of 300 letters": "a" * 300,
+    "half of a surrogate pair": "\ud800",
+}
+
+
+@then('opening a connection to {what} raises "{code}"')
+def open_raises(context, what, code):
+    async def attempt():
+        with trio.fail_after(HANG_LIMIT_S):
+            await HttpConnection.open(NO_HOSTS[what], 80)
+
+    try:
+        trio.run(attempt)
+    except RelayError as error:
+        assert error.code == code, error
+        return
+    raise AssertionError("connected")
--- a/tests/steps/platform_documents_steps.py
+++ b/tests/steps/platform_documents_steps.py
@@ -44,6 +44,12 @@
     "an address with a space": ("i-1", entry(address="no host:80")),
     "an address with an empty label": ("i-1", entry(address="a..b:80")),
     "an address without a port": ("i-1", entry(address="10.0.0.1")),
+    "a scope with a null character": ("i-1", entry(address="::1%\0:80")),
+    "a scope with an empty label": ("i-1", entry(address="::1%a..b:80")),
+    "a scope of 300 letters": ("i-1", entry(address=f"::1%{'a' * 300}:80")),
+    "a scope with a line separator": ("i-1", entry(address="::1%\u2028:80")),
+    "a scope that is not ASCII": ("i-1", entry(address="::1%\u00e9:80")),
+    "an empty scope": ("i-1", entry(address="::1%:80")),
     "a concurrency of 10^30": ("i-1", _big("concurrency", 30)),
     "a concurrency of 0": ("i-1", entry(concurrency=0)),
     "a warmup of 10^300 ms": ("i-1", _big("warmup_left_ms", 300)),
@@ -69,7 +75,7 @@
 
 @then("entries with IPv4, IPv6 and host name addresses are read")
 def readable(context):
-    for host in ("10.0.0.1", "fd00::1", "node-1.rack-2.example"):
+    for host in ("10.0.0.1", "fd00::1", "fe80::1%eth0.1", "node-1.rack-2.example"):
         record = searcher_record("servers/i-1", entry(address=f"{host}:80"))
         assert (record.host, record.port) == (host, 80)
 
@@ -90,6 +96,8 @@
             await _readers_after_settling(world)
             for number, (key, value) in enumerate(ODD.values()):
                 world.store.write(f"servers/{number}{key}", value)
+            # A scope that no interface has; only the attempt to connect shows that.
+            world.store.write("servers/scoped", entry(address="::1%none0:80"))
             # Requests are sent to all searchers that are taken for usable.
             for at in list(world.daemons):
                 await world.ask("one", at=at)
