Keep an instance serving when a task of one request or connection fails

Callers: any unexpected error in a task of the process ended the process, and with it all requests in flight.

Change: these tasks run in Background, which logs task.failed with its traceback and counts rattanrelay_tasks_failed_total by function, so that the next such fault names itself. Periodic tasks start again after 1 s. The listeners and the feed of the store stay in the nursery: without them an instance cannot serve.

--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -16,6 +16,7 @@
 from ..log import BoundedSink, event, traceback
 from ..wire import GatherShards, Handlers, serve_peers
 from ..wire.link import Emit
+from .background import Background
 from .deployment import Bounds, DeploymentState
 from .front import Arrival, ClientConnection
 from .metrics import RelayMetrics
@@ -141,7 +142,7 @@
         self.refusing = False
         #: Time at which the stop cuts off unfinished requests.
         self.cut_at = math.inf
-        self.background: trio.Nursery | None = None
+        self.background: Background | None = None
         #: Requests of clients and other instances that are being served.
         self.requests_in_flight = 0
         #: Time at which the last request arrived.
@@ -164,8 +165,8 @@
     async def run(self, *, task_status=trio.TASK_STATUS_IGNORED) -> None:
         """Serve until `stop` is called, then finish or cancel the requests in flight."""
         settings = self.settings
-        async with trio.open_nursery() as self.background:
-            nursery = self.background
+        async with trio.open_nursery() as nursery:
+            self.background = Background(nursery)
             clients = await _listen(settings.clients)
             nursery.start_soon(self._accept, clients)
             ready = await _listen(settings.ready)
@@ -177,12 +178,12 @@
                 )
             peer_listener = trio.SocketListener(await _listen(settings.peers))
             nursery.start_soon(serve_peers, self.handlers, [peer_listener])
-            self.peers.start(nursery, self.handlers)
-            self.quarantine.start(nursery, self.handlers)
+            self.peers.start(self.background, self.handlers)
+            self.quarantine.start(self.background, self.handlers)
             nursery.start_soon(self.feed.run, self.deployment, self.peers)
-            nursery.start_soon(self._remove_expired)
-            nursery.start_soon(self._preconnect)
-            nursery.start_soon(self._watch_settings)
+            self.background.repeat(self._remove_expired)
+            self.background.repeat(self._preconnect)
+            self.background.repeat(self._watch_settings)
             clients_at = "{}:{}".format(*settings.clients)
             event("instance.started", domain=settings.domain, clients=clients_at)
             task_status.started()
@@ -450,6 +451,8 @@
         metrics.store_up.set({}, int(deployment.store_available_since is not None))
         metrics.state_age.set({}, self.feed.searchers_unknown_for)
         metrics.log_dropped.set({}, self.sink.dropped if self.sink else 0)
+        for task, count in self.background.failed.items():
+            metrics.tasks_failed.set({"task": task}, count)
         for kind, calls in self.feed.calls.items():
             metrics.store_calls.set({"kind": kind}, calls)
         content, headers = metrics.text()
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -41,6 +41,9 @@
             "searchers_unknown_seconds",
             "Time in which changes of searchers may have been missed",
         )
+        self.tasks_failed = self.add(
+            Counter, "tasks_failed_total", "Tasks that ended by an unexpected error, by function"
+        )
         self.log_dropped = self.add(Gauge, "log_lines_dropped", "Log lines that were dropped")
 
     def text(self, accept: str = "text/plain") -> tuple[bytes, dict[str, str]]:
--- a/rattanrelay/relay/peers.py
+++ b/rattanrelay/relay/peers.py
@@ -13,6 +13,7 @@
 from ..http.plain import PlainStream
 from ..log import event
 from ..wire import Document, Handlers, PeerLink, Pull
+from .background import Background
 from .deployment import DeploymentState
 from .model import Catalog, SearcherRecord
 
@@ -88,13 +89,13 @@
         self.deployment = deployment
         self.rng = rng
         self.known: dict[str, Peer] = {}
-        self._background: trio.Nursery | None = None
+        self._background: Background | None = None
 
-    def start(self, background: trio.Nursery, handlers: Handlers) -> None:
+    def start(self, background: Background, handlers: Handlers) -> None:
         """Register the handler for pulls and run the tasks of the links in a nursery."""
         self._background = background
         handlers.on(Pull)(self._answer_pull)
-        background.start_soon(self._pull_while_store_unavailable)
+        background.repeat(self._pull_while_store_unavailable)
 
     def update_instances(self, instances: Iterable[Instance]) -> None:
         """Apply the list of instances; close the links to those that are missing or have moved.
--- a/rattanrelay/relay/quarantine.py
+++ b/rattanrelay/relay/quarantine.py
@@ -25,6 +25,7 @@
     Quarantined,
     ShareLosses,
 )
+from .background import Background
 from .deployment import DeploymentState
 from .peers import Peer, Peers
 from .searchers import Searcher, SubRequest
@@ -66,9 +67,9 @@
         self.store = store
         self.rng = rng
         self.record = CrashRecord()
-        self._background: trio.Nursery | None = None
+        self._background: Background | None = None
 
-    def start(self, background: trio.Nursery, handlers: Handlers) -> None:
+    def start(self, background: Background, handlers: Handlers) -> None:
         """Register the handlers for other instances' messages; run tasks in a nursery."""
         self._background = background
         handlers.on(ShareLosses)(self._collect)
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -34,6 +34,7 @@
 from ..log import event, traceback
 from ..wire import GatheredPart, GatheredParts, GatherShards, HeaderField
 from ..wire.link import Emit
+from .background import Background
 from .deployment import DeploymentState
 from .metrics import RelayMetrics
 from .model import Route
@@ -166,7 +167,7 @@
         peers: Peers,
         quarantine: Quarantine,
         metrics: RelayMetrics,
-        background: trio.Nursery,
+        background: Background,
         rng: random.Random,
         route: Route,
         sub: SubRequest,
