Leave out entries of instances that name no address

Callers: requests of all instances ended with their processes as soon as the list of instances had an entry with a host or a port to which no connection can be opened; the entries are ours, but the store takes any writer's.

Cause: _instances checks types only, and PlainStream.connect, which opens links, raises ValueError, OverflowError or UnicodeError for such addresses (and looks host names up without giving way to other tasks). These pass Peers._connect and end the feed, which follows a reader, or a gathered request.

Change: entries need an IPv4 address, a port from 1 to 65535 and the name of their key; PlainStream.connect raises OSError for anything else; a gathered request whose link fails unexpectedly takes its shards back.

Before: the new row of relay/background errored, the processes had ended. After: it passes.

--- a/rattanrelay/http/client.py
+++ b/rattanrelay/http/client.py
@@ -38,7 +38,7 @@
     async def open(
         cls, host: str, port: int, tls: ssl.SSLContext | None = None
     ) -> "HttpConnection":
-        """Connect, with TLS if `tls` is given; raises `connect_failed`, also for a malformed host."""
+        """Connect, with TLS if `tls` is given; raises `connect_failed`, also for a bad host."""
         peer = f"{host}:{port}"
         try:
             if tls is None and is_ipv4(host):
--- a/rattanrelay/http/plain.py
+++ b/rattanrelay/http/plain.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from ..settings import MAX_PORT
+
 __all__ = ["PlainStream", "is_ipv4"]
 
 #: Bytes of Linux's `struct tcp_info` that are read, and the offset of `tcpi_rtt` in them.
@@ -42,7 +44,9 @@
 
     @classmethod
     async def connect(cls, host: str, port: int) -> "PlainStream":
-        """Connect to an IPv4 address; raises `OSError`."""
+        """Connect to an IPv4 address; raises `OSError`, also for what is no address or port."""
+        if not is_ipv4(host) or not 0 < port <= MAX_PORT:
+            raise OSError(errno.EINVAL, f"{host!r} port {port} is no IPv4 address and port")
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         try:
             sock.setblocking(False)
--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -13,6 +13,7 @@
 from ..decide.missing_entries import unlisted_in_use
 from ..decide.store_readers import MIN_FLEET_WITH_READERS, readers_for
 from ..errors import RelayError
+from ..http.plain import is_ipv4
 from ..log import event
 from ..relay import Change, DeploymentState, Instance, Item, Listen, Peer, Peers, StoreSharing
 from ..store import NoResponse
@@ -564,7 +565,10 @@
     for item in items:
         try:
             fields = documents.decode_json(item.value or b"", list)
-            instances.append(msgspec.convert(fields[: len(Instance._fields)], Instance))
+            instance = msgspec.convert(fields[: len(Instance._fields)], Instance)
+            if not is_ipv4(instance.host) or item.key != INSTANCE_PREFIX + instance.name:
+                raise ValueError(f"no IPv4 address {instance.host!r}, or the name of another key")
+            instances.append(instance)
         except (ValueError, msgspec.ValidationError) as error:
             event("instance.unreadable", key=item.key, reason=str(error))
     return instances
--- a/rattanrelay/relay/peers.py
+++ b/rattanrelay/relay/peers.py
@@ -12,6 +12,7 @@
 from ..errors import DECODE_ERRORS, RelayError
 from ..http.plain import PlainStream
 from ..log import event
+from ..settings import MAX_PORT
 from ..wire import Document, Handlers, PeerLink, Pull
 from .background import Background
 from .deployment import DeploymentState
@@ -42,8 +43,9 @@
     """Name, address and failure domain of an instance."""
 
     name: str
+    #: IPv4 address in dotted decimal form.
     host: str
-    port: int
+    port: Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
     domain: str
     #: Speed of its processor in cores; entries of older builds do not state it.
     cores: Annotated[float, msgspec.Meta(gt=0)] = 1.0
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -590,6 +590,9 @@
                 if error.ran == "not_run":
                     for shard in group.pending.values():
                         shard.reclaim()
+            except Exception as error:
+                reason = "internal"
+                event("gather.failed", request=self.sub.request_id, reason=traceback(error))
         if not self.closed:
             self._reclaim(group, reason)
 
--- a/tests/relay/background.feature
+++ b/tests/relay/background.feature
@@ -11,3 +11,9 @@
       | task                     |
       | Searcher.preconnect      |
       | Quarantine.record_broken |
+
+  Scenario: Entries of instances that name no address stop no other instance
+    Given 6 instances in 2 domains with readers, and 4 searchers
+    When odd entries appear among the instances, and then the configuration and a searcher change
+    Then each instance that serves knows both changes within 2.5 s
+    And no instance has taken one of these entries for another instance
