Close only the connection of a handler that fails unexpectedly

Callers: by the same cause as the background tasks, an unexpected error of the handler of one connection (metrics, readiness, another instance's messages, callers of rattanrelay/node) ended the listener's nursery and the process.

Change: serve_http and serve_peers log the error and close that connection.

Before: the new scenario of http/server errored, since the server had ended; after, it passes. For serve_peers no message is known that raises such an error, so that half has no test that failed.

--- a/rattanrelay/http/server.py
+++ b/rattanrelay/http/server.py
@@ -7,11 +7,12 @@
 import trio
 
 from ..errors import RelayError
+from ..log import event, traceback
 from .model import HttpLimits, Request, Response, json_response
 
 __all__ = ["Handler", "serve_http"]
 
-#: Returns the response to one request; it must not raise.
+#: Returns the response to one request; an error that it raises closes the connection.
 Handler = Callable[[Request], Awaitable[Response]]
 
 RECEIVE_BYTES = 65536
@@ -36,7 +37,10 @@
     async with trio.open_nursery() as connections:
 
         async def serve(stream: trio.abc.Stream) -> None:
-            await _Connection(stream, handler, limits, stopping, idle).run()
+            try:
+                await _Connection(stream, handler, limits, stopping, idle).run()
+            except Exception as error:
+                event("http.connection_failed", reason=traceback(error))
 
         async with trio.open_nursery() as accepting:
             accepting.start_soon(
--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -11,7 +11,7 @@
 import trio
 
 from ..errors import CODES, RelayError
-from ..log import event
+from ..log import event, traceback
 from .framing import Frame, FrameKind, FrameReader, encode_frame
 from .messages import Failure
 
@@ -382,6 +382,9 @@
     """Accept connections of other instances and handle their messages until cancelled."""
 
     async def serve(stream: trio.SocketStream) -> None:
-        await _PeerConnection(stream, handlers).run()
+        try:
+            await _PeerConnection(stream, handlers).run()
+        except Exception as error:
+            event("link.failed", reason=traceback(error))
 
     await trio.serve_listeners(serve, listeners)
--- a/tests/http/server.feature
+++ b/tests/http/server.feature
@@ -14,6 +14,11 @@
       | a huge body        | 413    | body_too_large    |
       | half a request     | 408    | request_timeout   |
 
+  Scenario: A handler that fails unexpectedly closes its own connection only
+    Given an HTTP server whose handler fails for one path
+    When a client asks for that path, and another one for a different path
+    Then the first connection is closed and the second request is answered
+
   Scenario: A stop closes idle connections and completes the request in flight
     Given an HTTP server with small limits
     When it is stopped while one connection is idle and one request is in flight
--- a/tests/steps/http_steps.py
+++ b/tests/steps/http_steps.py
@@ -259,6 +259,42 @@
     assert context.again.status == 200
 
 
+@given("an HTTP server whose handler fails for one path")
+def failing_handler(context):
+    async def handler(request):
+        if request.path == "/fails":
+            raise ValueError("unexpected")
+        return await _echo(request)
+
+    context.handler = handler
+
+
+@when("a client asks for that path, and another one for a different path")
+def ask_both(context):
+    async def main():
+        listeners, port = await _listen()
+        context.outcomes = []
+        with trio.fail_after(HANG_LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serve_http, context.handler, listeners)
+                for path in ("/fails", "/works"):
+                    connection = await HttpConnection.open("127.0.0.1", port)
+                    try:
+                        response = await connection.request(Request("GET", path))
+                        context.outcomes.append(response.status)
+                    except RelayError as error:
+                        context.outcomes.append(error.code)
+                    await connection.aclose()
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+@then("the first connection is closed and the second request is answered")
+def only_first_closed(context):
+    assert context.outcomes == ["connection_lost", 200], context.outcomes
+
+
 #: Addresses that name no host, by what is wrong with them.
 NO_HOSTS = {
     "a null character": "\0",
