Let instances without a part of a searcher's rate borrow permits, so that they learn when it ends

Cause: a rate lower than the number of instances is given to some of them only. The others may send nothing, and only answers tell that the searcher takes all requests again, so the belief has no end. Ruled out: a pause by Retry-After (it has an end of its own, and the searchers sent none) and the quarantine (no searcher ended); the refusals say rate_limited and the log has searcher.limit once, without an end.

Change: such an instance asks one with a part for a permit when a request waits (BorrowPermit), at most once a second after a denial. The permit is taken from the lender's, so that the whole stays within the rate; both tell each other what they heard last, so that one answer without a limit ends it wherever it is asked for. If nobody can be asked, an instance sends one request itself when it has heard nothing for 30 s, or for longer if all instances together would exceed the rate. Metrics rattanrelay_limited_searchers and rattanrelay_limit_age_seconds show the state.

Shards are divided differently: each instance has a part, so its wait ends, but an instance that only takes over may wait long (instances / (0.2 x rate) seconds).

--- a/rattanrelay/decide/pacing.py
+++ b/rattanrelay/decide/pacing.py
@@ -3,6 +3,10 @@
 A searcher may state a rate of requests that it takes from all instances together, a time for which
 it wants none, that it is cold, or that it is leaving. Each instance keeps to a part of the rate, so
 that all of them together keep to the whole without a message for each request.
+
+If a rate is too low to divide, some instances have no part of it. They borrow permits from those
+that have one: else they would hear from the searcher no more, and not learn that it takes requests
+again. Answers the load of a service whose callers reach more instances than its rate has requests.
 """
 
 import math
@@ -11,7 +15,8 @@
 from .cold_start import ColdLimits, ColdRequestWindow, Fleet
 from .ownership import ranked
 
-__all__ = ["MAX_PAUSE_S", "Pacer", "RateShare", "Terms", "limit_senders", "rate_share"]
+__all__ = ["MAX_PAUSE_S", "Pacer", "RateShare", "Terms", "limit_senders", "rate_holders"]
+__all__ += ["rate_share"]
 
 #: Share of a rate that all instances divide, since any of them may have to take over the shards of
 #: another one; the rest is for the instances that send to the searcher all the time.
@@ -24,6 +29,15 @@
 MIN_LIMIT = 0.25
 #: Longest time in seconds for which a searcher is left alone because it asked for that.
 MAX_PAUSE_S = 600.0
+#: Time in seconds in which another instance usually replies to a request for a permit.
+BORROW_TIME_S = 0.02
+#: Time in seconds for which a borrowed permit may be used.
+LOAN_S = 1.0
+#: Shortest time in seconds until a permit is asked for again after none could be lent.
+BORROW_PAUSE_S = 1.0
+#: Time in seconds without an answer of a searcher after which an instance that can borrow from no
+#: other one sends a request without a permit.
+UNHEARD_S = 30.0
 
 
 class RateShare(NamedTuple):
@@ -50,25 +64,31 @@
     return RateShare(rate, max(1.0, BURST_S * rate))
 
 
+def rate_holders(searcher: str, limit: float | None, fleet: Fleet) -> list[str]:
+    """Return the instances with a part of the rate of a searcher to which all instances send.
+
+    If there are more instances than requests per second, they are chosen by a hash of their names.
+    """
+    names = {*fleet.names, fleet.me}
+    most = max(1, int(limit or 0.0))
+    return list(names) if len(names) <= most else ranked(names, searcher)[:most]
+
+
 def limit_senders(
     searcher: str, limit: float | None, fleet: Fleet, *, askers: int | None, shared: bool
 ) -> float:
     """Return by what a searcher's stated rate is divided to get this instance's part of it.
 
     `askers` instances send to the searcher all the time, if this is one of them, else None; to a
-    `shared` service all instances send. Where these are too many for the rate, only some of them,
-    chosen by a hash of their names, send to the searcher.
+    `shared` service all instances send. The result is infinite for an instance without a part.
     """
-    names = {*fleet.names, fleet.me}
     if not shared:
-        part = COMMON_SHARE / len(names)
+        part = COMMON_SHARE / len({*fleet.names, fleet.me})
         if askers is not None:
             part += (1.0 - COMMON_SHARE) / max(askers, 1)
         return 1.0 / part
-    most = max(1, int(limit or 0.0))
-    if len(names) <= most:
-        return float(len(names))
-    return float(most) if fleet.me in ranked(names, searcher)[:most] else math.inf
+    holders = rate_holders(searcher, limit, fleet)
+    return float(len(holders)) if fleet.me in holders else math.inf
 
 
 class Pacer:
@@ -85,6 +105,13 @@
         #: Whether it has stated that it is leaving.
         self.leaving = False
         self.cold_window = ColdRequestWindow()
+        #: Time of the answer from which `limit` is known, of this or another instance.
+        self.heard_at = -math.inf
+        #: Whether another instance is being asked for a permit, and when one may be asked again.
+        self.borrowing = False
+        self.next_borrow_at = -math.inf
+        self._borrowed_until = -math.inf
+        self._own_permit_at = -math.inf
         self._permits = 0.0
         self._updated = -math.inf
 
@@ -92,11 +119,50 @@
         """Send nothing for some seconds; a longer pause stays in force."""
         self.resumes_at = max(self.resumes_at, now + min(seconds, MAX_PAUSE_S))
 
-    def set_limit(self, limit: float | None, now: float) -> None:
-        """Apply the rate that an answer states, or that it states none."""
+    def set_limit(self, limit: float | None, now: float, heard_at: float | None = None) -> None:
+        """Apply the rate that an answer states, or that it states none.
+
+        `heard_at` is the time of the answer if another instance got it.
+        """
         if self.limit is None and limit is not None:
             self._permits, self._updated = min(1.0, limit), now
         self.limit = limit
+        self.heard_at = now if heard_at is None else heard_at
+
+    def needs_permit(self, terms: Terms, now: float) -> bool:
+        """Return whether a permit should be borrowed now for a request that waits for one."""
+        if self.limit is None or self.leaving or now < self.resumes_at:
+            return False
+        return math.isinf(terms.senders) and self._borrow_wait(now) > 0.0 and self._may_borrow(now)
+
+    def lend(self, terms: Terms, now: float) -> bool:
+        """Return whether another instance may send a request now, and count it if so."""
+        if self.limit is None or math.isinf(terms.senders) or not self.allows(terms, now):
+            return False
+        self.record_send(terms, now)
+        return True
+
+    def record_loan(self, now: float) -> None:
+        """Record that a permit was borrowed."""
+        self.borrowing = False
+        self._borrowed_until = now + LOAN_S
+
+    def record_denial(self, wait: float, now: float) -> None:
+        """Record that no permit can be borrowed for `wait` seconds."""
+        self.borrowing = False
+        self.next_borrow_at = now + max(BORROW_PAUSE_S, wait)
+
+    def take_own_permit(self, instances: int, now: float) -> bool:
+        """Take a permit without a loan if nothing was heard of the searcher for long.
+
+        All `instances` together keep to the rate also if none of them can reach another one.
+        """
+        period = max(UNHEARD_S, instances / max(self.limit or 0.0, MIN_LIMIT))
+        if now - max(self.heard_at, self._own_permit_at) < period:
+            return False
+        self._own_permit_at = now
+        self.record_loan(now)
+        return True
 
     def restricts(self, now: float) -> bool:
         """Return whether it limits requests at all, as few searchers do."""
@@ -106,16 +172,19 @@
     def wait(self, terms: Terms, now: float) -> float:
         """Return the seconds until its rate and its pause allow a request, infinity if never.
 
-        A cold searcher may have to be left alone for longer.
+        Without a part of the rate, these are the seconds until a permit may have been borrowed. A
+        cold searcher may have to be left alone for longer.
         """
         if self.leaving:
             return math.inf
         wait = max(0.0, self.resumes_at - now)
-        if self.limit is not None:
+        if self.limit is not None and math.isinf(terms.senders):
+            wait = max(wait, self._borrow_wait(now))
+        elif self.limit is not None:
             share = rate_share(self.limit, terms.senders)
             missing = 1.0 - self._available(share, now)
             if missing > 0.0:
-                wait = max(wait, missing / share.rate if share.rate > 0.0 else math.inf)
+                wait = max(wait, missing / share.rate)
         return wait
 
     def allows(self, terms: Terms, now: float) -> bool:
@@ -130,11 +199,21 @@
 
     def record_send(self, terms: Terms, now: float) -> None:
         """Count a request that is sent now."""
-        if self.limit is not None:
+        if math.isinf(terms.senders):
+            self._borrowed_until = -math.inf
+        elif self.limit is not None:
             self._permits = self._available(rate_share(self.limit, terms.senders), now) - 1.0
             self._updated = now
         if now < self.cold_until:
             self.cold_window.send(now)
 
+    def _may_borrow(self, now: float) -> bool:
+        return not self.borrowing and now >= self.next_borrow_at
+
+    def _borrow_wait(self, now: float) -> float:
+        if now < self._borrowed_until:
+            return 0.0
+        return BORROW_TIME_S if self.borrowing else max(BORROW_TIME_S, self.next_borrow_at - now)
+
     def _available(self, share: RateShare, now: float) -> float:
         return min(share.burst, self._permits + share.rate * max(0.0, now - self._updated))
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -22,6 +22,7 @@
 from .metrics import RelayMetrics
 from .model import ClientLimits, HeaderNames, Route
 from .peers import Peers
+from .permits import Permits
 from .quarantine import Quarantine
 from .scatter import RETURN_MARGIN_S, DelegatedScatter, Scatter, refusal_response
 from .searchers import HOP_HEADERS, SubRequest
@@ -132,6 +133,7 @@
         self.deployment.cores = settings.cores
         self.peers = Peers(self.deployment, self.rng)
         self.quarantine = Quarantine(self.deployment, self.peers, feed, self.rng)
+        self.permits = Permits(self.deployment, self.peers, self.rng)
         self.handlers = Handlers()
         self.handlers.on_stream(GatherShards)(self.gather)
         self.feed.serve(self.handlers)
@@ -180,6 +182,7 @@
             nursery.start_soon(serve_peers, self.handlers, [peer_listener])
             self.peers.start(self.background, self.handlers)
             self.quarantine.start(self.background, self.handlers)
+            self.permits.start(self.background, self.handlers)
             nursery.start_soon(self.feed.run, self.deployment, self.peers)
             self.background.repeat(self._remove_expired)
             self.background.repeat(self._preconnect)
@@ -451,6 +454,10 @@
         metrics.store_up.set({}, int(deployment.store_available_since is not None))
         metrics.state_age.set({}, self.feed.searchers_unknown_for)
         metrics.log_dropped.set({}, self.sink.dropped if self.sink else 0)
+        for part, ages in deployment.limit_ages(trio.current_time()).items():
+            labels = {"part": "own" if part else "none"}
+            metrics.limited_searchers.set(labels, len(ages))
+            metrics.limit_age.set(labels, max(ages, default=0.0))
         for task, count in self.background.failed.items():
             metrics.tasks_failed.set({"task": task}, count)
         for kind, calls in self.feed.calls.items():
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -1,7 +1,7 @@
 """State of the deployment as one instance knows it: configuration, searchers, instances, store."""
 
 import math
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 from ..decide.cold_start import ColdLimits, Fleet
@@ -87,6 +87,8 @@
         self._extras: dict[str, ExtraWindow] = {}
         self._latency: dict[str, RecentLatency] = {}
         self._splits: dict[str, SmoothSplit] = {}
+        #: Called if a request waits for a permit of another instance.
+        self.permit_needed: Callable[[Searcher], None] = lambda searcher: None
         #: Time at which a searcher was last found to take only a limited rate of requests.
         self._restricted_at = -math.inf
 
@@ -336,9 +338,29 @@
 
     def wait(self, searcher: Searcher, now: float) -> float:
         """Return the seconds for which a searcher has stated to take no request."""
-        if not searcher.pacer.restricts(now):
+        pacer = searcher.pacer
+        if not pacer.restricts(now):
             return 0.0
-        return searcher.pacer.wait(self._terms(searcher), now)
+        terms = self._terms(searcher)
+        if pacer.needs_permit(terms, now):
+            self.permit_needed(searcher)
+        return pacer.wait(terms, now)
+
+    def lend(self, searcher: Searcher, now: float) -> bool:
+        """Return whether another instance may send a request to a searcher, and count it if so."""
+        return searcher.pacer.lend(self._terms(searcher), now)
+
+    def limit_ages(self, now: float) -> dict[bool, list[float]]:
+        """Return the ages in seconds of the limits that searchers have stated.
+
+        They are listed by whether this instance has a part of the rate.
+        """
+        ages: dict[bool, list[float]] = {True: [], False: []}
+        for searcher in self.searchers.values():
+            if searcher.pacer.limit is not None:
+                part = math.isfinite(self._terms(searcher).senders)
+                ages[part].append(now - searcher.pacer.heard_at)
+        return ages
 
     def restricted(self, now: float) -> bool:
         """Return whether a searcher took only a limited rate of requests some seconds ago."""
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -41,6 +41,14 @@
             "searchers_unknown_seconds",
             "Time in which changes of searchers may have been missed",
         )
+        self.limited_searchers = self.add(
+            Gauge,
+            "limited_searchers",
+            "Searchers that state a rate, by whether this instance has a part of it",
+        )
+        self.limit_age = self.add(
+            Gauge, "limit_age_seconds", "Time since the oldest of these statements was heard"
+        )
         self.tasks_failed = self.add(
             Counter, "tasks_failed_total", "Tasks that ended by an unexpected error, by function"
         )
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -317,7 +317,7 @@
         if limit != self.pacer.limit:
             before = self.pacer.limit
             event("searcher.limit", searcher=self.record.searcher, limit=limit, before=before)
-            self.pacer.set_limit(limit, now)
+        self.pacer.set_limit(limit, now)
         pause = _amount(headers.get("retry-after"))
         if response.status == BUSY and pause:
             self.pacer.pause(pause, now)
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -12,6 +12,7 @@
     "ActionResult",
     "BeginTrial",
     "BlockedRequest",
+    "BorrowPermit",
     "Cancel",
     "Document",
     "DocumentRevision",
@@ -25,6 +26,7 @@
     "Heartbeat",
     "HeartbeatAck",
     "KnownLosses",
+    "KnownRate",
     "Message",
     "Pull",
     "Quarantined",
@@ -412,3 +414,31 @@
     """Tells an instance of requests that may not be sent to searchers any more."""
 
     requests: tuple[BlockedRequest, ...]
+
+
+@message(24)
+class BorrowPermit(NamedTuple):
+    """Asks for a permit to send one request to a searcher that takes a limited rate of them.
+
+    The other fields say what the sender knows of that rate, as in `KnownRate`.
+    """
+
+    searcher: str
+    #: Unix milliseconds of the start of the searcher's process.
+    started: int
+    limit_milli: int = -1
+    heard_us: int = -1
+
+
+@message(25)
+class KnownRate(NamedTuple):
+    """What an instance knows of the rate that a searcher takes."""
+
+    #: Requests per 1,000 s; -1 if the searcher states no limit.
+    limit_milli: int = -1
+    #: Age of the searcher's answer that stated this; -1 if there was none.
+    heard_us: int = -1
+    #: Whether the receiver may send one request now.
+    lent: bool = False
+    #: Time after which another permit may be lent.
+    wait_us: int = 0
--- a/rattanrelay/wire/structs.py
+++ b/rattanrelay/wire/structs.py
@@ -173,4 +173,16 @@
         (7, 10, "unknown_us"),
     ),
     "Quarantined": ((1, ("BlockedRequest",), "requests"),),
+    "BorrowPermit": (
+        (1, 11, "searcher"),
+        (2, 10, "started"),
+        (3, 10, "limit_milli"),
+        (4, 10, "heard_us"),
+    ),
+    "KnownRate": (
+        (1, 10, "limit_milli"),
+        (2, 10, "heard_us"),
+        (3, 2, "lent"),
+        (4, 10, "wait_us"),
+    ),
 }
--- a/tests/relay/pacing.feature
+++ b/tests/relay/pacing.feature
@@ -31,6 +31,27 @@
     When clients send 30 requests a second for 4 s, and for 4 s after the searchers state none
     Then all requests of the last 3 s are answered
 
+  Scenario Outline: All instances serve again after searchers have stated a rate that is too low to divide
+    Guards against an instance without a part of the rate that refuses a service for good, since only
+    answers tell it that the searchers take all requests again.
+    Given <count> instances in 2 domains, and <searchers> searchers of a service that state a rate of <rate>
+    When clients of <callers> ask for 10 s, and for 12 s after the searchers state none
+    Then all requests of the last 5 s are answered at each instance that was asked
+    And no searcher got over 1.5 times its rate and 5 requests in 4 s while it stated it
+
+    Examples:
+      | count | searchers | rate | callers                    |
+      | 9     | 2         | 1    | all instances              |
+      | 9     | 1         | 1    | all instances              |
+      | 9     | 3         | 0    | all instances              |
+      | 12    | 2         | 5    | all instances              |
+      | 9     | 1         | 1    | one instance without a part |
+
+  Scenario: An instance serves again although those with a part of the rate are gone
+    Given 6 instances in 2 domains, and 1 searchers of a service that state a rate of 1
+    When the instance with a part ends, and clients of one instance without a part ask until 45 s after the searchers state none
+    Then all requests of the last 5 s are answered at each instance that was asked
+
   Scenario: A searcher that states a rate of 0 is asked again when it takes requests
     Given a service with 1 searchers that states a rate of "0"
     When a client asks 4 times, and once each second for 12 s after the searcher states none
--- a/tests/steps/pacing_steps.py
+++ b/tests/steps/pacing_steps.py
@@ -6,6 +6,7 @@
 from behave import given, then, when
 from relay_steps import build, one_service
 
+from rattanrelay.decide.ownership import ranked
 from tests.harness.relay_world import StandInSearcher, run_on_mock_clock
 
 INSTANCES = [(f"entry-{number}", "ab"[number % 2]) for number in range(6)]
@@ -240,3 +241,98 @@
 def asked_again(context):
     assert context.before <= 2, context.before
     assert context.last.status == 200, context.last
+
+
+@given(
+    "{count:d} instances in 2 domains, and {number:d} searchers of a service that state a rate "
+    "of {rate}"
+)
+def limited_service(context, count, number, rate):
+    names = [(f"entry-{number}", "ab"[number % 2]) for number in range(count)]
+    searchers = [StandInSearcher(f"s{index}", "svc", "ab"[index % 2]) for index in range(number)]
+    build(context, searchers, instances=names)
+    for searcher in searchers:
+        searcher.limit = rate
+    context.rate = float(rate)
+    context.world.route("load", service="svc", target_latency_ms=400)
+
+
+def _with_part(context):
+    """Return the names of the instances that have a part of the first searcher's rate."""
+    names = list(context.world.domains)
+    return ranked(names, context.searchers[0].name)[: max(1, int(context.rate))]
+
+
+async def _ask_steadily(context, world, names, seconds):
+    """Let a client of each instance ask twice a second, whatever the answers."""
+    until = trio.current_time() + seconds
+
+    async def client(at):
+        await trio.sleep(0.02 * names.index(at))
+        while trio.current_time() < until:
+            _, response = await world.ask("load", at=at)
+            context.replies.append((trio.current_time(), at, response.status))
+            await trio.sleep(0.5)
+
+    async with trio.open_nursery() as clients:
+        for name in names:
+            clients.start_soon(client, name)
+
+
+async def _while_limited_and_after(context, world, names, first, second):
+    context.replies = []
+    await _ask_steadily(context, world, names, first)
+    for searcher in context.searchers:
+        searcher.limit = ""
+    context.limit_ended = trio.current_time()
+    await _ask_steadily(context, world, names, second)
+    context.ended = trio.current_time()
+
+
+@when(
+    "clients of {callers} ask for {first:g} s, and for {second:g} s after the searchers state none"
+)
+def ask_while_limited(context, callers, first, second):
+    async def scenario():
+        async with context.world.open() as world:
+            await trio.sleep(1.0)
+            names = list(world.daemons)
+            if callers != "all instances":
+                names = [name for name in names if name not in _with_part(context)][:1]
+            await _while_limited_and_after(context, world, names, first, second)
+
+    run_on_mock_clock(scenario)
+
+
+@when(
+    "the instance with a part ends, and clients of one instance without a part ask until "
+    "{second:g} s after the searchers state none"
+)
+def ask_without_part(context, second):
+    async def scenario():
+        async with context.world.open() as world:
+            await trio.sleep(1.0)
+            (gone,) = _with_part(context)
+            name = next(name for name in world.daemons if name != gone)
+            await world.ask("load", at=name)
+            world.kill(gone)
+            await _while_limited_and_after(context, world, [name], 10.0, second)
+
+    run_on_mock_clock(scenario)
+
+
+@then("all requests of the last {seconds:g} s are answered at each instance that was asked")
+def answered_everywhere(context, seconds):
+    last = [reply for reply in context.replies if reply[0] > context.ended - seconds]
+    refused = {at: status for _, at, status in last if status != 200}
+    asked = {at for _, at, _ in context.replies}
+    assert not refused and {at for _, at, _ in last} == asked, refused
+
+
+@then("no searcher got over 1.5 times its rate and 5 requests in 4 s while it stated it")
+def within_stated_rate(context):
+    for searcher in context.searchers:
+        times = [at for at, _ in searcher.arrivals if at < context.limit_ended]
+        times = [at for at in times if at > times[0] + 1.0]
+        most = max((sum(at <= other < at + WINDOW_S for other in times) for at in times), default=0)
+        assert most <= 1.5 * context.rate * WINDOW_S + 5, (searcher.name, most)
