Count a connection when its searcher is chosen, and let requests wait in order for one

The limit of connections was compared with a count that rose only when the task of the request ran, so requests that arrived together all passed; the instances together had more connections than the searchers accept, which reset the others. And a request that needs a new connection found none while idle ones filled the limit. Ruled out: the load (slots were free, most connections idle) and the limit itself (9 x 2 of 26).

Change: _launch reserves the connection at the choice, and one that is to be opened replaces an idle one at the limit. Connections beyond the limit are closed when they become idle. A request beyond the limit waits, and is sent as soon as a connection is free, in the order of arrival, in place of only polling with growing pauses. The check for an ended searcher and the connection in advance counted after the check too; they keep to the limit now. Only the new connection that replaces a silent one may exceed it, by one, until that is closed.

--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -184,6 +184,7 @@
             self.quarantine.start(self.background, self.handlers)
             self.permits.start(self.background, self.handlers)
             nursery.start_soon(self.feed.run, self.deployment, self.peers)
+            self.background.repeat(self.deployment.connections.run)
             self.background.repeat(self._remove_expired)
             self.background.repeat(self._preconnect)
             self.background.repeat(self._watch_settings)
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -2,6 +2,7 @@
 
 import math
 from collections.abc import Callable, Iterator
+from functools import partial
 from typing import NamedTuple
 
 from ..decide.cold_start import ColdLimits, Fleet
@@ -12,6 +13,7 @@
 from ..decide.split import SmoothSplit
 from ..decide.timing import RecentLag, RecentLatency, RecentRate
 from ..log import event
+from .connections import ConnectionQueue
 from .model import Catalog, HeaderNames, Route, SearcherRecord, ServiceRow
 from .searchers import CONNECTION_SHARE, Searcher
 
@@ -87,6 +89,8 @@
         self._extras: dict[str, ExtraWindow] = {}
         self._latency: dict[str, RecentLatency] = {}
         self._splits: dict[str, SmoothSplit] = {}
+        #: Requests that wait for a connection.
+        self.connections = ConnectionQueue()
         #: Called if a request waits for a permit of another instance.
         self.permit_needed: Callable[[Searcher], None] = lambda searcher: None
         #: Time at which a searcher was last found to take only a limited rate of requests.
@@ -126,6 +130,7 @@
         if known is not None:
             self._remove(known, "restarted", now)
         searcher = Searcher(record, self.names, now)
+        searcher.freed = partial(self.connections.freed, record.service)
         self.searchers[record.searcher] = searcher
         if self.searchers_listed and record.service not in self.by_service:
             self.new_services.add(record.service)
@@ -231,16 +236,15 @@
         """Number of failure domains with instances."""
         return len({*self._domains.values(), self.domain})
 
-    def usable(self, service: str, now: float, *, new_connection: bool = False) -> list[Searcher]:
+    def usable(self, service: str, now: float) -> list[Searcher]:
         """Return the searchers of a service to which a request can be sent now."""
-        row = self.catalog.services.get(service) if self.catalog else None
-        limit = self.connection_limit(row)
+        limit = self.connections_to(service)
         return [
             searcher
             for searcher in self.by_service.get(service, ())
             if searcher.usable(now)
             and searcher.record.domain not in self.excluded_domains
-            and searcher.connection_available(limit, new_connection=new_connection)
+            and searcher.connection_available(limit)
             and self._pacer_allows(searcher, now)
         ]
 
@@ -271,6 +275,10 @@
             return None
         return self.searchers[shared_searcher(domains, domain, request_id)]
 
+    def connections_to(self, service: str) -> int:
+        """Return how many connections this instance may have to each searcher of a service."""
+        return self.connection_limit(self.catalog.services.get(service) if self.catalog else None)
+
     def connection_limit(self, row: ServiceRow | None) -> int:
         """Return how many connections this instance may have to each searcher of a service.
 
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -30,11 +30,12 @@
     silence_delay,
 )
 from ..errors import RelayError
-from ..http import Response
+from ..http import HttpConnection, Response
 from ..log import event, traceback
 from ..wire import GatheredPart, GatheredParts, GatherShards, HeaderField
 from ..wire.link import Emit
 from .background import Background
+from .connections import Retry
 from .deployment import DeploymentState
 from .metrics import RelayMetrics
 from .model import Route
@@ -302,11 +303,13 @@
             self._hold_quarantined(shard, now)
             return False
         searcher = again or self._choose(shard, now)
+        deployment = self.deployment
         if searcher is None:
             if not hedge:
                 self._schedule_retry(shard, now)
+                retry = partial(self._retry_waiting, shard)
+                deployment.connections.add(shard.service, shard, retry)
             return False
-        deployment = self.deployment
         window = deployment.extra_window(shard.service)
         limits = deployment.bounds.extra
         extra = shard.reached
@@ -328,9 +331,13 @@
         scope = trio.CancelScope()
         number = shard.sends
         shard.in_flight[number] = scope
-        send = partial(self._send, new_connection=again is not None)
-        self.background.start_soon(send, shard, number, searcher, scope, hedge, extra)
-        if self.sub.idempotent and again is None and searcher.has_idle(now):
+        connection = searcher.reserve(
+            deployment.connections_to(shard.service), reuse=self.sub.idempotent and again is None
+        )
+        self.background.start_soon(
+            self._send, shard, number, searcher, scope, hedge, extra, connection
+        )
+        if connection is not None:
             shard.kept[number] = searcher
             delay = silence_delay(self.latency.median)
             self._schedule(now + delay, partial(self._suspect_connection, shard, number))
@@ -364,16 +371,13 @@
         scope: trio.CancelScope,
         hedge: bool,
         extra: bool,
-        *,
-        new_connection: bool,
+        connection: HttpConnection | None,
     ) -> None:
         started = trio.current_time()
         outcome = None
         with scope:
             try:
-                outcome = await searcher.exchange(
-                    self.sub, self.latency.median, scope, new_connection=new_connection
-                )
+                outcome = await searcher.exchange(self.sub, self.latency.median, scope, connection)
             except Exception as error:
                 event("subrequest.failed", request=self.sub.request_id, reason=traceback(error))
                 outcome = Outcome("lost", "internal")
@@ -485,7 +489,7 @@
 
     def _choose(self, shard: _Shard, now: float) -> Searcher | None:
         new_connection = not self.sub.idempotent
-        usable = self.deployment.usable(shard.service, now, new_connection=new_connection)
+        usable = self.deployment.usable(shard.service, now)
         usable = shard.permitted(usable, self.route.attempts)
         if len(shard.tried) >= self.route.attempts:
             usable = [searcher for searcher in usable if searcher in shard.tried]
@@ -712,6 +716,17 @@
         if shard.answer is None and not shard.exhausted and not shard.in_flight:
             self._launch(shard, now)
 
+    def _retry_waiting(self, shard: _Shard, now: float) -> Retry:
+        """Send the request of a shard that waits for a connection, if one is free."""
+        done = self.closed or shard.answer is not None or shard.exhausted or shard.delegated
+        if done or shard.in_flight:
+            return Retry.DONE
+        if self._choose(shard, now) is None:
+            return Retry.WAITING
+        self._launch(shard, now)
+        self._wake.set()
+        return Retry.SENT
+
     def _schedule(self, when: float, action: Callable[[float], None]) -> None:
         heapq.heappush(self._timers, (when, next(self._timer_order), action))
         # Another task may set a timer while the request's task sleeps until a later one.
@@ -725,6 +740,8 @@
 
     def _close(self) -> None:
         self.closed = True
+        for shard in self.shards:
+            self.deployment.connections.remove(shard.service, shard)
         if self.succeeded:
             self.quarantine.record_answer(self.sub)
         if not self.sub.idempotent:
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -2,6 +2,7 @@
 
 import errno
 import math
+from collections.abc import Callable
 from typing import Literal, NamedTuple
 
 import trio
@@ -33,6 +34,8 @@
 LONGEST_BACKOFF_S = 2.0
 #: Time in seconds for which a refused connection shows that a searcher has ended.
 REFUSAL_VALID_S = 0.5
+#: Time in seconds in which the other connections of a searcher that has ended break as well.
+END_CHECK_WAIT_S = 0.02
 #: Status with which a searcher turns a request away.
 BUSY = 503
 #: Status with which another searcher at the same address refuses a request.
@@ -114,8 +117,12 @@
         self.failures_in_row = 0
         self.estimate = Estimate()
         self.connect_time = INITIAL_CONNECT_TIME_S
-        #: Number of open connections, idle ones included.
+        #: Number of connections that are open or reserved for a request, idle ones included.
         self.open_connections = 0
+        #: Most connections that this instance may have, from its last reservation.
+        self.connection_limit = 1
+        #: Called when a connection becomes idle or is closed.
+        self.freed: Callable[[], None] = lambda: None
         #: Whether opening a connection in advance has been tried.
         self.preconnected = False
         #: Time after which each request in flight is overdue, by a number for each request.
@@ -155,25 +162,38 @@
             entry_missing=self.grace_until is not None,
         )
 
-    def connection_available(self, limit: int, *, new_connection: bool) -> bool:
-        """Return whether a connection is idle, or another one may be opened within `limit`."""
-        return (bool(self._idle) and not new_connection) or self.open_connections < limit
+    def connection_available(self, limit: int) -> bool:
+        """Return whether a connection is idle, or another one may be opened within `limit`.
 
-    def has_idle(self, now: float) -> bool:
-        """Return whether a request can be sent on a kept connection."""
-        return any(idle.until > now for idle in self._idle)
+        A request that needs a new connection replaces an idle one.
+        """
+        return bool(self._idle) or self.open_connections < limit
+
+    def reserve(self, limit: int, *, reuse: bool) -> HttpConnection | None:
+        """Take an idle connection for a request, or count one that the request will open.
+
+        Counted when the searcher is chosen, since requests that arrive together are all sent before
+        the first of their connections is open.
+        """
+        self.connection_limit = limit
+        connection = self._reuse_idle() if reuse else None
+        if connection is None:
+            if self.open_connections >= limit and self._idle:
+                self._close(self._idle.pop(0).connection)
+            self.open_connections += 1
+        return connection
 
     async def exchange(
         self,
         sub: SubRequest,
         median_latency: float,
         scope: trio.CancelScope,
-        *,
-        new_connection: bool = False,
+        connection: HttpConnection | None,
     ) -> Outcome:
         """Send a request and classify the response; raises nothing but `trio.Cancelled`.
 
-        It runs in `scope`, whose deadline becomes that of the request before the request is sent.
+        `connection` is what `reserve` returned. The request runs in `scope`, whose deadline becomes
+        that of the request before the request is sent.
         """
         started = trio.current_time()
         token = self._next_token = self._next_token + 1
@@ -181,7 +201,7 @@
             median_latency, self.estimate.expected_latency(median_latency, started)
         )
         try:
-            outcome = await self._exchange(sub, scope, new_connection=new_connection)
+            outcome = await self._exchange(sub, scope, connection)
         except trio.Cancelled:
             now = trio.current_time()
             if now - started >= silence_delay(median_latency):
@@ -201,6 +221,9 @@
 
     async def preconnect(self) -> None:
         """Open a connection in advance; after a failure the searcher is avoided for a time."""
+        if self.open_connections:
+            return
+        self.open_connections += 1
         try:
             connection = await self._connect()
         except RelayError as error:
@@ -214,6 +237,9 @@
         async with self._end_check:
             if trio.current_time() - self.refused_at < REFUSAL_VALID_S:
                 return True
+            if not await self._can_open():
+                return False
+            self.open_connections += 1
             try:
                 connection = await self._connect()
             except RelayError:
@@ -222,6 +248,19 @@
         self._release(connection, None)
         return False
 
+    async def _can_open(self) -> bool:
+        """Return whether a connection may be opened for a check, in place of an idle one.
+
+        If the limit is used up by requests, wait for those whose connections have ended as well.
+        """
+        for pause in (0.0, END_CHECK_WAIT_S):
+            await trio.sleep(pause)
+            if self._idle and self.open_connections >= self.connection_limit:
+                self._close(self._idle.pop(0).connection)
+            if self.open_connections < self.connection_limit:
+                return True
+        return False
+
     def close_idle(self, unused_since: float = math.inf) -> None:
         """Close the idle connections without a response since a time, or all of them."""
         idle, self._idle = self._idle, []
@@ -235,16 +274,20 @@
         """Close the idle connections that have expired or were closed by the searcher."""
         kept = []
         for idle in self._idle:
-            if idle.until > now and not idle.connection.stale():
+            if idle.until > now and not idle.connection.stale() and not self._over_limit:
                 kept.append(idle)
             else:
                 self._close(idle.connection)
         self._idle = kept
 
+    @property
+    def _over_limit(self) -> bool:
+        """Whether there are more connections than allowed, as after the start of an instance."""
+        return self.open_connections > self.connection_limit
+
     async def _exchange(
-        self, sub: SubRequest, scope: trio.CancelScope, *, new_connection: bool
+        self, sub: SubRequest, scope: trio.CancelScope, connection: HttpConnection | None
     ) -> Outcome:
-        connection = self._reuse_idle() if sub.idempotent and not new_connection else None
         reused = connection is not None
         if connection is None:
             try:
@@ -345,22 +388,22 @@
         return None
 
     async def _connect(self) -> HttpConnection:
-        self.open_connections += 1
+        """Open a connection that has been counted; one that fails is no longer counted."""
         started = trio.current_time()
         try:
             with trio.fail_after(CONNECT_TIMEOUT_S):
                 connection = await HttpConnection.open(self.record.host, self.record.port)
         except trio.TooSlowError:
-            self.open_connections -= 1
+            self._uncount()
             text = f"no answer in {CONNECT_TIMEOUT_S} s"
             raise RelayError("connect_failed", text, peer=self.record.searcher) from None
         except RelayError as error:
-            self.open_connections -= 1
+            self._uncount()
             if getattr(error.__cause__, "errno", None) == errno.ECONNREFUSED:
                 self.refused_at = trio.current_time()
             raise
         except BaseException:
-            self.open_connections -= 1
+            self._uncount()
             raise
         self.failures_in_row = 0
         self.paused_until = 0.0
@@ -374,15 +417,20 @@
             return
         stated_timeout = _idle_timeout(keep_alive)
         lifetime = IDLE_TIMEOUT_S if stated_timeout is None else stated_timeout - IDLE_MARGIN_S
-        if lifetime <= 0.0:
+        if lifetime <= 0.0 or self._over_limit:
             self._close(connection)
             return
         now = trio.current_time()
         self._idle.append(_Idle(connection, now, now + lifetime))
+        self.freed()
 
     def _close(self, connection: HttpConnection) -> None:
-        self.open_connections -= 1
         connection.close_now()
+        self._uncount()
+
+    def _uncount(self) -> None:
+        self.open_connections -= 1
+        self.freed()
 
 
 def _amount(text: str | None) -> float | None:
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -2,6 +2,8 @@
 
 import base64
 import random
+import socket
+import struct
 from collections import Counter
 from contextlib import asynccontextmanager
 from functools import partial
@@ -281,6 +283,11 @@
         self.arrivals: list[tuple[float, str]] = []
         self.requests: list[Request] = []
         self.connections = 0
+        #: Connections that it accepts at the same time, 0 for any number, those that are open, and
+        #: the number of those that it has reset.
+        self.max_connections = 0
+        self.open_connections = 0
+        self.resets = 0
         #: Time in seconds for which a new connection occupies it, and the timeout that it states.
         self.connect_time = 0.0
         self.keep_alive = 0
@@ -343,14 +350,22 @@
 
     async def _connection(self, stream: trio.SocketStream) -> None:
         self.connections += 1
+        if self.max_connections and self.open_connections >= self.max_connections:
+            self.resets += 1
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+            stream.socket.close()
+            return
         wire = h11.Connection(h11.SERVER)
-        await trio.sleep(self.connect_time)
+        self.open_connections += 1
         try:
+            await trio.sleep(self.connect_time)
             async with stream:
                 while await self._one(stream, wire):
                     wire.start_next_cycle()
         except (trio.BrokenResourceError, h11.ProtocolError):
             pass
+        finally:
+            self.open_connections -= 1
 
     async def _one(self, stream: trio.SocketStream, wire: h11.Connection) -> bool:
         head, body = None, b""
@@ -479,6 +494,8 @@
         self.scopes: dict[str, trio.CancelScope] = {}
         self.version = 1
         self.routes: list[dict] = []
+        #: Fields of all services in the configuration.
+        self.service_fields: dict = {}
         self.bounds = BOUNDS
         #: Speed of the processor of each instance, in cores.
         self.cores = 1.0
@@ -516,7 +533,8 @@
         self.version += 3
         services = {searcher.service for searcher in self.searchers.values()}
         rows = [
-            {"name": name, "max_connections": 30, "warmup_per_s": 0.0, **service_fields}
+            {"name": name, "max_connections": 30, "warmup_per_s": 0.0}
+            | {**self.service_fields, **service_fields}
             for name in sorted(services)
         ]
         document = {"version": self.version, "routes": self.routes, "services": rows}
