Leave out entries of searchers that lack a field

Cause: zone, concurrency and warmup_left_ms had defaults, and version and sequence were not read, so an entry of another writer named a usable searcher. Only born stays optional: the example of an entry on the protocol's page has none.

Before: 8 of 9 new rows of platform/documents failed. After: all pass.

--- a/rattanrelay/platform/documents.py
+++ b/rattanrelay/platform/documents.py
@@ -100,14 +100,18 @@
 
 
 class _Entry(msgspec.Struct):
+    """Entry of a searcher, which has all fields; one that lacks a field is of another writer."""
+
     service: Annotated[str, msgspec.Meta(min_length=1)]
     address: str
     state: str
-    zone: str = ""
+    zone: Annotated[str, msgspec.Meta(min_length=1)]
+    version: str
     #: Number of requests that the searcher runs concurrently.
-    concurrency: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)] = 1
+    concurrency: Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
     #: Time for which the searcher stays cold.
-    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)] = 0.0
+    warmup_left_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]
+    sequence: int
     #: Unix milliseconds of the start of the process.
     born: Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)] = 0
 
--- a/tests/platform/documents.feature
+++ b/tests/platform/documents.feature
@@ -38,6 +38,18 @@
       | bytes that are no text                   |
       | no state                                 |
 
+    Examples: An entry without its failure domain got requests while that domain was out
+      | what                                     |
+      | no zone                                  |
+      | an empty zone                            |
+      | a zone that is a number                  |
+      | no concurrency                           |
+      | no warmup                                |
+      | no version                               |
+      | a version that is a number               |
+      | no sequence                              |
+      | a sequence that is text                  |
+
   Scenario: Usual entries are read
     Then entries with IPv4, IPv6 and host name addresses are read
 
--- a/tests/steps/platform_documents_steps.py
+++ b/tests/steps/platform_documents_steps.py
@@ -11,6 +11,7 @@
     "service": "svc",
     "address": "10.0.0.1:80",
     "zone": "a",
+    "version": "v1",
     "concurrency": 2,
     "state": "ready",
     "warmup_left_ms": 0,
@@ -64,6 +65,15 @@
     "an empty key": ("", entry()),
     "bytes that are no text": ("i-1", b"\xff\xfe\x00"),
     "no state": ("i-1", entry(state=None)),
+    "no zone": ("i-1", entry(zone=None)),
+    "an empty zone": ("i-1", entry(zone="")),
+    "a zone that is a number": ("i-1", entry(zone=3)),
+    "no concurrency": ("i-1", entry(concurrency=None)),
+    "no warmup": ("i-1", entry(warmup_left_ms=None)),
+    "no version": ("i-1", entry(version=None)),
+    "a version that is a number": ("i-1", entry(version=1)),
+    "no sequence": ("i-1", entry(sequence=None)),
+    "a sequence that is text": ("i-1", entry(sequence="1")),
 }
 
 
