Take a searcher for cold from the end of its process until its new entry is read

Cause: requests reach the new process before its entry is read (a pause of 0.15 to 0.6 s, longer behind readers), and the entry of its predecessor knows no limit. The new state then began with an empty window, so that as many came once more.

Change: a refused connection shows that the process has ended; the searcher counts as cold from then on for 5 s or until an entry tells, the window of its predecessor is taken over, and requests that no connection took are not counted. Only services that state warmup_per_s are affected.

--- a/rattanrelay/decide/cold_start.py
+++ b/rattanrelay/decide/cold_start.py
@@ -43,6 +43,11 @@
         """Count a request."""
         self.sent.append(now)
 
+    def refund(self) -> None:
+        """Remove the request that was counted last, if any."""
+        if self.sent:
+            self.sent.pop()
+
 
 class Fleet(NamedTuple):
     """This instance and the names of all instances that it knows."""
--- a/rattanrelay/decide/pacing.py
+++ b/rattanrelay/decide/pacing.py
@@ -38,6 +38,9 @@
 #: Time in seconds without an answer of a searcher after which an instance that can borrow from no
 #: other one sends a request without a permit.
 UNHEARD_S = 30.0
+#: Time in seconds for which a searcher whose process has ended may be back and cold before this
+#: instance has read its new entry.
+UNKNOWN_START_S = 5.0
 
 
 class RateShare(NamedTuple):
@@ -119,6 +122,10 @@
         """Send nothing for some seconds; a longer pause stays in force."""
         self.resumes_at = max(self.resumes_at, now + min(seconds, MAX_PAUSE_S))
 
+    def record_process_end(self, now: float) -> None:
+        """Take the searcher for cold until its new entry tells, since its process has ended."""
+        self.cold_until = max(self.cold_until, now + UNKNOWN_START_S)
+
     def set_limit(self, limit: float | None, now: float, heard_at: float | None = None) -> None:
         """Apply the rate that an answer states, or that it states none.
 
@@ -207,6 +214,10 @@
         if now < self.cold_until:
             self.cold_window.send(now)
 
+    def refund_cold_send(self) -> None:
+        """Count the last request to a cold searcher no more, since it was never sent."""
+        self.cold_window.refund()
+
     def _may_borrow(self, now: float) -> bool:
         return not self.borrowing and now >= self.next_borrow_at
 
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -132,6 +132,9 @@
             self._remove(known, "restarted", now)
         searcher = Searcher(record, self.names, now)
         searcher.freed = partial(self.connections.freed, record.service)
+        if known is not None:
+            # Requests that the new process has got before its entry was read count as well.
+            searcher.pacer.cold_window = known.pacer.cold_window
         self.searchers[record.searcher] = searcher
         if self.searchers_listed and record.service not in self.by_service:
             self.new_services.add(record.service)
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -401,6 +401,7 @@
             self.background.start_soon(record, self.sub, searcher, lambda: self.succeeded > 0)
         if not outcome.reached:
             self._refund_unsent(shard, extra)
+            searcher.pacer.refund_cold_send()
         if not self.closed:
             self._record_outcome(shard, outcome)
             self._wake.set()
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -404,6 +404,7 @@
             self._uncount()
             if getattr(error.__cause__, "errno", None) == errno.ECONNREFUSED:
                 self.refused_at = trio.current_time()
+                self.pacer.record_process_end(self.refused_at)
             raise
         except BaseException:
             self._uncount()
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -305,6 +305,10 @@
         self.fatal_path = ""
         self.down = 2.0
         self.ends: list[float] = []
+        #: Time in milliseconds for which it is cold when it has started again, and the time in
+        #: seconds until its new entry is in the store.
+        self.cold_ms = 0
+        self.entry_delay = 0.0
         self._process = trio.CancelScope()
 
     def entry(self, **changes) -> dict:
@@ -333,16 +337,22 @@
         started = False
         while True:
             listeners = await trio.open_tcp_listeners(self.port, host=HOST)
-            if not started:
-                started = True
-                task_status.started()
-            elif store is not None:
-                self.born += 1
-                store.write(f"servers/{self.name}", self.entry())
-            with trio.CancelScope() as self._process:
-                await trio.serve_listeners(self._connection, listeners)
+            async with trio.open_nursery() as nursery:
+                if not started:
+                    started = True
+                    task_status.started()
+                elif store is not None:
+                    self.born += 1
+                    nursery.start_soon(self._write_entry, store)
+                with trio.CancelScope() as self._process:
+                    await trio.serve_listeners(self._connection, listeners)
+                nursery.cancel_scope.cancel()
             await trio.sleep(self.down)
 
+    async def _write_entry(self, store: StandInStore) -> None:
+        await trio.sleep(self.entry_delay)
+        store.write(f"servers/{self.name}", self.entry(warmup_left_ms=self.cold_ms))
+
     def end(self) -> None:
         """End the process with all its connections; it starts again `down` seconds later."""
         self.ends.append(trio.current_time())
--- a/tests/relay/pacing.feature
+++ b/tests/relay/pacing.feature
@@ -88,3 +88,10 @@
       | -1    |
       | 1e999 |
       | many  |
+
+  Scenario: Searchers that come back cold under their names get no more than cold ones take
+    Guards against requests that waited for a searcher and flood it before its new entry is read.
+    Given 6 instances in 2 domains, and 3 searchers that take 4 requests a second while they are cold
+    When they end under a load of 120 requests a second, and are back after 3 s, with an entry 0.6 s later
+    Then none of them gets more than 11 requests in one second while it is cold
+    And they get at least 6 requests a second then, and all requests are answered at the end
--- a/tests/steps/pacing_steps.py
+++ b/tests/steps/pacing_steps.py
@@ -12,6 +12,8 @@
 INSTANCES = [(f"entry-{number}", "ab"[number % 2]) for number in range(6)]
 #: Length in seconds of the windows in which requests to a searcher are counted.
 WINDOW_S = 4.0
+#: Time in milliseconds for which a searcher is cold after it has started again.
+COLD_MS = 5000
 
 
 @given(
@@ -336,3 +338,57 @@
         times = [at for at in times if at > times[0] + 1.0]
         most = max((sum(at <= other < at + WINDOW_S for other in times) for at in times), default=0)
         assert most <= 1.5 * context.rate * WINDOW_S + 5, (searcher.name, most)
+
+
+@given(
+    "6 instances in 2 domains, and 3 searchers that take {rate:g} requests a second while they "
+    "are cold"
+)
+def cold_service(context, rate):
+    searchers = [StandInSearcher(f"s{index}", "svc", "ab"[index % 2]) for index in range(3)]
+    build(context, searchers, instances=INSTANCES)
+    context.world.service_fields["warmup_per_s"] = rate
+    context.world.route("load", service="svc", target_latency_ms=400, timeout_ms=2000)
+
+
+@when(
+    "they end under a load of {rate:g} requests a second, and are back after {down:g} s, with an "
+    "entry {delay:g} s later"
+)
+def come_back_cold(context, rate, down, delay):
+    context.replies = []
+
+    async def scenario():
+        async with context.world.open() as world:
+            await trio.sleep(1.0)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_send_load, context, world, rate, 12.0, "to all instances")
+                await trio.sleep(1.0)
+                for searcher in context.searchers:
+                    searcher.down, searcher.entry_delay = down, delay
+                    searcher.cold_ms = COLD_MS
+                    searcher.end()
+                context.back = trio.current_time() + down
+                context.warm = context.back + COLD_MS / 1000
+
+    run_on_mock_clock(scenario)
+
+
+@then("none of them gets more than {most:d} requests in one second while it is cold")
+def cold_bounded(context, most):
+    for searcher in context.searchers:
+        times = [at for at, _ in searcher.arrivals if context.back <= at < context.warm]
+        counts = [sum(at <= other < at + 1.0 for other in times) for at in times]
+        assert max(counts, default=0) <= most, (searcher.name, max(counts))
+
+
+@then(
+    "they get at least {least:g} requests a second then, and all requests are answered at the end"
+)
+def cold_used(context, least):
+    times = [at for searcher in context.searchers for at, _ in searcher.arrivals]
+    cold = sum(context.back + 1.0 <= at < context.warm for at in times)
+    assert cold >= least * (context.warm - context.back - 1.0), cold
+    end = max(sent for sent, _, _, _ in context.replies)
+    statuses = [reply.status for sent, _, _, reply in context.replies if sent > end - 1.0]
+    assert len(statuses) > 50 and set(statuses) == {200}, statuses
