Refund only requests that were counted as ones to a cold searcher; keep connections to shards as before

By reading the change: a request that was sent before its searcher was known to have ended is not counted, so its refund took the count of another one. And connections to the searchers of shards, which few instances use, need not be closed by the instances that only take over.

--- a/rattanrelay/decide/pacing.py
+++ b/rattanrelay/decide/pacing.py
@@ -204,19 +204,17 @@
             or self.cold_window.allows(now, self.searcher, terms.cold_rate, terms.cold, terms.fleet)
         )
 
-    def record_send(self, terms: Terms, now: float) -> None:
-        """Count a request that is sent now."""
+    def record_send(self, terms: Terms, now: float) -> bool:
+        """Count a request that is sent now; return whether it counts as one to a cold searcher."""
         if math.isinf(terms.senders):
             self._borrowed_until = -math.inf
         elif self.limit is not None:
             self._permits = self._available(rate_share(self.limit, terms.senders), now) - 1.0
             self._updated = now
-        if now < self.cold_until:
-            self.cold_window.send(now)
-
-    def refund_cold_send(self) -> None:
-        """Count the last request to a cold searcher no more, since it was never sent."""
-        self.cold_window.refund()
+        if now >= self.cold_until:
+            return False
+        self.cold_window.send(now)
+        return True
 
     def _may_borrow(self, now: float) -> bool:
         return not self.borrowing and now >= self.next_borrow_at
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -286,14 +286,15 @@
     def keeps_connection(self, searcher: Searcher) -> bool:
         """Return whether this instance keeps idle connections to a searcher.
 
-        If more instances send to it than it accepts connections, the others close theirs.
+        If more instances send to it than it accepts connections, the others close theirs. Few
+        instances send to the searchers of a shard.
         """
         service = searcher.record.service
         row = self.catalog.services.get(service) if self.catalog else None
-        if row is None:
+        if row is None or service not in self.shared_services:
             return True
         connections = int(CONNECTION_SHARE * row.max_connections)
-        if self.own_shards.get(service, self.instances) <= connections:
+        if self.instances <= connections:
             return True
         return keeps_connection(searcher.record.searcher, max(1, connections), self.fleet)
 
@@ -393,10 +394,13 @@
         """Return whether a searcher took only a limited rate of requests some seconds ago."""
         return now - self._restricted_at < RESTRICTED_S
 
-    def record_send(self, searcher: Searcher, now: float) -> None:
-        """Count a request to a searcher that takes only a limited rate of them."""
-        if searcher.pacer.restricts(now):
-            searcher.pacer.record_send(self._terms(searcher), now)
+    def record_send(self, searcher: Searcher, now: float) -> bool:
+        """Count a request to a searcher that takes only a limited rate of them.
+
+        Return whether it counts as one to a cold searcher.
+        """
+        pacer = searcher.pacer
+        return pacer.restricts(now) and pacer.record_send(self._terms(searcher), now)
 
     def extra_window(self, service: str) -> ExtraWindow:
         """Return the budget window for the hedges and retries of a service."""
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -327,7 +327,7 @@
         self.sent += 1
         self.hedges += hedge
         self.retries += shard.sends > 1 and not hedge
-        deployment.record_send(searcher, now)
+        counted = deployment.record_send(searcher, now)
         scope = trio.CancelScope()
         number = shard.sends
         shard.in_flight[number] = scope
@@ -337,7 +337,7 @@
             keep=deployment.keeps_connection(searcher),
         )
         self.background.start_soon(
-            self._send, shard, number, searcher, scope, hedge, extra, connection
+            self._send, shard, number, searcher, scope, hedge, extra, counted, connection
         )
         if connection is not None:
             shard.kept[number] = searcher
@@ -373,6 +373,7 @@
         scope: trio.CancelScope,
         hedge: bool,
         extra: bool,
+        counted: bool,
         connection: HttpConnection | None,
     ) -> None:
         started = trio.current_time()
@@ -401,7 +402,8 @@
             self.background.start_soon(record, self.sub, searcher, lambda: self.succeeded > 0)
         if not outcome.reached:
             self._refund_unsent(shard, extra)
-            searcher.pacer.refund_cold_send()
+            if counted:
+                searcher.pacer.cold_window.refund()
         if not self.closed:
             self._record_outcome(shard, outcome)
             self._wake.set()
