Check callers' keys and send the workspace's name to searchers

Cause: a caller's key was passed on to every searcher, and requests whose key no configuration held were run (the relay knew neither keys nor workspaces). Change: the configuration's workspaces and digests of their keys are part of the catalog. A request on a route that is not public needs a known key, else it gets 401; the searcher gets the name of the workspace in place of the key. An instance that cannot prove that its configuration is recent refuses keyed requests with 503: proof comes from its own calls to the store, counted from their start, or from another instance, counted from the question.

--- a/rattanrelay/decide/refusal.py
+++ b/rattanrelay/decide/refusal.py
@@ -44,6 +44,9 @@
 QUARANTINED = register_reason("quarantined", 600.0)
 #: The searchers have stated that they take no more requests now.
 RATE_LIMITED = register_reason("rate_limited", 0.25)
+#: The configuration may be out of date, so that the key cannot be checked; another instance may be
+#: in touch with the store.
+UNVERIFIED_KEY = register_reason("unverified_key", 0.05)
 #: All connections to a service are in use.
 NO_CONNECTION = register_reason("no_connection", 0.05)
 
--- a/rattanrelay/platform/documents.py
+++ b/rattanrelay/platform/documents.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..decide.access import key_digest
 from ..errors import DECODE_ERRORS
 from ..relay import (
     Catalog,
@@ -15,6 +16,7 @@
     SearcherRecord,
     ServiceRow,
     SplitPart,
+    Workspace,
 )
 from ..settings import MAX_PORT
 
@@ -32,6 +34,8 @@
     leaving="server-leaving",
     part_signatures="x-rattanrelay-shard-stamps",
     missing_shards="x-rattanrelay-missing-shards",
+    api_key="api-key",
+    workspace="x-rattanrelay-tenant",
 )
 
 OPERATOR_PREFIX = "op/"
@@ -75,6 +79,8 @@
     gather: list[str] = []
     top_k: int = 0
     min_shard_ratio: float = 1.0
+    #: Whether callers need no key.
+    public: bool = False
 
 
 class _Service(msgspec.Struct):
@@ -85,6 +91,17 @@
     warmup_per_s: float = 0.0
 
 
+class _Tenant(msgspec.Struct):
+    """A workspace in the product's words."""
+
+    name: Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}\Z")]
+    api_keys: list[str] = []
+    priority: int | None = None
+    #: Requests per second through all instances together; 0 for no limit.
+    rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+
+
 class _Limits(msgspec.Struct):
     max_header_bytes: int = 16 * 1024
     max_body_bytes: int = 1024 * 1024
@@ -97,6 +114,8 @@
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    #: Missing if callers need no keys.
+    tenants: list[_Tenant] | None = None
 
 
 class _Entry(msgspec.Struct):
@@ -147,9 +166,19 @@
             limits.header_timeout_ms / 1000.0,
             limits.idle_timeout_ms / 1000.0,
         ),
+        workspaces=_workspaces(config.tenants),
+        keys={
+            key_digest(key): row.name for row in config.tenants or () for key in row.api_keys if key
+        },
     )
 
 
+def _workspaces(rows: list[_Tenant] | None) -> dict[str, Workspace] | None:
+    if rows is None:
+        return None
+    return {row.name: Workspace(row.name, row.priority, row.rate_per_s, row.burst) for row in rows}
+
+
 def searcher_record(key: str, value: bytes) -> SearcherRecord | None:
     """Decode the entry of a searcher; return None if it does not name one that can be used."""
     name = key.removeprefix(SEARCHER_PREFIX)
@@ -207,4 +236,5 @@
         shards=tuple(row.gather),
         top_k=row.top_k,
         min_share=row.min_shard_ratio,
+        public=row.public,
     )
--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -8,6 +8,7 @@
 import msgspec
 import trio
 
+from ..decide.access import proven_at
 from ..decide.canary import BLOCK_S, SharedEntry
 from ..decide.freshness import WatchPace, freshness_times
 from ..decide.missing_entries import unlisted_in_use
@@ -337,11 +338,12 @@
             backoff = follower_backoff if self.follows else reader_backoff
             pace.cycle = times.shared_cycle if self.is_reader else times.cycle
             known = sharing.revisions[prefix]
+            started, wait = trio.current_time(), pace.wait
             try:
                 if known is None:
                     page = await self.store.list(prefix)
                 else:
-                    page = await self.store.watch(prefix, known, pace.wait)
+                    page = await self.store.watch(prefix, known, wait)
             except HistoryGone:
                 event("store.history_gone", prefix=prefix, revision=known)
                 sharing.invalidate(prefix)
@@ -382,6 +384,10 @@
                 pace.record_changes(len(page.items), page.to_latest, batch)
             if pace.caught_up:
                 sharing.record_known(prefix)
+                if prefix == documents.OPERATOR_PREFIX:
+                    changed = known is None or bool(page.items)
+                    at = proven_at(started, trio.current_time(), wait, changed=changed)
+                    deployment.record_configuration_known(at)
             if pace.pause:
                 await trio.sleep(pace.pause)
 
--- a/rattanrelay/platform/settings.py
+++ b/rattanrelay/platform/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ..decide.access import RevocationBound
 from ..decide.cold_start import ColdLimits
 from ..decide.extra_window import ExtraLimits
 from ..errors import RelayError
@@ -43,6 +44,10 @@
     drain_ms: Amount = 3000.0
     #: Time from SIGTERM to SIGKILL.
     grace_s: Amount = 6.0
+    #: Time after the acknowledgement of a key's removal from which it must not be used.
+    revoke_ms: Duration = 5000.0
+    #: Whether that also holds for instances that cannot learn of the removal.
+    strict_revoke: bool = False
 
 
 class _Limits(msgspec.Struct):
@@ -99,6 +104,7 @@
             cold=ColdLimits(bounds.warmup_overshoot, bounds.warmup_slack),
             drain=bounds.drain_ms / 1000.0,
             stop_grace=bounds.grace_s,
+            revocation=RevocationBound(bounds.revoke_ms / 1000.0, bounds.strict_revoke),
         ),
         first_start=file.bootstrap,
         cores=file.limits.cpu_share * file.limits.cpu_cores,
--- a/rattanrelay/relay/__init__.py
+++ b/rattanrelay/relay/__init__.py
@@ -3,7 +3,16 @@
 from .clock import BootClock
 from .daemon import Feed, Listen, RelayDaemon, RelaySettings
 from .deployment import Bounds, DeploymentState
-from .model import Catalog, ClientLimits, HeaderNames, Route, SearcherRecord, ServiceRow, SplitPart
+from .model import (
+    Catalog,
+    ClientLimits,
+    HeaderNames,
+    Route,
+    SearcherRecord,
+    ServiceRow,
+    SplitPart,
+    Workspace,
+)
 from .peers import Instance, Peer, Peers
 from .sharing import Change, Item, StoreSharing
 
@@ -28,4 +37,5 @@
     "ServiceRow",
     "SplitPart",
     "StoreSharing",
+    "Workspace",
 ]
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -7,8 +7,9 @@
 
 import trio
 
+from ..decide.access import Access
 from ..decide.canary import SharedEntry
-from ..decide.refusal import NOT_READY, QUARANTINED, STOPPING, refusal
+from ..decide.refusal import NOT_READY, QUARANTINED, STOPPING, UNVERIFIED_KEY, refusal
 from ..decide.timing import can_finish, response_due_at
 from ..errors import RelayError
 from ..http import HttpConnection, Request, Response, serve_http
@@ -16,6 +17,7 @@
 from ..log import BoundedSink, event, traceback
 from ..wire import GatherShards, Handlers, serve_peers
 from ..wire.link import Emit
+from .access import CallerAccess
 from .background import Background
 from .deployment import Bounds, DeploymentState
 from .front import Arrival, ClientConnection
@@ -88,6 +90,8 @@
     calls: dict[str, int]
     #: Seconds in which changes of searchers may have been missed; 0 before the first list.
     searchers_unknown_for: float
+    #: Name of the instance that reads the store for this one, empty if there is none.
+    reader: str
 
     def serve(self, handlers: Handlers) -> None:
         """Register handlers for messages of other instances."""
@@ -134,6 +138,7 @@
         self.peers = Peers(self.deployment, self.rng)
         self.quarantine = Quarantine(self.deployment, self.peers, feed, self.rng)
         self.permits = Permits(self.deployment, self.peers, self.rng)
+        self.access = CallerAccess(self.deployment, self.peers, self.rng, lambda: feed.reader)
         self.handlers = Handlers()
         self.handlers.on_stream(GatherShards)(self.gather)
         self.feed.serve(self.handlers)
@@ -183,6 +188,7 @@
             self.peers.start(self.background, self.handlers)
             self.quarantine.start(self.background, self.handlers)
             self.permits.start(self.background, self.handlers)
+            self.access.start(self.background, self.handlers)
             nursery.start_soon(self.feed.run, self.deployment, self.peers)
             self.background.repeat(self.deployment.connections.run)
             self.background.repeat(self._remove_expired)
@@ -244,6 +250,13 @@
         if route is None:
             self._log_request(request_id, "", 404, "no_route", arrived, version=catalog.version)
             return Response(404, {names.request_id: request_id} if request_id else {}, b"")
+        caller = self.access.identify(
+            request.headers.get(names.api_key, ""), route, trio.current_time()
+        )
+        if caller.access is Access.UNVERIFIED:
+            return self._refuse(request_id, route.name, UNVERIFIED_KEY, arrived)
+        if caller.access is Access.UNKNOWN:
+            return self._reject_key(request_id, route.name, arrived)
         median = deployment.latency(route).median
         if self.refusing or not can_finish(arrived, self.cut_at, median):
             return self._refuse(request_id, route.name, STOPPING, arrived)
@@ -252,7 +265,7 @@
             request_id,
             request.method,
             request.target,
-            self._forwarded(request.headers),
+            self.access.forwarded(self._forwarded(request.headers), caller),
             request.body,
             arrived + max(remaining - RETURN_MARGIN_S, 0.5 * remaining),
             route.idempotent,
@@ -309,6 +322,7 @@
                 sent=summary.sent,
                 hedges=summary.hedges,
                 retries=summary.retries,
+                workspace=caller.workspace.name if caller.workspace else None,
                 store="up" if deployment.store_available_since is not None else "away",
                 state_age_ms=self._state_age_ms(),
                 **details,
@@ -393,6 +407,13 @@
         self._log_request(request_id, route, refused.status, reason, arrived, version=version)
         return refusal_response(refused, request_id, self.deployment)
 
+    def _reject_key(self, request_id: str, route: str, arrived: float) -> Response:
+        version = self.deployment.catalog.version
+        outcome = Access.UNKNOWN.value
+        self._log_request(request_id, route, 401, outcome, arrived, version=version)
+        headers = {"www-authenticate": self.names.api_key}
+        return Response(401, headers | ({self.names.request_id: request_id} if request_id else {}))
+
     def _log_request(
         self, request_id: str, route: str, status: int, outcome: str, arrived: float, **inputs
     ) -> None:
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -5,6 +5,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from ..decide.access import RevocationBound
 from ..decide.cold_start import ColdLimits, Fleet
 from ..decide.connections import keeps_connection
 from ..decide.extra_window import ExtraLimits, ExtraWindow, floor_divisor
@@ -44,6 +45,8 @@
     drain: float
     #: Time from the stop signal until the process is killed.
     stop_grace: float
+    #: How long a key may be used after its removal.
+    revocation: RevocationBound = RevocationBound(5.0)
 
 
 class DeploymentState:
@@ -59,6 +62,8 @@
         #: The same of all listed instances and of this one, by name.
         self.cores_of: dict[str, float] = {}
         self.catalog: Catalog | None = None
+        #: Time as of which the configuration is known to be the newest in the store.
+        self.configuration_known_at = -math.inf
         #: Whether the searchers have been read once.
         self.searchers_listed = False
         self.searchers: dict[str, Searcher] = {}
@@ -112,6 +117,14 @@
         event("configuration.in_force", version=catalog.version, before=before)
         return True
 
+    def record_configuration_known(self, at: float) -> None:
+        """Record that the configuration is known to be the newest in the store as of a time."""
+        self.configuration_known_at = max(self.configuration_known_at, at)
+
+    def configuration_age(self, now: float) -> float:
+        """Return the seconds in which a newer configuration may have been written."""
+        return now - self.configuration_known_at
+
     def apply_record(self, record: SearcherRecord, now: float) -> None:
         """Apply the entry of a searcher; another address or start time means a new incarnation.
 
--- a/rattanrelay/relay/model.py
+++ b/rattanrelay/relay/model.py
@@ -10,6 +10,7 @@
     "SearcherRecord",
     "ServiceRow",
     "SplitPart",
+    "Workspace",
 ]
 
 
@@ -36,6 +37,10 @@
     part_signatures: str
     #: Number of shards that a gathered response leaves out.
     missing_shards: str
+    #: Key of a caller, which no searcher gets.
+    api_key: str
+    #: Name of the workspace that holds the caller's key.
+    workspace: str
 
 
 class SplitPart(NamedTuple):
@@ -45,6 +50,18 @@
     weight: float
 
 
+class Workspace(NamedTuple):
+    """A party on whose behalf callers send requests; they name it by one of its keys."""
+
+    name: str
+    #: Rank of its requests, in place of the route's; None if it has none of its own.
+    priority: int | None = None
+    #: Requests per second through all instances together; 0 for no limit.
+    rate: float = 0.0
+    #: Requests beyond the rate that may come at once.
+    burst: float = 0.0
+
+
 class Route(NamedTuple):
     """How requests with a host and a path prefix are served; times in seconds.
 
@@ -70,6 +87,8 @@
     top_k: int = 0
     #: Minimum share of the shards in a gathered response.
     min_share: float = 1.0
+    #: Whether callers need no key.
+    public: bool = False
 
 
 class ServiceRow(NamedTuple):
@@ -99,6 +118,10 @@
     routes: dict[str, tuple[Route, ...]]
     services: dict[str, ServiceRow]
     limits: ClientLimits
+    #: Workspaces by name; None if callers need no keys.
+    workspaces: dict[str, Workspace] | None = None
+    #: Name of the workspace that holds a key, by the digest of the key.
+    keys: dict[str, str] = {}
 
     def route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest matching prefix, or None if none matches."""
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -8,6 +8,7 @@
 import trio
 
 from ..decide.choice import Candidate, Estimate
+from ..decide.load import ToldLoad, parse_load
 from ..decide.name_hashes import name_hash
 from ..decide.pacing import Pacer
 from ..decide.timing import silence_delay
@@ -116,6 +117,8 @@
         self.paused_until = 0.0
         self.failures_in_row = 0
         self.estimate = Estimate()
+        #: Load that its last response told, None before the first one.
+        self.told: ToldLoad | None = None
         self.connect_time = INITIAL_CONNECT_TIME_S
         #: Number of connections that are open or reserved for a request, idle ones included.
         self.open_connections = 0
@@ -355,6 +358,7 @@
     def _apply_statements(self, response: Response) -> None:
         """Apply what a response states about the requests that the searcher takes."""
         now, headers = trio.current_time(), response.headers
+        self.told = parse_load(headers.get(self.names.load), now) or self.told
         if headers.get(self.names.leaving) == "1" and not self.pacer.leaving:
             self.pacer.leaving = True
             self.close_idle()
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -10,10 +10,12 @@
     "Accepted",
     "Action",
     "ActionResult",
+    "AskConfigurationAge",
     "BeginTrial",
     "BlockedRequest",
     "BorrowPermit",
     "Cancel",
+    "ConfigurationAge",
     "Document",
     "DocumentRevision",
     "EndTrial",
@@ -442,3 +444,25 @@
     lent: bool = False
     #: Time after which another permit may be lent.
     wait_us: int = 0
+
+
+@message(26)
+class AskConfigurationAge(NamedTuple):
+    """Asks an instance for how long its configuration may have been out of date.
+
+    The proof that the reply gives counts from the time at which this message was sent, so it stays
+    true however late the reply is read.
+    """
+
+    #: Version that the sender has in force.
+    version: int
+
+
+@message(27)
+class ConfigurationAge(NamedTuple):
+    """States for how long the sender's configuration may have been out of date."""
+
+    #: Version that the sender has in force; 0 for none.
+    version: int = 0
+    #: -1 if that is unknown.
+    age_us: int = -1
--- a/rattanrelay/wire/relay.thrift
+++ b/rattanrelay/wire/relay.thrift
@@ -74,3 +74,6 @@
 
 struct BorrowPermit { 1: string searcher, 2: i64 started, 3: i64 limit_milli, 4: i64 heard_us }
 struct KnownRate { 1: i64 limit_milli, 2: i64 heard_us, 3: bool lent, 4: i64 wait_us }
+
+struct AskConfigurationAge { 1: i64 version }
+struct ConfigurationAge { 1: i64 version, 2: i64 age_us }
--- a/rattanrelay/wire/structs.py
+++ b/rattanrelay/wire/structs.py
@@ -185,4 +185,9 @@
         (3, 2, "lent"),
         (4, 10, "wait_us"),
     ),
+    "AskConfigurationAge": ((1, 10, "version"),),
+    "ConfigurationAge": (
+        (1, 10, "version"),
+        (2, 10, "age_us"),
+    ),
 }
