--- a/rattanrelay/decide/access.py
+++ b/rattanrelay/decide/access.py
@@ -9,7 +9,7 @@
 from enum import Enum
 from typing import NamedTuple
 
-__all__ = ["Access", "KeyCheck", "RevocationBound", "check_key", "key_digest", "proven_at"]
+__all__ = ["Access", "KeyCheck", "RevocationBound", "check_key", "key_digest"]
 
 #: Bytes of a digest: enough that no two keys share one.
 DIGEST_BYTES = 16
@@ -70,12 +70,3 @@
     if bound.strict and not current:
         return KeyCheck(Access.UNVERIFIED)
     return KeyCheck(Access.GRANTED, workspace)
-
-
-def proven_at(started: float, ended: float, wait: float, *, changed: bool) -> float:
-    """Return the time as of which a watch's answer proves that all changes are known.
-
-    The watch began at `started` and may have been answered at any time up to `ended`: an answer may
-    lie in the socket of a suspended process. Only one without changes was held back for `wait`.
-    """
-    return started if changed or ended - started < wait else started + wait
--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -8,7 +8,6 @@
 import msgspec
 import trio
 
-from ..decide.access import proven_at
 from ..decide.canary import BLOCK_S, SharedEntry
 from ..decide.freshness import WatchPace, freshness_times
 from ..decide.missing_entries import unlisted_in_use
@@ -338,12 +337,12 @@
             backoff = follower_backoff if self.follows else reader_backoff
             pace.cycle = times.shared_cycle if self.is_reader else times.cycle
             known = sharing.revisions[prefix]
-            started, wait = trio.current_time(), pace.wait
+            started = trio.current_time()
             try:
                 if known is None:
                     page = await self.store.list(prefix)
                 else:
-                    page = await self.store.watch(prefix, known, wait)
+                    page = await self.store.watch(prefix, known, pace.wait)
             except HistoryGone:
                 event("store.history_gone", prefix=prefix, revision=known)
                 sharing.invalidate(prefix)
@@ -385,9 +384,8 @@
             if pace.caught_up:
                 sharing.record_known(prefix)
                 if prefix == documents.OPERATOR_PREFIX:
-                    changed = known is None or bool(page.items)
-                    at = proven_at(started, trio.current_time(), wait, changed=changed)
-                    deployment.record_configuration_known(at)
+                    # The answer may have been read long after the store sent it.
+                    deployment.record_configuration_known(started)
             if pace.pause:
                 await trio.sleep(pace.pause)
 
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -506,6 +506,8 @@
         self.routes: list[dict] = []
         #: Fields of all services in the configuration.
         self.service_fields: dict = {}
+        #: Workspaces in the configuration; None if callers need no keys.
+        self.tenants: list[dict] | None = None
         self.bounds = BOUNDS
         #: Speed of the processor of each instance, in cores.
         self.cores = 1.0
@@ -548,6 +550,8 @@
             for name in sorted(services)
         ]
         document = {"version": self.version, "routes": self.routes, "services": rows}
+        if self.tenants is not None:
+            document["tenants"] = self.tenants
         self.store.write("op/config", {**document, "limits": {"idle_timeout_ms": 15000}})
 
     @asynccontextmanager
