Watch the list of instances with longer waits

The age of the list of instances bounds nothing, unlike that of searchers and configuration. Change: its watch waits for up to 4 s; a change still ends it at once. Its age no longer counts for whether a reader's state is passed on.

--- a/rattanrelay/platform/feed.py
+++ b/rattanrelay/platform/feed.py
@@ -47,6 +47,9 @@
 #: `STARTUP_S` after the start it is read with each renewal: others may be starting too, and a stale
 #: answer can be seconds old.
 INSTANCES_READ_S = 0.2
+#: Longest wait in seconds of a watch of the instances. A change ends it at once; a watch that has
+#: gone silent is noticed later than for searchers, whose changes have a bound in time.
+INSTANCES_CYCLE_S = 4.0
 #: Mean time in seconds between two attempts to find a reader to follow.
 READER_CHECK_S = 1.0
 #: Time in seconds without a reader after which this instance reads the store. Reading it costs two
@@ -104,7 +107,7 @@
             documents.SEARCHER_PREFIX: self._apply_searchers,
             INSTANCE_PREFIX: self._apply_instances,
         }
-        self.sharing = StoreSharing(self.change_handlers, self._apply)
+        self.sharing = StoreSharing(self.change_handlers, self._apply, [INSTANCE_PREFIX])
         #: Cancel scope of this instance's own watches while it reads the store itself.
         self.direct_scope: trio.CancelScope | None = None
         #: Time until which lists may lack what is written again, by prefix.
@@ -335,7 +338,10 @@
         failed = repeated = False
         while True:
             backoff = follower_backoff if self.follows else reader_backoff
-            pace.cycle = times.shared_cycle if self.is_reader else times.cycle
+            if prefix == INSTANCE_PREFIX:
+                pace.cycle = INSTANCES_CYCLE_S
+            else:
+                pace.cycle = times.shared_cycle if self.is_reader else times.cycle
             known = sharing.revisions[prefix]
             started = trio.current_time()
             try:
--- a/rattanrelay/relay/sharing.py
+++ b/rattanrelay/relay/sharing.py
@@ -59,8 +59,15 @@
     `on_change` is called with each change, whether this instance read or received it.
     """
 
-    def __init__(self, prefixes: Iterable[str], on_change: Callable[[Change], None]) -> None:
+    def __init__(
+        self,
+        prefixes: Iterable[str],
+        on_change: Callable[[Change], None],
+        untimed: Iterable[str] = (),
+    ) -> None:
         self.on_change = on_change
+        #: Prefixes whose changes may come late, so that their age does not matter.
+        self.untimed = frozenset(untimed)
         self.items: dict[str, dict[str, Item]] = {prefix: {} for prefix in prefixes}
         #: Revision up to which all changes are known, by prefix; None if a list is needed.
         self.revisions: dict[str, int | None] = dict.fromkeys(self.items)
@@ -107,8 +114,9 @@
 
     def record_known(self, prefix: str) -> None:
         """Record that this instance has read all changes under a prefix."""
-        self.known_at[prefix] = trio.current_time()
-        self.current_until[prefix] = trio.current_time() + self.times.passed_on
+        now = self.known_at[prefix] = trio.current_time()
+        untimed = prefix in self.untimed
+        self.current_until[prefix] = math.inf if untimed else now + self.times.passed_on
 
     def unknown_for(self, prefix: str) -> float:
         """Return the seconds in which changes may have been missed, 0 before the first list."""
@@ -220,7 +228,8 @@
                 with trio.move_on_after(HEARTBEAT_S):
                     change = await receiver.receive()
                 self._check_reading()
-                unknown = max(self.unknown_for(prefix) for prefix in self.items)
+                timed = self.items.keys() - self.untimed
+                unknown = max(self.unknown_for(prefix) for prefix in timed)
                 await emit(change._replace(unknown_us=int(unknown * 1e6)))
         except trio.EndOfChannel:
             self._check_reading()
