Limit the requests of workspaces over all instances

A workspace with a rate of 10 and a burst of 10 that asked five times that ran 114 requests in 5 s through 61 instances, where its quota allows fewer.

Each quota is divided into shares that voters lend to one owner at a time; the owner grants permits from a token bucket in proportion to its shares. Without a limit no message is sent.

--- a/rattanrelay/decide/refusal.py
+++ b/rattanrelay/decide/refusal.py
@@ -47,6 +47,10 @@
 #: The configuration may be out of date, so that the key cannot be checked; another instance may be
 #: in touch with the store.
 UNVERIFIED_KEY = register_reason("unverified_key", 0.05)
+#: The workspace has used up its quota.
+QUOTA = register_reason("quota", 0.1)
+#: No instance can be reached that may tell whether the workspace has used up its quota.
+QUOTA_UNKNOWN = register_reason("quota_unknown", 0.2)
 #: All connections to a service are in use.
 NO_CONNECTION = register_reason("no_connection", 0.05)
 
@@ -54,8 +58,10 @@
 def refusal(reason: str, *, may_have_run: bool, timed_out: bool = False) -> Refusal:
     """Return the response to a request that is not served.
 
-    The status is 503 if the request has not run; otherwise 504 after a timeout and else 502.
+    The status is 503 if the request has not run, or 429 if that is for its quota; otherwise 504
+    after a timeout and else 502.
     """
     if may_have_run:
         return Refusal(504 if timed_out else 502, reason, 0.0)
-    return Refusal(503, reason, RETRY_AFTER_S.get(reason, 0.1))
+    status = 429 if reason in (QUOTA, QUOTA_UNKNOWN) else 503
+    return Refusal(status, reason, RETRY_AFTER_S.get(reason, 0.1))
--- a/rattanrelay/platform/settings.py
+++ b/rattanrelay/platform/settings.py
@@ -9,6 +9,7 @@
 from ..decide.access import RevocationBound
 from ..decide.cold_start import ColdLimits
 from ..decide.extra_window import ExtraLimits
+from ..decide.quota import QuotaBounds
 from ..errors import RelayError
 from ..relay import Bounds, Listen, RelaySettings
 from ..settings import MAX_PORT, Port, decode_settings, not_allowed_text
@@ -48,6 +49,11 @@
     revoke_ms: Duration = 5000.0
     #: Whether that also holds for instances that cannot learn of the removal.
     strict_revoke: bool = False
+    #: By how much the requests of a workspace may exceed its quota in any window of this length:
+    #: a share of the quota, and a number of requests.
+    quota_window_s: Duration = 5.0
+    quota_overshoot: Amount = 0.1
+    quota_slack: Amount = 20.0
 
 
 class _Limits(msgspec.Struct):
@@ -105,6 +111,7 @@
             drain=bounds.drain_ms / 1000.0,
             stop_grace=bounds.grace_s,
             revocation=RevocationBound(bounds.revoke_ms / 1000.0, bounds.strict_revoke),
+            quota=QuotaBounds(bounds.quota_window_s, bounds.quota_overshoot, bounds.quota_slack),
         ),
         first_start=file.bootstrap,
         cores=file.limits.cpu_share * file.limits.cpu_cores,
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -26,6 +26,7 @@
 from .peers import Peers
 from .permits import Permits
 from .quarantine import Quarantine
+from .quotas import Quotas
 from .scatter import RETURN_MARGIN_S, DelegatedScatter, Scatter, refusal_response
 from .searchers import HOP_HEADERS, SubRequest
 
@@ -139,6 +140,9 @@
         self.quarantine = Quarantine(self.deployment, self.peers, feed, self.rng)
         self.permits = Permits(self.deployment, self.peers, self.rng)
         self.access = CallerAccess(self.deployment, self.peers, self.rng, lambda: feed.reader)
+        self.quotas = Quotas(
+            self.deployment, self.peers, self.metrics, first_start=settings.first_start
+        )
         self.handlers = Handlers()
         self.handlers.on_stream(GatherShards)(self.gather)
         self.feed.serve(self.handlers)
@@ -189,6 +193,7 @@
             self.quarantine.start(self.background, self.handlers)
             self.permits.start(self.background, self.handlers)
             self.access.start(self.background, self.handlers)
+            self.quotas.start(self.background, self.handlers)
             nursery.start_soon(self.feed.run, self.deployment, self.peers)
             self.background.repeat(self.deployment.connections.run)
             self.background.repeat(self._remove_expired)
@@ -273,6 +278,16 @@
         quarantined = self.quarantine.time_left(sub)
         if quarantined:
             return self._refuse(request_id, route.name, QUARANTINED, arrived, quarantined)
+        permit = await self.quotas.admit(caller.workspace)
+        if not permit.admitted:
+            return self._refuse(
+                request_id,
+                route.name,
+                permit.reason,
+                arrived,
+                permit.retry_after,
+                workspace=caller.workspace.name,
+            )
         scatter = Scatter(
             deployment,
             self.peers,
@@ -309,6 +324,8 @@
         finally:
             self.request_scopes.discard(scope)
             summary = scatter.summary
+            if caller.workspace is not None and status == 503 and not summary.sent:
+                self.quotas.refund(caller.workspace, permit)
             details = {}
             if summary.missing and (status != 200 or route.shards):
                 details["missing"] = summary.missing
@@ -397,14 +414,22 @@
         return round(self.feed.searchers_unknown_for * 1000)
 
     def _refuse(
-        self, request_id: str, route: str, reason: str, arrived: float, retry_after: float = 0.0
+        self,
+        request_id: str,
+        route: str,
+        reason: str,
+        arrived: float,
+        retry_after: float = 0.0,
+        **inputs,
     ) -> Response:
         refused = refusal(reason, may_have_run=False)
         if retry_after:
             refused = refused._replace(retry_after=retry_after)
         catalog = self.deployment.catalog
         version = None if catalog is None else catalog.version
-        self._log_request(request_id, route, refused.status, reason, arrived, version=version)
+        self._log_request(
+            request_id, route, refused.status, reason, arrived, version=version, **inputs
+        )
         return refusal_response(refused, request_id, self.deployment)
 
     def _reject_key(self, request_id: str, route: str, arrived: float) -> Response:
@@ -484,6 +509,8 @@
         metrics.responses_abandoned.set({}, HttpConnection.memory.abandoned)
         for task, count in self.background.failed.items():
             metrics.tasks_failed.set({"task": task}, count)
+        metrics.quota_workspaces.set({"role": "owner"}, len(self.quotas.owned))
+        metrics.quota_workspaces.set({"role": "voter"}, len(self.quotas.lent))
         for kind, calls in self.feed.calls.items():
             metrics.store_calls.set({"kind": kind}, calls)
         content, headers = metrics.text()
@@ -523,6 +550,7 @@
         self.stopping = True
         self.cut_at = started + CANCEL_SHARE * grace
         self.background.start_soon(self.feed.leave)
+        self.quotas.leave()
         await self._wait_until_quiet(started, started + ACCEPT_SHARE * grace)
         self.refusing = True
         for connection in list(self.connections):
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -12,6 +12,7 @@
 from ..decide.grouping import own_askers, shared_searcher
 from ..decide.missing_entries import grace_until
 from ..decide.pacing import Terms, limit_senders
+from ..decide.quota import QuotaBounds
 from ..decide.split import SmoothSplit
 from ..decide.timing import RecentLag, RecentLatency, RecentRate
 from ..log import event
@@ -47,6 +48,8 @@
     stop_grace: float
     #: How long a key may be used after its removal.
     revocation: RevocationBound = RevocationBound(5.0)
+    #: By how much the requests of a workspace may exceed its quota.
+    quota: QuotaBounds = QuotaBounds()
 
 
 class DeploymentState:
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -58,6 +58,12 @@
         self.tasks_failed = self.add(
             Counter, "tasks_failed_total", "Tasks that ended by an unexpected error, by function"
         )
+        self.quota = self.add(
+            Counter, "quota_total", "Requests of workspaces with a limit, by decision"
+        )
+        self.quota_workspaces = self.add(
+            Gauge, "quota_workspaces", "Workspaces of which state is kept here, by role"
+        )
         self.log_dropped = self.add(Gauge, "log_lines_dropped", "Log lines that were dropped")
 
     def text(self, accept: str = "text/plain") -> tuple[bytes, dict[str, str]]:
--- /dev/null
+++ b/rattanrelay/relay/quotas.py
@@ -0,0 +1,432 @@
+"""Quotas of workspaces: permits of their owners, and the shares that instances lend to owners.
+
+Nothing here runs, and no message is sent, until a request of a workspace with a limit arrives.
+"""
+
+import math
+from collections.abc import Collection
+from typing import NamedTuple
+
+import trio
+
+from ..decide.quota import (
+    ENOUGH_SHARES,
+    Grant,
+    LocalAllowance,
+    QuotaBucket,
+    Ranking,
+    ShareBook,
+    ShareOffer,
+)
+from ..decide.refusal import QUOTA, QUOTA_UNKNOWN
+from ..errors import RelayError
+from ..log import event, traceback
+from ..wire import AskQuota, Handlers, QuotaPurpose, QuotaReply
+from .background import Background
+from .deployment import DeploymentState
+from .metrics import RelayMetrics
+from .model import Workspace
+from .peers import Peers
+
+__all__ = ["QuotaDecision", "Quotas"]
+
+#: Time in seconds that a request waits for a permit, and the part of it for the first instance that
+#: is asked; a permit that comes later is not used.
+PERMIT_TIMEOUT_S = 0.1
+FIRST_TIMEOUT_S = 0.07
+#: Time in seconds for which a request waits for the first shares of an owner.
+COLLECT_S = 0.05
+#: Timeout in seconds of a question for a share. It must be shorter than the time for which a share
+#: is held.
+SHARE_TIMEOUT_S = 0.25
+#: Period in seconds of renewing shares; two renewals fit into the time for which they are held.
+RENEW_S = 1.0
+#: Pause in seconds before an owner without enough shares asks again, and least wait of a request
+#: that no owner has decided on.
+RETRY_S = 0.15
+#: Time in seconds without a request after which shares are renewed no more, at the owner and at
+#: an instance that stands in for it.
+IDLE_S = 5.0
+STAND_IN_IDLE_S = 1.0
+#: Instances that are asked for a permit: the owner and its deputy.
+OWNERS = 2
+#: Time in seconds for which an instance that did not reply is asked last.
+AVOID_S = 1.0
+#: Period in seconds of comparing the list of instances, and of removing unused state.
+LIST_PERIOD_S = 0.2
+CLEAN_PERIOD_S = 10.0
+PPB = 1_000_000_000
+#: Longest time in seconds that a message states.
+LONGEST_S = 86_400.0
+
+
+class QuotaDecision(NamedTuple):
+    """Whether a request may run, and else the seconds until another attempt may succeed."""
+
+    admitted: bool
+    retry_after: float = 0.0
+    #: Reason of a refusal.
+    reason: str = ""
+    #: Name of the instance that granted the permit, empty for one of this instance's allowance.
+    source: str | None = None
+
+
+ADMITTED = QuotaDecision(True)
+
+
+class _Owned:
+    """A workspace whose permits this instance grants."""
+
+    def __init__(self, bucket: QuotaBucket) -> None:
+        self.bucket = bucket
+        #: Time of the last request for which this instance has to hold shares.
+        self.needed_at = -math.inf
+        #: Whether a task asks for shares, and whether that is for the first ones.
+        self.kept = False
+        self.collecting = False
+        #: Part of the quota that is lent to another instance.
+        self.blocked = 0.0
+        #: Rises when all shares are given up; shares that were asked for before are not used.
+        self.generation = 0
+        #: Stamp of the last question for a share, by voter.
+        self.stamps: dict[str, int] = {}
+        self.changed = trio.Event()
+
+    def notify(self) -> None:
+        """Wake the requests that wait for shares."""
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class Quotas:
+    """Admits requests of workspaces with a limit, and takes part in dividing the quotas."""
+
+    def __init__(
+        self,
+        deployment: DeploymentState,
+        peers: Peers,
+        metrics: RelayMetrics,
+        *,
+        first_start: bool = False,
+    ) -> None:
+        self.deployment = deployment
+        self.peers = peers
+        self.metrics = metrics
+        self.first_start = first_start
+        self.ranking = Ranking(deployment.instance)
+        self.book: ShareBook | None = None
+        self.owned: dict[str, _Owned] = {}
+        self.allowances: dict[str, LocalAllowance] = {}
+        #: Time until which an instance is asked last, by name.
+        self.avoided: dict[str, float] = {}
+        #: Whether this instance stops, so that others take its place.
+        self.leaving = False
+        self._background: Background | None = None
+        self._listed_at = self._cleaned_at = -math.inf
+        self._stamp = 0
+
+    def start(self, background: Background, handlers: Handlers) -> None:
+        """Register the handler for other instances."""
+        self._background = background
+        self.book = ShareBook(trio.current_time(), restarted=not self.first_start)
+        handlers.on(AskQuota)(self._answer)
+
+    @property
+    def lent(self) -> Collection[str]:
+        """Workspaces of which this instance has lent its share."""
+        return self.book.lent if self.book is not None else ()
+
+    async def admit(self, workspace: Workspace | None) -> QuotaDecision:
+        """Decide whether a request may run; one that is admitted counts against the quota."""
+        if workspace is None or workspace.rate <= 0.0:
+            return ADMITTED
+        try:
+            decision = await self._admit(workspace)
+        except Exception as error:
+            event("quota.failed", workspace=workspace.name, reason=traceback(error))
+            decision = self._admit_locally(workspace, QUOTA_UNKNOWN)
+        kind = "permit" if decision.source else "local"
+        self.metrics.quota.inc({"decision": decision.reason or kind})
+        return decision
+
+    def refund(self, workspace: Workspace, decision: QuotaDecision) -> None:
+        """Give back the permit of a request that has reached no searcher."""
+        name = workspace.name
+        if decision.source == "" and name in self.allowances:
+            self.allowances[name].refund()
+        elif decision.source == self.deployment.instance and name in self.owned:
+            self.owned[name].bucket.refund(trio.current_time())
+        elif decision.source:
+            message = AskQuota(name, self.deployment.instance, QuotaPurpose.REFUND)
+            self._background.start_soon(self._send, decision.source, message)
+
+    async def _admit(self, workspace: Workspace) -> QuotaDecision:
+        asked_at = trio.current_time()
+        deadline = asked_at + PERMIT_TIMEOUT_S
+        self._update(asked_at)
+        owners = list(self._owners(workspace.name))
+        # An instance that did not reply is asked only if no other one decides.
+        owners.sort(key=lambda name: self.avoided.get(name, 0.0) > asked_at)
+        blocked, wait = False, 0.0
+        first = self.ranking.top(workspace.name)[0]
+        for name in owners:
+            timeout = min(FIRST_TIMEOUT_S, deadline - trio.current_time())
+            if timeout <= 0.0:
+                break
+            grant, others = await self._ask_permit(name, workspace, blocked, timeout)
+            if grant is None:
+                continue
+            if grant.granted and trio.current_time() < deadline:
+                return QuotaDecision(True, source=name)
+            if grant.decided:
+                return self._refused(workspace, grant.wait, QUOTA, name)
+            # Only for the first owner, a deputy gives up the shares that it holds.
+            blocked = others and name == first
+            wait = max(wait, grant.wait)
+        return self._admit_locally(workspace, QUOTA_UNKNOWN, wait)
+
+    def _owners(self, workspace: str) -> tuple[str, ...]:
+        top = self.ranking.top(workspace)
+        if self.leaving:
+            top = tuple(name for name in top if name != self.deployment.instance)
+        return top[:OWNERS]
+
+    async def _ask_permit(
+        self, name: str, workspace: Workspace, blocked: bool, timeout: float
+    ) -> tuple[Grant | None, bool]:
+        """Ask an instance for a permit; return its answer, and whether others hold the shares."""
+        if name == self.deployment.instance:
+            return await self._grant(workspace, blocked)
+        message = AskQuota(workspace.name, self.deployment.instance, owner_blocked=blocked)
+        try:
+            reply = await self._call(name, message, timeout)
+        except RelayError as error:
+            now = trio.current_time()
+            if self.avoided.get(name, 0.0) <= now:
+                event("quota.no_reply", workspace=workspace.name, owner=name, reason=str(error))
+            self.avoided[name] = now + AVOID_S
+            return None, False
+        self.avoided.pop(name, None)
+        return Grant(reply.granted, reply.decided, reply.wait_us / 1e6), reply.blocked
+
+    def _admit_locally(self, workspace: Workspace, reason: str, wait: float = 0.0) -> QuotaDecision:
+        now, bounds = trio.current_time(), self.deployment.bounds.quota
+        allowance = self.allowances.setdefault(workspace.name, LocalAllowance())
+        count = self.ranking.fallback(workspace.name, bounds.slack)
+        if allowance.take(count, bounds.window + PERMIT_TIMEOUT_S, now):
+            return QuotaDecision(True, source="")
+        return self._refused(workspace, max(wait, RETRY_S), reason, "")
+
+    @staticmethod
+    def _refused(workspace: Workspace, wait: float, reason: str, owner: str) -> QuotaDecision:
+        event(
+            "quota.refused",
+            workspace=workspace.name,
+            rate=workspace.rate,
+            burst=workspace.burst,
+            reason=reason,
+            owner=owner,
+            retry_after=round(wait, 3),
+        )
+        return QuotaDecision(False, wait, reason)
+
+    async def _answer(self, message: AskQuota) -> QuotaReply:
+        now = trio.current_time()
+        catalog = self.deployment.catalog
+        workspaces = (catalog.workspaces if catalog else None) or {}
+        workspace = workspaces.get(message.workspace)
+        if workspace is None or workspace.rate <= 0.0:
+            return QuotaReply()
+        self._update(now)
+        if message.purpose == QuotaPurpose.SHARE:
+            return self._lend(message, now)
+        if message.purpose == QuotaPurpose.RELEASE:
+            idle = message.idle_us / 1e6
+            self.book.release(message.workspace, message.asker, message.stamp, idle, now)
+        elif message.purpose == QuotaPurpose.REFUND:
+            if message.workspace in self.owned:
+                self.owned[message.workspace].bucket.refund(now)
+        else:
+            if self.leaving and not self._holds_shares(message.workspace, now):
+                raise RelayError("stopping", "this instance refuses new requests", step="quota")
+            grant, blocked = await self._grant(workspace, message.owner_blocked)
+            return QuotaReply(grant.granted, grant.decided, blocked, int(grant.wait * 1e6))
+        return QuotaReply(True)
+
+    def _lend(self, message: AskQuota, now: float) -> QuotaReply:
+        offer = self._offer(message.workspace, message.asker, message.stamp, now)
+        if offer is None:
+            wait = self.book.blocked_for(message.workspace, message.asker, now)
+            return QuotaReply(blocked=wait > 0.0, wait_us=int(wait * 1e6))
+        idle = min(offer.idle, LONGEST_S)
+        return QuotaReply(
+            True,
+            weight_ppb=int(offer.weight * PPB),
+            term=offer.term,
+            idle_us=int(idle * 1e6),
+        )
+
+    def _offer(self, workspace: str, owner: str, stamp: int, now: float) -> ShareOffer | None:
+        weight = 0.0 if self.leaving else self.ranking.weight(workspace)
+        return self.book.lend(workspace, owner, weight, now, stamp)
+
+    def _holds_shares(self, workspace: str, now: float) -> bool:
+        owned = self.owned.get(workspace)
+        if owned is None:
+            return False
+        owned.bucket.advance(now)
+        return bool(owned.bucket.shares)
+
+    async def _grant(self, workspace: Workspace, owner_blocked: bool) -> tuple[Grant, bool]:
+        """Grant one permit or refuse it; return whether other instances hold the shares, too."""
+        now = trio.current_time()
+        owned = self._own(workspace, now)
+        if owner_blocked:
+            granted = owned.bucket.take(now)
+            if owned.bucket.shares:
+                # The first owner can use them again.
+                self._give_up(workspace.name, owned, now)
+            return Grant(granted, False), False
+        owned.needed_at = now
+        if not owned.kept and not self.leaving:
+            owned.kept = owned.collecting = True
+            self._background.start_soon(self._keep_shares, workspace.name, owned)
+        granted = owned.bucket.take(now)
+        with trio.move_on_at(now + COLLECT_S):
+            while not granted and owned.collecting:
+                await owned.changed.wait()
+                granted = owned.bucket.take(trio.current_time())
+        if granted:
+            return Grant(True), False
+        return owned.bucket.refuse(trio.current_time()), owned.blocked >= ENOUGH_SHARES
+
+    def _own(self, workspace: Workspace, now: float) -> _Owned:
+        owned = self.owned.get(workspace.name)
+        slack = self.deployment.bounds.quota.slack
+        if owned is None:
+            self._clean(now)
+            bucket = QuotaBucket(workspace.rate, workspace.burst, slack, now)
+            owned = self.owned[workspace.name] = _Owned(bucket)
+        else:
+            owned.bucket.set_limit(workspace.rate, workspace.burst, slack, now)
+        return owned
+
+    async def _keep_shares(self, workspace: str, owned: _Owned) -> None:
+        """Collect the shares of a workspace, and renew them as long as requests come."""
+        try:
+            while True:
+                await self._ask_shares(workspace, owned)
+                owned.collecting = False
+                owned.notify()
+                now = trio.current_time()
+                owned.bucket.advance(now)
+                enough = owned.bucket.weight >= ENOUGH_SHARES
+                pause = RENEW_S if enough else RETRY_S
+                await trio.sleep(pause)
+                now = trio.current_time()
+                first = self._owners(workspace)[:1] == (self.deployment.instance,)
+                idle = IDLE_S if first else STAND_IN_IDLE_S
+                if self.leaving or now - owned.needed_at > idle:
+                    return
+                self._update(now)
+                owned.bucket.advance(now)
+                owned.collecting = not owned.bucket.shares
+        finally:
+            owned.kept = owned.collecting = False
+            owned.notify()
+
+    async def _ask_shares(self, workspace: str, owned: _Owned) -> None:
+        """Ask all voters of a workspace for their shares."""
+        owned.blocked = 0.0
+        generation = owned.generation
+        voters = self.ranking.top(workspace)
+        async with trio.open_nursery() as nursery:
+            for voter in voters:
+                nursery.start_soon(self._ask_share, workspace, owned, voter, generation)
+
+    async def _ask_share(self, workspace: str, owned: _Owned, voter: str, generation: int) -> None:
+        asked_at = trio.current_time()
+        self._stamp = max(self._stamp + 1, int(asked_at * 1e6))
+        owned.stamps[voter] = self._stamp
+        own = self.deployment.instance
+        message = AskQuota(workspace, own, QuotaPurpose.SHARE, stamp=self._stamp)
+        try:
+            if voter == own:
+                reply = self._lend(message, asked_at)
+            else:
+                reply = await self._call(voter, message, SHARE_TIMEOUT_S)
+        except RelayError:
+            return
+        if owned.generation != generation:
+            return
+        if not reply.granted:
+            owned.blocked += reply.blocked / len(self.ranking.top(workspace))
+            return
+        offer = ShareOffer(reply.weight_ppb / PPB, reply.term, reply.idle_us / 1e6)
+        owned.bucket.add_share(voter, offer, asked_at, trio.current_time())
+        owned.notify()
+
+    def _give_up(self, workspace: str, owned: _Owned, now: float) -> None:
+        """Give all shares of a workspace back to their voters, with their tokens."""
+        owned.generation += 1
+        owned.needed_at = -math.inf
+        own = self.deployment.instance
+        for voter, idle in owned.bucket.release(now).items():
+            stamp = owned.stamps.get(voter, 0)
+            if voter == own:
+                self.book.release(workspace, own, stamp, idle, now)
+                continue
+            idle_us = int(min(idle, LONGEST_S) * 1e6)
+            message = AskQuota(workspace, own, QuotaPurpose.RELEASE, stamp=stamp, idle_us=idle_us)
+            self._background.start_soon(self._send, voter, message)
+        event("quota.given_up", workspace=workspace)
+
+    def leave(self) -> None:
+        """Give all shares back and lend none any more, since this instance stops."""
+        self.leaving = True
+        now = trio.current_time()
+        for workspace, owned in self.owned.items():
+            if owned.bucket.shares:
+                self._give_up(workspace, owned, now)
+
+    async def _send(self, name: str, message: AskQuota) -> None:
+        """Send a message whose loss does no harm."""
+        try:
+            await self._call(name, message, SHARE_TIMEOUT_S)
+        except RelayError as error:
+            event("quota.not_told", peer=name, purpose=message.purpose, reason=str(error))
+
+    async def _call(self, name: str, message: AskQuota, timeout: float) -> QuotaReply:
+        """Send a message and return its reply; raises `RelayError`.
+
+        An instance that is slow to reply may still serve other requests, so it is not paused.
+        """
+        peer = self.peers.known.get(name)
+        if peer is None:
+            raise RelayError("peer_unavailable", "not listed any more", peer=name)
+        with trio.move_on_after(timeout):
+            link = await self.peers.link(peer)
+            return await link.call(message)
+        self.peers.check_link(peer)
+        raise RelayError("peer_unavailable", f"no reply in {timeout:.3f} s", peer=name)
+
+    def _update(self, now: float) -> None:
+        if now - self._listed_at >= LIST_PERIOD_S:
+            self._listed_at = now
+            self.ranking.update(self.peers.known, self.deployment.instances)
+
+    def _clean(self, now: float) -> None:
+        """Remove the state of workspaces that are not used any more."""
+        if now - self._cleaned_at < CLEAN_PERIOD_S:
+            return
+        self._cleaned_at = now
+        window = self.deployment.bounds.quota.window
+        for name in [
+            name
+            for name, owned in self.owned.items()
+            if not owned.kept and owned.bucket.forget(now)
+        ]:
+            del self.owned[name]
+        for name in [name for name, one in self.allowances.items() if one.idle(2 * window, now)]:
+            del self.allowances[name]
+        self.avoided = {name: until for name, until in self.avoided.items() if until > now}
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -1,5 +1,6 @@
 """Messages between instances as named tuples, bound to the structs of relay.thrift."""
 
+from enum import IntEnum
 from typing import NamedTuple
 
 from .idl import build
@@ -11,6 +12,7 @@
     "Action",
     "ActionResult",
     "AskConfigurationAge",
+    "AskQuota",
     "BeginTrial",
     "BlockedRequest",
     "BorrowPermit",
@@ -32,6 +34,8 @@
     "Message",
     "Pull",
     "Quarantined",
+    "QuotaPurpose",
+    "QuotaReply",
     "RunAction",
     "ShardResult",
     "ShardResults",
@@ -466,3 +470,54 @@
     version: int = 0
     #: -1 if that is unknown.
     age_us: int = -1
+
+
+class QuotaPurpose(IntEnum):
+    """What an instance asks for with `AskQuota`."""
+
+    #: A permit to run one request, from the owner of the workspace's quota.
+    PERMIT = 1
+    #: The share of the quota that the receiver lends to an owner.
+    SHARE = 2
+    #: Nothing; a permit that the receiver granted was not used.
+    REFUND = 3
+    #: Nothing; the share that the receiver has lent may go to another owner.
+    RELEASE = 4
+
+
+@message(28)
+class AskQuota(NamedTuple):
+    """Asks an instance for a permit or a share of a workspace's quota, or gives one back."""
+
+    workspace: str
+    #: Name of the sender.
+    asker: str = ""
+    purpose: int = QuotaPurpose.PERMIT
+    #: Whether the owner that the sender asked first lacks shares because they are lent.
+    owner_blocked: bool = False
+    #: Rises with each question for a share; in a release, that of the last question.
+    stamp: int = 0
+    #: In a release, the time in which the share earns the tokens that are given back with it.
+    idle_us: int = 0
+
+
+@message(29)
+class QuotaReply(NamedTuple):
+    """Answers `AskQuota`; the last three fields are those of a share.
+
+    Permits and shares expire some time after they were asked for, so a late reply gives nothing.
+    """
+
+    granted: bool = False
+    #: Whether the sender has enough shares to refuse in the name of the whole fleet.
+    decided: bool = False
+    #: Whether it lacks shares because they are lent to another instance.
+    blocked: bool = False
+    #: Time until another attempt may succeed.
+    wait_us: int = 0
+    #: Part of the quota, in billionths.
+    weight_ppb: int = 0
+    #: Changes whenever the sender lends the share to another instance.
+    term: int = 0
+    #: Time for which nobody has held the share.
+    idle_us: int = 0
--- a/rattanrelay/wire/relay.thrift
+++ b/rattanrelay/wire/relay.thrift
@@ -77,3 +77,12 @@
 
 struct AskConfigurationAge { 1: i64 version }
 struct ConfigurationAge { 1: i64 version, 2: i64 age_us }
+
+struct AskQuota {
+  1: string workspace, 2: string asker, 3: i32 purpose, 4: bool owner_blocked, 5: i64 stamp,
+  6: i64 idle_us
+}
+struct QuotaReply {
+  1: bool granted, 2: bool decided, 3: bool blocked, 4: i64 wait_us, 5: i64 weight_ppb,
+  6: i64 term, 7: i64 idle_us
+}
--- a/rattanrelay/wire/structs.py
+++ b/rattanrelay/wire/structs.py
@@ -190,4 +190,21 @@
         (1, 10, "version"),
         (2, 10, "age_us"),
     ),
+    "AskQuota": (
+        (1, 11, "workspace"),
+        (2, 11, "asker"),
+        (3, 8, "purpose"),
+        (4, 2, "owner_blocked"),
+        (5, 10, "stamp"),
+        (6, 10, "idle_us"),
+    ),
+    "QuotaReply": (
+        (1, 2, "granted"),
+        (2, 2, "decided"),
+        (3, 2, "blocked"),
+        (4, 10, "wait_us"),
+        (5, 10, "weight_ppb"),
+        (6, 10, "term"),
+        (7, 10, "idle_us"),
+    ),
 }
