Let whoever holds the shares of a quota go on granting, whatever the lists of instances say

Voters name the holder now, askers go to it directly, and an owner that most voters do not list gives its shares back with their tokens.

--- a/rattanrelay/decide/quota.py
+++ b/rattanrelay/decide/quota.py
@@ -8,6 +8,7 @@
 `docs/design/quotas.md` has the proof.
 """
 
+import math
 from collections import OrderedDict, deque
 from collections.abc import Iterable
 from typing import NamedTuple
@@ -140,12 +141,13 @@
     """The shares that an instance lends, each to one owner at a time.
 
     An instance that has started does not know what it lent before, so it lends nothing until that
-    has expired.
+    has expired, unless the whole fleet starts for the first time.
     """
 
     def __init__(self, started: float, *, restarted: bool = True) -> None:
-        #: Time from which shares are lent.
+        #: Time from which shares are lent, and since which those not lent yet have been idle.
         self.lends_from = started + LENT_S if restarted else started
+        self.idle_since = self.lends_from if restarted else -math.inf
         #: By workspace; the one that was lent last is at the end.
         self.lent: OrderedDict[str, _Lent] = OrderedDict()
         self._term = int(started * 1e6)
@@ -162,7 +164,7 @@
         if now < self.lends_from or weight <= 0.0:
             return None
         if lent is None:
-            idle = now - self.lends_from
+            idle = now - self.idle_since
         elif lent.owner != owner and now < lent.until:
             return None
         else:
@@ -174,10 +176,10 @@
         self.lent.move_to_end(workspace)
         return ShareOffer(weight, lent.term, idle)
 
-    def blocked_for(self, workspace: str, owner: str, now: float) -> float:
-        """Return the seconds for which a share is lent to another owner."""
+    def holder(self, workspace: str, now: float) -> tuple[str, float]:
+        """Return the owner to which a share is lent, empty if to none, and for how long."""
         lent = self.lent.get(workspace)
-        return max(0.0, lent.until - now) if lent is not None and lent.owner != owner else 0.0
+        return (lent.owner, lent.until - now) if lent and now < lent.until else ("", 0.0)
 
     def release(self, workspace: str, owner: str, stamp: int, idle: float, now: float) -> None:
         """Take back a share from its owner, as if it had been idle for some time.
--- a/rattanrelay/relay/quotas.py
+++ b/rattanrelay/relay/quotas.py
@@ -44,11 +44,14 @@
 #: Pause in seconds before an owner without enough shares asks again, and least wait of a request
 #: that no owner has decided on.
 RETRY_S = 0.15
-#: Time in seconds without a request after which shares are renewed no more, at the owner and at
-#: an instance that stands in for it.
+#: Shortest and longest pause in seconds before an instance asks again for shares that are lent to
+#: another one; it doubles with each attempt. The first ones are for shares that are being given up.
+BLOCKED_RETRY_S = (0.03, 1.0)
+#: Time in seconds without a request after which shares are renewed no more, and after which an
+#: instance without shares asks for them no more.
 IDLE_S = 5.0
-STAND_IN_IDLE_S = 1.0
-#: Instances that are asked for a permit: the owner and its deputy.
+BLOCKED_IDLE_S = 1.5
+#: Instances that are asked for a permit if it is not known who holds the shares.
 OWNERS = 2
 #: Time in seconds for which an instance that did not reply is asked last.
 AVOID_S = 1.0
@@ -84,14 +87,25 @@
         #: Whether a task asks for shares, and whether that is for the first ones.
         self.kept = False
         self.collecting = False
-        #: Part of the quota that is lent to another instance.
-        self.blocked = 0.0
+        #: In the last round: the part of the quota that is lent to each other instance, the part
+        #: of voters that do not list this instance, and the time of the next lapse of a share.
+        self.holders: dict[str, float] = {}
+        self.unlisted = 0.0
+        self.lapses_at = math.inf
+        #: Pause in seconds before the next round if the shares are lent to others.
+        self.backoff = BLOCKED_RETRY_S[0]
         #: Rises when all shares are given up; shares that were asked for before are not used.
         self.generation = 0
-        #: Stamp of the last question for a share, by voter.
+        #: Stamp of the last question to which a voter has lent its share.
         self.stamps: dict[str, int] = {}
         self.changed = trio.Event()
 
+    @property
+    def holder(self) -> str:
+        """The other instance that holds most of the shares, empty if there is none."""
+        name = max(self.holders, key=self.holders.get, default="")
+        return name if self.holders.get(name, 0.0) >= ENOUGH_SHARES else ""
+
     def notify(self) -> None:
         """Wake the requests that wait for shares."""
         self.changed.set()
@@ -117,6 +131,8 @@
         self.book: ShareBook | None = None
         self.owned: dict[str, _Owned] = {}
         self.allowances: dict[str, LocalAllowance] = {}
+        #: The instance that decided on the last request of a workspace.
+        self.holders: dict[str, str] = {}
         #: Time until which an instance is asked last, by name.
         self.avoided: dict[str, float] = {}
         #: Whether this instance stops, so that others take its place.
@@ -164,40 +180,46 @@
         asked_at = trio.current_time()
         deadline = asked_at + PERMIT_TIMEOUT_S
         self._update(asked_at)
-        owners = list(self._owners(workspace.name))
         # An instance that did not reply is asked only if no other one decides.
-        owners.sort(key=lambda name: self.avoided.get(name, 0.0) > asked_at)
-        blocked, wait = False, 0.0
-        first = self.ranking.top(workspace.name)[0]
-        for name in owners:
-            timeout = min(FIRST_TIMEOUT_S, deadline - trio.current_time())
-            if timeout <= 0.0:
-                break
-            grant, others = await self._ask_permit(name, workspace, blocked, timeout)
-            if grant is None:
+        owners = sorted(
+            self._owners(workspace.name), key=lambda name: self.avoided.get(name, 0.0) > asked_at
+        )
+        asked: set[str] = set()
+        wait = 0.0
+        while owners and (now := trio.current_time()) < deadline:
+            name = owners.pop(0)
+            asked.add(name)
+            timeout = min(FIRST_TIMEOUT_S, deadline - now)
+            grant, holder = await self._ask_permit(name, workspace, timeout)
+            if grant is None or not (grant.granted or grant.decided):
+                self.holders.pop(workspace.name, None)
+                if holder in self.ranking.names and holder not in asked:
+                    owners = [holder, *(other for other in owners if other != holder)]
+                wait = max(wait, grant.wait) if grant else wait
                 continue
-            if grant.granted and trio.current_time() < deadline:
-                return QuotaDecision(True, source=name)
-            if grant.decided:
+            self.holders[workspace.name] = name
+            if not grant.granted:
                 return self._refused(workspace, grant.wait, QUOTA, name)
-            # Only for the first owner, a deputy gives up the shares that it holds.
-            blocked = others and name == first
-            wait = max(wait, grant.wait)
+            if trio.current_time() < deadline:
+                return QuotaDecision(True, source=name)
         return self._admit_locally(workspace, QUOTA_UNKNOWN, wait)
 
-    def _owners(self, workspace: str) -> tuple[str, ...]:
+    def _owners(self, workspace: str) -> list[str]:
+        """Return the instances to ask for a permit, the most likely owner first."""
         top = self.ranking.top(workspace)
         if self.leaving:
             top = tuple(name for name in top if name != self.deployment.instance)
-        return top[:OWNERS]
+        holder = self.holders.get(workspace, "")
+        known = [holder] if holder in self.ranking.names else []
+        return [*known, *(name for name in top[:OWNERS] if name != holder)]
 
     async def _ask_permit(
-        self, name: str, workspace: Workspace, blocked: bool, timeout: float
-    ) -> tuple[Grant | None, bool]:
-        """Ask an instance for a permit; return its answer, and whether others hold the shares."""
+        self, name: str, workspace: Workspace, timeout: float
+    ) -> tuple[Grant | None, str]:
+        """Ask an instance for a permit; return its answer, and who holds the shares instead."""
         if name == self.deployment.instance:
-            return await self._grant(workspace, blocked)
-        message = AskQuota(workspace.name, self.deployment.instance, owner_blocked=blocked)
+            return await self._grant(workspace)
+        message = AskQuota(workspace.name, self.deployment.instance)
         try:
             reply = await self._call(name, message, timeout)
         except RelayError as error:
@@ -205,9 +227,9 @@
             if self.avoided.get(name, 0.0) <= now:
                 event("quota.no_reply", workspace=workspace.name, owner=name, reason=str(error))
             self.avoided[name] = now + AVOID_S
-            return None, False
+            return None, ""
         self.avoided.pop(name, None)
-        return Grant(reply.granted, reply.decided, reply.wait_us / 1e6), reply.blocked
+        return Grant(reply.granted, reply.decided, reply.wait_us / 1e6), reply.holder
 
     def _admit_locally(self, workspace: Workspace, reason: str, wait: float = 0.0) -> QuotaDecision:
         now, bounds = trio.current_time(), self.deployment.bounds.quota
@@ -249,26 +271,23 @@
         else:
             if self.leaving and not self._holds_shares(message.workspace, now):
                 raise RelayError("stopping", "this instance refuses new requests", step="quota")
-            grant, blocked = await self._grant(workspace, message.owner_blocked)
-            return QuotaReply(grant.granted, grant.decided, blocked, int(grant.wait * 1e6))
+            grant, holder = await self._grant(workspace)
+            return QuotaReply(grant.granted, grant.decided, holder, int(grant.wait * 1e6))
         return QuotaReply(True)
 
     def _lend(self, message: AskQuota, now: float) -> QuotaReply:
-        offer = self._offer(message.workspace, message.asker, message.stamp, now)
-        if offer is None:
-            wait = self.book.blocked_for(message.workspace, message.asker, now)
-            return QuotaReply(blocked=wait > 0.0, wait_us=int(wait * 1e6))
-        idle = min(offer.idle, LONGEST_S)
-        return QuotaReply(
-            True,
-            weight_ppb=int(offer.weight * PPB),
-            term=offer.term,
-            idle_us=int(idle * 1e6),
-        )
-
-    def _offer(self, workspace: str, owner: str, stamp: int, now: float) -> ShareOffer | None:
+        workspace, owner = message.workspace, message.asker
+        if owner not in self.ranking.names:
+            # Others cannot ask it for permits.
+            return QuotaReply(unlisted=True)
         weight = 0.0 if self.leaving else self.ranking.weight(workspace)
-        return self.book.lend(workspace, owner, weight, now, stamp)
+        offer = self.book.lend(workspace, owner, weight, now, message.stamp)
+        if offer is None:
+            holder, left = self.book.holder(workspace, now)
+            return QuotaReply(holder=holder, wait_us=int(left * 1e6))
+        idle_us = int(min(offer.idle, LONGEST_S) * 1e6)
+        weight_ppb = int(offer.weight * PPB)
+        return QuotaReply(True, weight_ppb=weight_ppb, term=offer.term, idle_us=idle_us)
 
     def _holds_shares(self, workspace: str, now: float) -> bool:
         owned = self.owned.get(workspace)
@@ -277,16 +296,10 @@
         owned.bucket.advance(now)
         return bool(owned.bucket.shares)
 
-    async def _grant(self, workspace: Workspace, owner_blocked: bool) -> tuple[Grant, bool]:
-        """Grant one permit or refuse it; return whether other instances hold the shares, too."""
+    async def _grant(self, workspace: Workspace) -> tuple[Grant, str]:
+        """Grant one permit or refuse it; return also who holds the shares if not this instance."""
         now = trio.current_time()
         owned = self._own(workspace, now)
-        if owner_blocked:
-            granted = owned.bucket.take(now)
-            if owned.bucket.shares:
-                # The first owner can use them again.
-                self._give_up(workspace.name, owned, now)
-            return Grant(granted, False), False
         owned.needed_at = now
         if not owned.kept and not self.leaving:
             owned.kept = owned.collecting = True
@@ -297,8 +310,12 @@
                 await owned.changed.wait()
                 granted = owned.bucket.take(trio.current_time())
         if granted:
-            return Grant(True), False
-        return owned.bucket.refuse(trio.current_time()), owned.blocked >= ENOUGH_SHARES
+            return Grant(True), ""
+        grant = owned.bucket.refuse(now := trio.current_time())
+        if grant.decided:
+            return grant, ""
+        wait = min(max(owned.lapses_at - now, grant.wait), BLOCKED_RETRY_S[1])
+        return grant._replace(wait=wait), owned.holder
 
     def _own(self, workspace: Workspace, now: float) -> _Owned:
         owned = self.owned.get(workspace.name)
@@ -318,38 +335,47 @@
                 await self._ask_shares(workspace, owned)
                 owned.collecting = False
                 owned.notify()
+                await trio.sleep(self._pause(workspace, owned, trio.current_time()))
                 now = trio.current_time()
+                self._update(now)
                 owned.bucket.advance(now)
-                enough = owned.bucket.weight >= ENOUGH_SHARES
-                pause = RENEW_S if enough else RETRY_S
-                await trio.sleep(pause)
-                now = trio.current_time()
-                first = self._owners(workspace)[:1] == (self.deployment.instance,)
-                idle = IDLE_S if first else STAND_IN_IDLE_S
+                idle = IDLE_S if owned.bucket.shares else BLOCKED_IDLE_S
                 if self.leaving or now - owned.needed_at > idle:
                     return
-                self._update(now)
-                owned.bucket.advance(now)
-                owned.collecting = not owned.bucket.shares
+                owned.collecting = not owned.bucket.shares and not owned.holder
         finally:
             owned.kept = owned.collecting = False
             owned.notify()
 
+    def _pause(self, workspace: str, owned: _Owned, now: float) -> float:
+        """Return the seconds until the next round of questions for shares."""
+        if owned.unlisted >= ENOUGH_SHARES and owned.bucket.shares:
+            # Another instance is asked by most, so it needs the shares.
+            self._give_up(workspace, owned, now)
+        owned.bucket.advance(now)
+        shortest, longest = BLOCKED_RETRY_S
+        if owned.bucket.weight >= ENOUGH_SHARES:
+            owned.backoff = shortest
+            return RENEW_S
+        if not owned.holders:
+            return RETRY_S
+        pause = owned.backoff
+        owned.backoff = min(2.0 * pause, longest)
+        return min(max(owned.lapses_at - now, shortest), pause)
+
     async def _ask_shares(self, workspace: str, owned: _Owned) -> None:
         """Ask all voters of a workspace for their shares."""
-        owned.blocked = 0.0
+        owned.holders, owned.unlisted, owned.lapses_at = {}, 0.0, math.inf
         generation = owned.generation
-        voters = self.ranking.top(workspace)
         async with trio.open_nursery() as nursery:
-            for voter in voters:
+            for voter in self.ranking.top(workspace):
                 nursery.start_soon(self._ask_share, workspace, owned, voter, generation)
 
     async def _ask_share(self, workspace: str, owned: _Owned, voter: str, generation: int) -> None:
         asked_at = trio.current_time()
-        self._stamp = max(self._stamp + 1, int(asked_at * 1e6))
-        owned.stamps[voter] = self._stamp
+        self._stamp = stamp = max(self._stamp + 1, int(asked_at * 1e6))
         own = self.deployment.instance
-        message = AskQuota(workspace, own, QuotaPurpose.SHARE, stamp=self._stamp)
+        message = AskQuota(workspace, own, QuotaPurpose.SHARE, stamp=stamp)
         try:
             if voter == own:
                 reply = self._lend(message, asked_at)
@@ -357,19 +383,24 @@
                 reply = await self._call(voter, message, SHARE_TIMEOUT_S)
         except RelayError:
             return
-        if owned.generation != generation:
-            return
-        if not reply.granted:
-            owned.blocked += reply.blocked / len(self.ranking.top(workspace))
-            return
-        offer = ShareOffer(reply.weight_ppb / PPB, reply.term, reply.idle_us / 1e6)
-        owned.bucket.add_share(voter, offer, asked_at, trio.current_time())
-        owned.notify()
+        now = trio.current_time()
+        part = 1.0 / len(self.ranking.top(workspace))
+        if reply.granted:
+            # A share that was asked for before all were given up may be lent to another one.
+            if owned.generation == generation:
+                owned.stamps[voter] = stamp
+                offer = ShareOffer(reply.weight_ppb / PPB, reply.term, reply.idle_us / 1e6)
+                owned.bucket.add_share(voter, offer, asked_at, now)
+                owned.notify()
+        elif reply.unlisted:
+            owned.unlisted += part
+        elif reply.holder:
+            owned.holders[reply.holder] = owned.holders.get(reply.holder, 0.0) + part
+            owned.lapses_at = min(owned.lapses_at, now + reply.wait_us / 1e6)
 
     def _give_up(self, workspace: str, owned: _Owned, now: float) -> None:
         """Give all shares of a workspace back to their voters, with their tokens."""
         owned.generation += 1
-        owned.needed_at = -math.inf
         own = self.deployment.instance
         for voter, idle in owned.bucket.release(now).items():
             stamp = owned.stamps.get(voter, 0)
@@ -429,4 +460,6 @@
             del self.owned[name]
         for name in [name for name, one in self.allowances.items() if one.idle(2 * window, now)]:
             del self.allowances[name]
+        kept = self.deployment.catalog.workspaces or {}
+        self.holders = {name: one for name, one in self.holders.items() if name in kept}
         self.avoided = {name: until for name, until in self.avoided.items() if until > now}
--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -493,9 +493,8 @@
     #: Name of the sender.
     asker: str = ""
     purpose: int = QuotaPurpose.PERMIT
-    #: Whether the owner that the sender asked first lacks shares because they are lent.
-    owner_blocked: bool = False
-    #: Rises with each question for a share; in a release, that of the last question.
+    #: Rises with each question for a share; a release has that of the question by which
+    #: the share was lent last.
     stamp: int = 0
     #: In a release, the time in which the share earns the tokens that are given back with it.
     idle_us: int = 0
@@ -503,7 +502,7 @@
 
 @message(29)
 class QuotaReply(NamedTuple):
-    """Answers `AskQuota`; the last three fields are those of a share.
+    """Answers `AskQuota`.
 
     Permits and shares expire some time after they were asked for, so a late reply gives nothing.
     """
@@ -511,13 +510,14 @@
     granted: bool = False
     #: Whether the sender has enough shares to refuse in the name of the whole fleet.
     decided: bool = False
-    #: Whether it lacks shares because they are lent to another instance.
-    blocked: bool = False
+    #: Name of the instance to which the share, or most of the shares, are lent instead.
+    holder: str = ""
     #: Time until another attempt may succeed.
     wait_us: int = 0
-    #: Part of the quota, in billionths.
+    #: Of a share: its part of the quota in billionths, a number that changes whenever the sender
+    #: lends it to another instance, and the time for which nobody has held it.
     weight_ppb: int = 0
-    #: Changes whenever the sender lends the share to another instance.
     term: int = 0
-    #: Time for which nobody has held the share.
     idle_us: int = 0
+    #: Whether the sender lends nothing to the receiver because it does not list it.
+    unlisted: bool = False
--- a/rattanrelay/wire/relay.thrift
+++ b/rattanrelay/wire/relay.thrift
@@ -79,10 +79,9 @@
 struct ConfigurationAge { 1: i64 version, 2: i64 age_us }
 
 struct AskQuota {
-  1: string workspace, 2: string asker, 3: i32 purpose, 4: bool owner_blocked, 5: i64 stamp,
-  6: i64 idle_us
+  1: string workspace, 2: string asker, 3: i32 purpose, 4: i64 stamp, 5: i64 idle_us
 }
 struct QuotaReply {
-  1: bool granted, 2: bool decided, 3: bool blocked, 4: i64 wait_us, 5: i64 weight_ppb,
-  6: i64 term, 7: i64 idle_us
+  1: bool granted, 2: bool decided, 3: string holder, 4: i64 wait_us, 5: i64 weight_ppb,
+  6: i64 term, 7: i64 idle_us, 8: bool unlisted
 }
