--- a/rattanrelay/relay/quotas.py
+++ b/rattanrelay/relay/quotas.py
@@ -321,7 +321,6 @@
         owned = self.owned.get(workspace.name)
         slack = self.deployment.bounds.quota.slack
         if owned is None:
-            self._clean(now)
             bucket = QuotaBucket(workspace.rate, workspace.burst, slack, now)
             owned = self.owned[workspace.name] = _Owned(bucket)
         else:
@@ -445,12 +444,12 @@
         if now - self._listed_at >= LIST_PERIOD_S:
             self._listed_at = now
             self.ranking.update(self.peers.known, self.deployment.instances)
+        if now - self._cleaned_at >= CLEAN_PERIOD_S:
+            self._cleaned_at = now
+            self._clean(now)
 
     def _clean(self, now: float) -> None:
         """Remove the state of workspaces that are not used any more."""
-        if now - self._cleaned_at < CLEAN_PERIOD_S:
-            return
-        self._cleaned_at = now
         window = self.deployment.bounds.quota.window
         for name in [
             name
--- /dev/null
+++ b/tests/decide/quota.feature
@@ -0,0 +1,50 @@
+Feature: Quotas that all instances keep together
+  Guards against requests beyond a quota after kills, delayed messages, cut links or different lists
+  of instances, and against requests within it that are refused.
+
+  Scenario: Shares that are lent, renewed, given back and lost never add up to more than the quota
+    Then in 300 random histories of 4 voters and 3 owners the grants keep the quota exactly
+
+  Scenario Outline: The sum over all instances stays in the bound through <trouble>
+    Then with <size> instances and <trouble>, no window has more requests than allowed in 3 plays
+
+    Examples:
+      | size | trouble                     |
+      | 5    | kills                       |
+      | 20   | kills                       |
+      | 20   | lists                       |
+      | 5    | cuts                        |
+      | 20   | cuts                        |
+      | 5    | delays                      |
+      | 20   | versions                    |
+      | 5    | kills,lists,cuts,delays     |
+      | 20   | kills,lists,cuts,delays     |
+
+  Scenario Outline: Requests within the quota are served
+    When <size> instances get requests at 0.8 of the rate for 20 s while <event>
+    Then at most <refused> of them are refused, and they wait <wait> ms on average
+
+    Examples:
+      | size | event                 | refused | wait |
+      | 3    | nothing happens       | 0       | 3    |
+      | 61   | nothing happens       | 0       | 3    |
+      | 30   | the owner is unlisted | 8       | 4    |
+      | 30   | the owner restarts    | 2       | 4    |
+      | 30   | the owner is killed   | 20      | 6    |
+
+  Scenario: A crowding workspace keeps its quota and takes nothing from others
+    When 61 instances get five times the quota of one workspace and 0.6 of that of 9 others
+    Then no request of the others is refused
+    And the crowding one gets between 0.97 and 1.05 of its quota
+
+  Scenario: A permit that comes later than 100 ms after the question is not used
+    When an instance gets requests for 20 s over links of 60 ms or more each way
+    Then only its local allowance is used
+
+  Scenario: Workspaces without a limit send no message and leave no state
+    When 3 instances get requests of a workspace without a limit
+    Then no message was sent
+
+  Scenario: The state of workspaces that send nothing is removed
+    When 300 workspaces send a request and then one of them does after 100 s
+    Then each instance has state of at most 2 workspaces
--- /dev/null
+++ b/tests/steps/quota_decide_steps.py
@@ -0,0 +1,248 @@
+"""Steps for the quotas that instances keep together, on plain objects without sockets."""
+
+from functools import partial
+
+import trio
+from behave import then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from rattanrelay.decide.quota import QuotaBucket, ShareBook
+from rattanrelay.relay import Workspace
+from tests.harness.quota_fleet import WINDOW_S, most_in_window, play
+
+RATE, BURST, HEADROOM, SLACK = 10.0, 10.0, 2.0, 20.0
+OPS = ("ask", "ask", "ask", "deliver", "deliver", "take", "take", "release", "new owner", "voter")
+#: Kind of step, owner, voter, and the time in seconds until the next step.
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(OPS), st.integers(0, 2), st.integers(0, 3), st.sampled_from((0, 0.1, 1, 3))
+    ),
+    min_size=20,
+    max_size=120,
+)
+
+
+@then("in {count:d} random histories of 4 voters and 3 owners the grants keep the quota exactly")
+def exact(context, count):
+    @settings(max_examples=count)
+    @for_all(steps=STEPS)
+    def holds(steps):
+        now, grants, sent, stamps = 0.0, [], [], {}
+        books = [ShareBook(0.0, restarted=False) for _ in range(4)]
+        buckets = [QuotaBucket(RATE, BURST, SLACK, now) for _ in range(3)]
+        for stamp, (kind, one, voter, pause) in enumerate(steps):
+            if kind == "ask":
+                offer = books[voter].lend("crowd", str(one), 0.25, now, stamp)
+                sent.append((buckets[one], voter, offer, stamp, now))
+            elif kind == "deliver" and sent:
+                # Replies arrive in any order or never.
+                bucket, name, offer, asked, at = sent.pop((one + voter) % len(sent))
+                if offer is not None and bucket.add_share(name, offer, at, now):
+                    stamps[bucket, name] = asked
+            elif kind == "take":
+                grants += [now for _ in range(20) if buckets[one].take(now)]
+            elif kind == "release":
+                sent = [row for row in sent if row[0] is not buckets[one]]
+                for name, idle in buckets[one].release(now).items():
+                    stamp = stamps[buckets[one], name]
+                    books[name].release("crowd", str(one), stamp, idle, now)
+            elif kind == "new owner":
+                buckets[one] = QuotaBucket(RATE, BURST, SLACK, now)
+            elif kind == "voter":
+                books[voter] = ShareBook(now)
+            now += pause
+        assert most_in_window(grants) <= RATE * WINDOW_S + BURST + HEADROOM + 1e-6
+
+    holds()
+
+
+async def kills(fleet):
+    while True:
+        await trio.sleep(fleet.rng.uniform(0.3, 3.0))
+        name = fleet.rng.choice(list(fleet.nodes))
+        fleet.kill(name)
+        await trio.sleep(fleet.rng.uniform(0.1, 4.0))
+        await fleet.start(name)
+
+
+async def lists(fleet):
+    while True:
+        await trio.sleep(fleet.rng.uniform(0.2, 2.0))
+        for node in list(fleet.nodes.values()):
+            node.see(fleet.rng.sample(fleet.names, fleet.size - fleet.rng.randint(0, 2)))
+
+
+async def cuts(fleet):
+    while True:
+        await trio.sleep(fleet.rng.uniform(0.3, 3.0))
+        fleet.cut = set(fleet.rng.sample(fleet.names, fleet.rng.randint(1, fleet.size // 2)))
+        await trio.sleep(fleet.rng.uniform(0.5, 6.0))
+        fleet.cut = set()
+
+
+async def delays(fleet):
+    while True:
+        fleet.latency = fleet.rng.choice((0.001, 0.02, 0.06, 0.5, 2.0))
+        fleet.loss = fleet.rng.choice((0.0, 0.0, 0.1, 0.5))
+        await trio.sleep(fleet.rng.uniform(0.3, 3.0))
+
+
+async def versions(fleet):
+    while True:
+        await trio.sleep(fleet.rng.uniform(0.3, 3.0))
+        row = Workspace("crowd", None, fleet.rng.uniform(1.0, RATE), fleet.rng.uniform(0.0, BURST))
+        for node in list(fleet.nodes.values()):
+            await trio.sleep(fleet.rng.uniform(0.0, 0.2))
+            node.deployment.catalog.workspaces = {"crowd": row}
+
+
+TROUBLES = {function.__name__: function for function in (kills, lists, cuts, delays, versions)}
+
+
+async def crowd_in_trouble(fleet, names):
+    await fleet.start(first_start=True)
+    for name in names:
+        fleet.nursery.start_soon(TROUBLES[name], fleet)
+    await fleet.load(30.0, 60.0)
+    return most_in_window(fleet.ran["crowd"]), fleet.allowed()
+
+
+@then(
+    "with {size:d} instances and {trouble}, no window has more requests than allowed in {n:d} plays"
+)
+def bounded(context, size, trouble, n):
+    @settings(max_examples=n)
+    @for_all(seed=st.integers(0, 2**32))
+    def holds(seed):
+        most, allowed = play(crowd_in_trouble, trouble.split(","), size=size, seed=seed)
+        assert 0 < most <= allowed, (most, allowed)
+
+    holds()
+
+
+async def unlist(fleet, owner):
+    for node in list(fleet.nodes.values()):
+        node.see([name for name in fleet.names if name != owner])
+        await trio.sleep(0.02)
+
+
+async def restart(fleet, owner):
+    fleet.kill(owner)
+    await fleet.start(owner)
+
+
+async def kill(fleet, owner):
+    fleet.kill(owner)
+
+
+EVENTS = {
+    "the owner is unlisted": unlist,
+    "the owner restarts": restart,
+    "the owner is killed": kill,
+}
+
+
+@when("{size:d} instances get requests at 0.8 of the rate for 20 s while {what}")
+def within(context, size, what):
+    async def scenario(fleet):
+        await fleet.start(first_start=True)
+        fleet.nursery.start_soon(partial(fleet.load, 20.0, 0.8 * RATE, regular=True))
+        await trio.sleep(8.0)
+        if what in EVENTS:
+            await EVENTS[what](fleet, fleet.owners()[0])
+        await trio.sleep(13.0)
+        return fleet
+
+    context.fleet = play(scenario, size=size)
+
+
+@then("at most {refused:d} of them are refused, and they wait {wait:g} ms on average")
+def served(context, refused, wait):
+    fleet = context.fleet
+    assert len(fleet.refused["crowd"]) <= refused, fleet.refused
+    assert sum(fleet.waits) <= len(fleet.waits) * wait / 1000.0, max(fleet.waits)
+
+
+@when("61 instances get five times the quota of one workspace and 0.6 of that of 9 others")
+def crowd_beside_others(context):
+    rows = {f"w{number}": Workspace(f"w{number}", None, 5.0, 5.0) for number in range(9)}
+
+    async def scenario(fleet):
+        await fleet.start(first_start=True)
+        for name in rows:
+            fleet.nursery.start_soon(partial(fleet.load, 20.0, 3.0, name, regular=True))
+        await fleet.load(20.0, 50.0)
+        return fleet
+
+    rows["crowd"] = Workspace("crowd", None, RATE, BURST)
+    context.fleet = play(scenario, size=61, workspaces=rows)
+
+
+@then("no request of the others is refused")
+def others_served(context):
+    refused = {name: times for name, times in context.fleet.refused.items() if times}
+    assert refused.keys() == {"crowd"}, refused
+
+
+@then("the crowding one gets between {least:g} and {most:g} of its quota")
+def crowd_limited(context, least, most):
+    quota = RATE * 20.0 + BURST
+    assert least * quota <= len(context.fleet.ran["crowd"]) <= most * quota, context.fleet.ran
+
+
+@when("an instance gets requests for 20 s over links of 60 ms or more each way")
+def slow_links(context):
+    async def scenario(fleet):
+        await fleet.start(first_start=True)
+        fleet.names = [name for name in fleet.names if name not in fleet.owners()]
+        await fleet.load(20.0, 20.0)
+        return fleet
+
+    context.fleet = play(scenario, size=3, latency=0.12)
+
+
+@then("only its local allowance is used")
+def only_local(context):
+    most = most_in_window(context.fleet.ran["crowd"])
+    assert 0 < most <= 2, most
+
+
+@when("3 instances get requests of a workspace without a limit")
+def unlimited(context):
+    async def scenario(fleet):
+        await fleet.start()
+        await fleet.load(5.0, 20.0)
+        return fleet
+
+    context.fleet = play(scenario, size=3, workspaces={"crowd": Workspace("crowd")})
+
+
+@then("no message was sent")
+def silent(context):
+    fleet = context.fleet
+    assert not fleet.messages and not fleet.refused["crowd"] and fleet.ran["crowd"]
+    assert not any(node.quotas.owned or node.quotas.lent for node in fleet.nodes.values())
+
+
+@when("300 workspaces send a request and then one of them does after 100 s")
+def many(context):
+    rows = {f"w{number}": Workspace(f"w{number}", None, 5.0, 5.0) for number in range(300)}
+
+    async def scenario(fleet):
+        await fleet.start(first_start=True)
+        for name in rows:
+            await fleet.ask(name)
+        await trio.sleep(100.0)
+        for name in fleet.names:
+            await fleet.ask("w7", name)
+        await trio.sleep(1.0)
+        return [(len(one.quotas.owned), len(one.quotas.lent)) for one in fleet.nodes.values()]
+
+    context.kept = play(scenario, size=3, workspaces=rows)
+
+
+@then("each instance has state of at most {count:d} workspaces")
+def little_state(context, count):
+    assert all(max(kept) <= count for kept in context.kept), context.kept
