--- a/rattanrelay/wire/messages.py
+++ b/rattanrelay/wire/messages.py
@@ -1,5 +1,6 @@
 """Messages between instances as named tuples, bound to the structs of relay.thrift."""
 
+from enum import IntEnum
 from typing import NamedTuple
 
 from .idl import build
@@ -11,6 +12,7 @@
     "Action",
     "ActionResult",
     "AskConfigurationAge",
+    "AskQuota",
     "BeginTrial",
     "BlockedRequest",
     "BorrowPermit",
@@ -32,6 +34,8 @@
     "Message",
     "Pull",
     "Quarantined",
+    "QuotaPurpose",
+    "QuotaReply",
     "RunAction",
     "ShardResult",
     "ShardResults",
@@ -466,3 +470,54 @@
     version: int = 0
     #: -1 if that is unknown.
     age_us: int = -1
+
+
+class QuotaPurpose(IntEnum):
+    """What an instance asks for with `AskQuota`."""
+
+    #: A permit to run one request, from the owner of the workspace's quota.
+    PERMIT = 1
+    #: The share of the quota that the receiver lends to an owner.
+    SHARE = 2
+    #: Nothing; a permit that the receiver granted was not used.
+    REFUND = 3
+    #: Nothing; the share that the receiver has lent may go to another owner.
+    RELEASE = 4
+
+
+@message(28)
+class AskQuota(NamedTuple):
+    """Asks an instance for a permit or a share of a workspace's quota, or gives one back."""
+
+    workspace: str
+    #: Name of the sender.
+    asker: str = ""
+    purpose: int = QuotaPurpose.PERMIT
+    #: Rises with each question for a share; a release has that of the question by which
+    #: the share was lent last.
+    stamp: int = 0
+    #: In a release, the time in which the share earns the tokens that are given back with it.
+    idle_us: int = 0
+
+
+@message(29)
+class QuotaReply(NamedTuple):
+    """Answers `AskQuota`.
+
+    Permits and shares expire some time after they were asked for, so a late reply gives nothing.
+    """
+
+    granted: bool = False
+    #: Whether the sender has enough shares to refuse in the name of the whole fleet.
+    decided: bool = False
+    #: Name of the instance to which the share, or most of the shares, are lent instead.
+    holder: str = ""
+    #: Time until another attempt may succeed.
+    wait_us: int = 0
+    #: Of a share: its part of the quota in billionths, a number that changes whenever the sender
+    #: lends it to another instance, and the time for which nobody has held it.
+    weight_ppb: int = 0
+    term: int = 0
+    idle_us: int = 0
+    #: Whether the sender lends nothing to the receiver because it does not list it.
+    unlisted: bool = False
