--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -446,6 +446,8 @@
         reason = outcome.partition(":")[0]
         self.metrics.requests.inc({"route": route, "status": str(status), "reason": reason})
         self.metrics.latency.observe({"route": route, "status": str(status)}, seconds)
+        if inputs.get("workspace"):
+            self.metrics.count_workspace(inputs["workspace"], reason)
         event(
             "request",
             request=request_id,
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -8,6 +8,9 @@
 
 __all__ = ["RelayMetrics"]
 
+#: Workspaces that are counted by name, since each one is a time series.
+MAX_WORKSPACES = 200
+
 
 class RelayMetrics(Collectors):
     """Collectors of one instance that relays requests."""
@@ -26,6 +29,10 @@
         )
         #: Requests to searchers by role and outcome; copied to the collector when it is read.
         self.subrequest_counts: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.workspaces = self.add(
+            Counter, "workspace_requests_total", "Requests by workspace and reason"
+        )
+        self.workspace_names: set[str] = set()
         self.missing = self.add(
             Counter, "missing_parts_total", "Shards that a response left out, by reason"
         )
@@ -71,3 +78,12 @@
         for (role, outcome), count in self.subrequest_counts.items():
             self.subrequests.set({"role": role, "outcome": outcome}, count)
         return super().text(accept)
+
+    def count_workspace(self, name: str, reason: str) -> None:
+        """Count a request of a workspace; those beyond a number of workspaces count together."""
+        if name not in self.workspace_names:
+            if len(self.workspace_names) >= MAX_WORKSPACES:
+                name = "other"
+            else:
+                self.workspace_names.add(name)
+        self.workspaces.inc({"workspace": name, "reason": reason})
