Treat responses with invalid statuses as malformed, and answer their requests at once

Cause: llhttp accepts any three digits. A status below 200 was skipped as informational, so that a searcher that answered with 000, 099 or 199 and kept its connection open was waited for until the deadline: 504 after 0.985 s of 1 s. 600 and 999 were passed on to the caller. A status 101 with an upgrade raised HttpParserUpgrade, which no reader expects; in the store client it would have ended the task. Any number of informational responses was skipped. After a malformed response that was noticed, an idempotent request went to the same searchers up to six times, and got its 502 after 0.36 s. Change: statuses outside 100 to 599, 100 and 101 (no request asks for them), an informational response with a body and more than 16 of them are malformed. A searcher with a malformed response does not get the request again from this instance; a request that has no searcher left is answered at once. The error is InvalidResponse, with the code connection_lost as before, so that a response is not counted like a connection that ended. The log has response.malformed.

--- a/rattanrelay/http/__init__.py
+++ b/rattanrelay/http/__init__.py
@@ -1,6 +1,6 @@
 """HTTP/1.1 on trio streams: a server loop built on h11 and a client connection on llhttp."""
 
-from .client import MAX_RESPONSE_BYTES, HttpConnection
+from .client import MAX_RESPONSE_BYTES, HttpConnection, InvalidResponse
 from .model import HttpLimits, Request, Response, json_response
 from .server import serve_http
 
@@ -8,6 +8,7 @@
     "MAX_RESPONSE_BYTES",
     "HttpConnection",
     "HttpLimits",
+    "InvalidResponse",
     "Request",
     "Response",
     "json_response",
--- a/rattanrelay/http/client.py
+++ b/rattanrelay/http/client.py
@@ -14,7 +14,7 @@
 from .parsing import MalformedResponse, ResponseParser
 from .plain import PlainStream, is_ipv4
 
-__all__ = ["MAX_RESPONSE_BYTES", "HttpConnection"]
+__all__ = ["MAX_RESPONSE_BYTES", "HttpConnection", "InvalidResponse"]
 
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
@@ -25,6 +25,18 @@
 MAX_UNFINISHED_BYTES = 32 * 1024 * 1024
 
 
+class InvalidResponse(RelayError):
+    """Raised for a malformed response, with the code `connection_lost`; `fault` is what is wrong.
+
+    It is no sign that the server has ended, unlike other errors with this code.
+    """
+
+    def __init__(self, fault: str, peer: str) -> None:
+        text = f"malformed response: {fault}"
+        super().__init__("connection_lost", text, step="read answer", peer=peer, ran="unknown")
+        self.fault = fault
+
+
 class HttpConnection:
     """A client connection; it is not usable after an error or a cancelled request."""
 
@@ -63,8 +75,8 @@
         """Send a request and return its response, whose body may have `max_body` bytes.
 
         Raises `bad_request` for a header with a line break or a null character, and
-        `connection_lost` for a broken connection or a malformed response, with `ran="not_run"` if
-        nothing was sent, else `"unknown"`.
+        `connection_lost` for a broken connection or, as `InvalidResponse`, a malformed response,
+        with `ran="not_run"` if nothing was sent, else `"unknown"`.
         """
         if not self.usable:
             raise RelayError("connection_lost", "closed", step="send request", peer=self.peer)
@@ -81,7 +93,7 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
             raise self._connection_lost(str(error)) from error
         except MalformedResponse as error:
-            raise self._connection_lost(f"malformed response: {error}") from error
+            raise InvalidResponse(str(error), self.peer) from error
         finally:
             self.memory.release(self)
             self._parser = None
@@ -132,7 +144,10 @@
             nursery.start_soon(send)
             try:
                 response = await self._read(parser)
-            except (trio.BrokenResourceError, MalformedResponse, RelayError) as error:
+            except MalformedResponse as error:
+                # A server that closes the connection after such a response fails the send as well.
+                failure = error
+            except (trio.BrokenResourceError, RelayError) as error:
                 failure = failure or error
             nursery.cancel_scope.cancel()
         if response is None:
--- a/rattanrelay/http/parsing.py
+++ b/rattanrelay/http/parsing.py
@@ -11,12 +11,21 @@
 #: Maximum number of bytes for sizes and extensions of chunks, for each byte of the body; a chunk of
 #: one byte takes five.
 MAX_CHUNK_OVERHEAD = 8
+#: Range of the statuses that HTTP defines. llhttp accepts any three digits.
+MIN_STATUS = 100
+MAX_STATUS = 599
+#: Informational responses that we have not asked for: no request is sent with `Expect:
+#: 100-continue` or `Upgrade`, and 101 would end HTTP on the connection.
+UNREQUESTED_STATUSES = frozenset({100, 101})
+#: Maximum number of informational responses before the final one. Servers send one or two; without
+#: a limit, one that sends them slowly would occupy a request until its deadline.
+MAX_INFORMATIONAL = 16
 #: Statuses without a body. Any other response without a length ends with the connection.
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
 class MalformedResponse(Exception):
-    """Raised when the received bytes are not an HTTP/1.1 response or exceed a size limit."""
+    """Raised when the received bytes are not an HTTP/1.1 response or exceed a limit."""
 
 
 class ResponseParser:
@@ -32,6 +41,10 @@
         self.headers: dict[str, str] = {}
         self.body = bytearray()
         self.status = 0
+        #: Number of informational responses that were skipped.
+        self.informational = 0
+        #: Why the response is malformed although llhttp accepts it, else empty.
+        self.fault = ""
         self.complete = False
         #: Whether the connection can be used for another request.
         self.reusable = False
@@ -48,11 +61,14 @@
         self.received += len(data)
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserError as error:
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            # `HttpParserUpgrade`, which is no `HttpParserError`, is raised after a status 101.
             # Bytes after a complete response belong to no request; they only prevent reuse.
             if not self.complete:
-                raise MalformedResponse(str(error)) from error
+                raise MalformedResponse(self.fault or str(error)) from error
             self.reusable = False
+        if self.fault:
+            raise MalformedResponse(self.fault)
         body = len(self.body)
         if body > self.max_body:
             raise MalformedResponse(f"body exceeds {self.max_body} bytes")
@@ -84,7 +100,7 @@
 
     def on_message_begin(self) -> None:
         """Start a response; another one after the complete one is ignored."""
-        if self.complete:
+        if self.complete or self.fault:
             self.reusable = False
             return
         self.headers = {}
@@ -96,10 +112,11 @@
 
     def on_headers_complete(self) -> None:
         """Determine how the body ends; an informational response is skipped."""
-        if self.complete:
+        if self.complete or self.fault:
             return
         status = self.status = self.parser.get_status_code()
-        if status < 200:
+        self.fault = self._status_fault(status)
+        if self.fault or status < 200:
             return
         coding = self.headers.get("transfer-encoding", "").lower()
         chunked = coding == "chunked"
@@ -109,9 +126,24 @@
         if self.head_only:
             self.complete = True
 
+    def _status_fault(self, status: int) -> str:
+        """Return why a response with this status is malformed, or an empty text."""
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            return f"status {status:03d}"
+        if status >= 200:
+            return ""
+        if status in UNREQUESTED_STATUSES:
+            return f"status {status} that was not asked for"
+        if "transfer-encoding" in self.headers or self.headers.get("content-length", "0") != "0":
+            return f"status {status} with a body"
+        self.informational += 1
+        if self.informational > MAX_INFORMATIONAL:
+            return f"more than {MAX_INFORMATIONAL} informational responses"
+        return ""
+
     def on_body(self, data: bytes) -> None:
         """Append a piece of the body."""
-        if not self.complete:
+        if self.in_body and not self.complete:
             self.body += data
 
     def on_message_complete(self) -> None:
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -102,6 +102,9 @@
         #: Searchers of the sub-requests that were sent on kept connections, by their number.
         self.kept: dict[int, Searcher] = {}
         self.tried: set[Searcher] = set()
+        #: Those of them whose response was malformed. They get the request no more: each repeat
+        #: would add to the time until the caller gets its response.
+        self.malformed: set[Searcher] = set()
         self.sends = 0
         #: Whether a searcher may have received a request for it.
         self.reached = False
@@ -126,6 +129,8 @@
 
     def permitted(self, searchers: list[Searcher], attempts: int) -> list[Searcher]:
         """Return the searchers to which this instance may send the request."""
+        if self.malformed:
+            searchers = [one for one in searchers if one not in self.malformed]
         if self.shared_mark is None:
             return searchers
         own = 0 if self.peer_chooses else attempts - 1
@@ -397,13 +402,16 @@
             self.latency.add(trio.current_time() - started)
             self.quarantine.record_success(self.sub, shard.service)
         elif outcome.broken:
-            self.broken += 1
+            # A searcher that has sent a response, although a malformed one, may still be running.
+            self.broken += not outcome.malformed
             record = partial(self.quarantine.record_broken, gathered=bool(self.route.shards))
             self.background.start_soon(record, self.sub, searcher, lambda: self.succeeded > 0)
         if not outcome.reached:
             self._refund_unsent(shard, extra)
             if counted:
                 searcher.pacer.cold_window.refund()
+        if outcome.malformed:
+            shard.malformed.add(searcher)
         if not self.closed:
             self._record_outcome(shard, outcome)
             self._wake.set()
@@ -458,14 +466,15 @@
 
     def _schedule_retry(self, shard: _Shard, now: float) -> None:
         """Schedule a retry after a pause, or give the shard up if the deadline is too close."""
-        wait = self._wait_for(shard, now)
+        left = self._left(shard, now)
+        wait = min((self.deployment.wait(searcher, now) for searcher in left), default=0.0)
         if wait and now + wait > self.patient_until:
             shard.exhausted = True
             shard.reason = RATE_LIMITED
             return
         at = now + max(shard.pause, wait)
         shard.pause *= 2.0
-        if at >= self.sub.deadline - RETURN_MARGIN_S or not self._serving(shard, now):
+        if at >= self.sub.deadline - RETURN_MARGIN_S or not left:
             shard.exhausted = True
             shard.reason = shard.reason or NO_SEARCHER
             return
@@ -492,6 +501,16 @@
         serving = list(self.deployment.serving(shard.service, now))
         return shard.permitted(serving, self.route.attempts)
 
+    def _left(self, shard: _Shard, now: float) -> list[Searcher]:
+        """Return the searchers that this very request may still be sent to.
+
+        Once `attempts` searchers have got it, others may serve only later requests.
+        """
+        serving = self._serving(shard, now)
+        if len(shard.tried) < self.route.attempts:
+            return serving
+        return [searcher for searcher in serving if searcher in shard.tried]
+
     def _choose(self, shard: _Shard, now: float) -> Searcher | None:
         new_connection = not self.sub.idempotent
         usable = self.deployment.usable(shard.service, now)
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -13,7 +13,7 @@
 from ..decide.pacing import Pacer
 from ..decide.timing import silence_delay
 from ..errors import RelayError
-from ..http import MAX_RESPONSE_BYTES, HttpConnection, Request, Response
+from ..http import MAX_RESPONSE_BYTES, HttpConnection, InvalidResponse, Request, Response
 from ..log import event
 from .model import HeaderNames, SearcherRecord
 
@@ -85,6 +85,8 @@
     reached: bool = True
     #: Whether the connection ended or became unusable before the response was complete.
     broken: bool = False
+    #: Whether the response is malformed, so that the searcher does not get the request again.
+    malformed: bool = False
 
     @property
     def succeeded(self) -> bool:
@@ -309,6 +311,16 @@
         scope.deadline = min(scope.deadline, sub.deadline)
         try:
             response = await connection.request(request, sub.max_body)
+        except InvalidResponse as error:
+            self._close(connection)
+            event(
+                "response.malformed",
+                searcher=self.record.searcher,
+                request=sub.request_id,
+                reason=error.fault,
+            )
+            reason = f"malformed_response: {error.fault}"
+            return Outcome("lost", reason, broken=True, malformed=True)
         except RelayError as error:
             self._close(connection)
             return Outcome("lost", error.message, broken=error.code == "connection_lost")
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -294,6 +294,10 @@
         #: Beginning and repeated bytes of answers in mode "endless", and the bytes sent in each.
         self.endless = (b"", b"")
         self.endless_sent: list[int] = []
+        #: First bytes of answers in mode "status", before their headers.
+        self.status_bytes = b""
+        #: Connections on which such an answer was sent, and which the instance has not closed.
+        self.not_closed = 0
         #: Rate and pause that its answers state, as text, and whether they say that it is leaving.
         self.limit = ""
         self.retry_after = ""
@@ -436,6 +440,14 @@
         if mode == "endless":
             await self._send_endless(stream)
             return False
+        if mode == "status":
+            sized = {**good, "content-length": str(len(self.records))}
+            named = "".join(f"{name}: {value}\r\n" for name, value in sized.items())
+            self.not_closed += 1
+            await stream.send_all(self.status_bytes + named.encode() + b"\r\n" + self.records)
+            # The connection stays open, so that only the status shows that something is wrong.
+            self.not_closed -= not await stream.receive_some(1)
+            return False
         if mode == "truncate":
             data = b"HTTP/1.1 200 OK\r\ncontent-length: 99\r\n"
             named = "".join(f"{name}: {value}\r\n" for name, value in good.items())
