Check a configuration document of the platform before it is written

Cause: a document that no instance loads, or whose routes, splits, services or keys have no effect, was noticed only when it was in force. Integers of a configuration have 64 bits now: an instance loaded larger ones, and could not share its state with others.

--- a/rattanrelay/cli/commands/table.py
+++ b/rattanrelay/cli/commands/table.py
@@ -1,4 +1,4 @@
-"""`rattanrelay table`: reads and edits the operators' table of weights and limits."""
+"""`rattanrelay table`: reads and edits the operators' table, and checks the platform's."""
 
 import sys
 from pathlib import Path
@@ -8,10 +8,10 @@
 from ...table.columns import COLUMNS, column_of, kind_of
 from ...table.csv import parse_sheet
 from ..client import AdminClient
-from ..files import read_text
+from ..files import read_bytes, read_text
 from ..options import Edit, admin_command, edit_command
 from ..registry import command
-from ..show import cell_text, print_history, print_json, print_rows
+from ..show import cell_text, print_findings, print_history, print_json, print_rows
 
 __all__: list[str] = []
 
@@ -211,3 +211,47 @@
         print_json(value)
     else:
         print_history(value["history"])
+
+
+@command("table", "check")
+def check(file: str, *, against: str = "", searchers: str = "", json: bool = False) -> int:
+    """Check a configuration document of the users' platform before it is written.
+
+    Exits with 0 without a finding, 1 with warnings only, 2 if instances would not load it. Keys are
+    shown as digests only.
+
+    :param file: path of the document, as it is under op/config
+    :param against: path of the version in force; what differs is listed, which is no finding
+    :param searchers: path of the store's answer to /kv-range?prefix=servers/, for their number
+    :param json: print JSON
+    """
+    # Imported here since it loads the whole relay, which other uses of the command do not need.
+    from ...platform import config_form
+    from ...relay import config_check
+
+    value, known, in_force = read_bytes(file), None, None
+    if searchers:
+        known = config_form.read_searchers(read_bytes(searchers))
+    if against:
+        try:
+            in_force = config_form.read_configuration(read_bytes(against))
+        except ValueError as error:
+            raise RelayError("bad_arguments", f"{against}: {error}", step="read file") from None
+    version, differences = None, []
+    try:
+        configuration = config_form.read_configuration(value)
+    except ValueError as error:
+        findings = [config_form.unreadable(error)]
+    else:
+        version = configuration.catalog.version
+        findings = config_check.check_configuration(configuration, known)
+        if in_force is not None:
+            findings = config_check.version_findings(configuration, in_force) + findings
+            differences = config_check.differences(in_force, configuration)
+    if json:
+        rows = {"findings": findings, "differences": differences}
+        listed = {name: [row._asdict() for row in found] for name, found in rows.items()}
+        print_json({"file": file, "version": version, **listed})
+    else:
+        print_findings(file, version, findings, differences)
+    return 2 if any(one.severity == "error" for one in findings) else int(bool(findings))
--- a/rattanrelay/cli/show.py
+++ b/rattanrelay/cli/show.py
@@ -14,6 +14,7 @@
     "cell_text",
     "print_capacity",
     "print_edit",
+    "print_findings",
     "print_history",
     "print_json",
     "print_rows",
@@ -68,6 +69,26 @@
         print(f"warning: {warning}", file=sys.stderr)
 
 
+def print_findings(file: str, version: int | None, findings: list, differences: list) -> None:
+    """Print each finding of a check and each difference on one line, and their numbers."""
+    for one in findings:
+        print(_printable(f"{one.severity} {one.code} {one.entry}: {one.message}"))
+    for one in differences:
+        if one.field:
+            before, after = cell_text(one.before), cell_text(one.after)
+            print(_printable(f"changed {one.entry} {one.field}: {before} to {after}"))
+        else:
+            print(_printable(f"{'removed' if one.after is None else 'added'} {one.entry}"))
+    errors = sum(one.severity == "error" for one in findings)
+    counts = f"{errors} errors, {len(findings) - errors} warnings, {len(differences)} differences"
+    print(_printable(f"{file}: version {cell_text(version)}: {counts}"))
+
+
+def _printable(text: str) -> str:
+    """Return a text with line breaks and other control characters escaped."""
+    return "".join(char if char.isprintable() else repr(char)[1:-1] for char in text)
+
+
 def print_history(entries: list[dict[str, Any]]) -> None:
     """Print each revision and its changes, newest first."""
     for entry in entries:
--- a/rattanrelay/platform/documents.py
+++ b/rattanrelay/platform/documents.py
@@ -58,6 +58,10 @@
 T = TypeVar("T")
 
 
+#: Integers that instances can send to each other.
+_Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+
+
 class _Split(msgspec.Struct):
     service: str
     weight: float
@@ -71,13 +75,13 @@
     type: str
     timeout_ms: float
     target_latency_ms: float = 0.0
-    priority: int = 0
-    attempts: int = 1
+    priority: _Int64 = 0
+    attempts: _Int64 = 1
     service: str = ""
     traffic_split: list[_Split] = []
     #: Services that are the shards of the route.
     gather: list[str] = []
-    top_k: int = 0
+    top_k: _Int64 = 0
     min_shard_ratio: float = 1.0
     #: Whether callers need no key.
     public: bool = False
@@ -86,7 +90,7 @@
 class _Service(msgspec.Struct):
     name: str
     #: Connections that each searcher accepts from all callers together.
-    max_connections: int = 8
+    max_connections: _Int64 = 8
     #: Requests per second that a cold searcher can serve; 0 if no limit is stated.
     warmup_per_s: float = 0.0
 
@@ -96,21 +100,21 @@
 
     name: Annotated[str, msgspec.Meta(pattern=r"^[!-~]{1,200}\Z")]
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: _Int64 | None = None
     #: Requests per second through all instances together; 0 for no limit.
     rate_per_s: Annotated[float, msgspec.Meta(ge=0)] = 0.0
     burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Limits(msgspec.Struct):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 1024 * 1024
+    max_header_bytes: _Int64 = 16 * 1024
+    max_body_bytes: _Int64 = 1024 * 1024
     header_timeout_ms: float = 10_000.0
     idle_timeout_ms: float = 75_000.0
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Int64
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
