--- a/rattanrelay/platform/documents.py
+++ b/rattanrelay/platform/documents.py
@@ -60,6 +60,7 @@
 
 #: Integers that instances can send to each other.
 _Int64 = Annotated[int, msgspec.Meta(ge=-(2**63), le=2**63 - 1)]
+_Int32 = Annotated[int, msgspec.Meta(ge=-(2**31), le=2**31 - 1)]
 
 
 class _Split(msgspec.Struct):
@@ -76,12 +77,12 @@
     timeout_ms: float
     target_latency_ms: float = 0.0
     priority: _Int64 = 0
-    attempts: _Int64 = 1
+    attempts: _Int32 = 1
     service: str = ""
     traffic_split: list[_Split] = []
     #: Services that are the shards of the route.
     gather: list[str] = []
-    top_k: _Int64 = 0
+    top_k: _Int32 = 0
     min_shard_ratio: float = 1.0
     #: Whether callers need no key.
     public: bool = False
--- a/tests/platform/config_check.feature
+++ b/tests/platform/config_check.feature
@@ -14,7 +14,8 @@
       | field                           | value                 | code                  | entry           | status |
       | routes                          | 0                     | not_loaded            | document        | 2      |
       | tenants/0/name                  | ""                    | not_loaded            | document        | 2      |
-      | version                         | 1e30                  | not_loaded            | document        | 2      |
+      | version                         | 9223372036854775808   | not_loaded            | document        | 2      |
+      | routes/0/attempts               | 2147483648            | not_loaded            | document        | 2      |
       | version                         | 6                     | version_not_above     | version         | 2      |
 
     Examples: Entries that never match
