Test an instance against crowds of hostile clients

Each scenario starts the instance as in production, with limits.memory_mb = 64 and limits.max_fds = 512 in its settings, and lets 200 or 400 connections misbehave in one way on one listener. It checks that the process runs, that resident and unread bytes stay under the 64 MB, that sockets stay under max_fds less 200 for files, and that an ordinary request and a readiness check get 200 afterwards. No times and no shares are checked.

--- /dev/null
+++ b/tests/system/crowds.feature
@@ -0,0 +1,47 @@
+@alone
+Feature: Crowds of hostile clients
+  Guards against an instance that exceeds its memory or its descriptors, ends, or answers no ordinary
+  caller, because of what a crowd of clients sends or leaves unsent. The instance runs as in
+  production, with limits.memory_mb = 64 and limits.max_fds = 512, of which 200 are for files. Memory
+  is what is resident and what the kernel holds unread. The crowd's connections are open to the end.
+
+  Scenario Outline: <size> clients send <flood>
+    Given an instance with small limits
+    When <size> connections to its listener for clients send "<flood>"
+    Then the instance runs, within its memory and descriptors
+    And an ordinary request and a readiness check are answered with 200
+
+    Examples:
+      | size | flood                                                              |
+      | 200  | a body that stops one byte short                                   |
+      | 200  | a body that stops one byte short, piece by piece                   |
+      | 200  | one large chunk that stops short                                   |
+      | 200  | 40,000 chunks of one byte and no end                               |
+      | 200  | chunks of one byte with extensions of 15,000 bytes and no end      |
+      | 200  | headers just under the limit and a body that stops one byte short  |
+      | 200  | headers just under the limit and no end                            |
+      | 200  | pipelined requests behind a slow one                               |
+      | 200  | Expect: 100-continue and silence                                   |
+      | 200  | requests whose responses nobody reads                              |
+      | 400  | no byte                                                            |
+
+  Scenario Outline: <size> connections to the listener for <listener> send <flood>
+    Given an instance with small limits
+    When <size> connections to its listener for <listener> send "<flood>"
+    Then the instance runs, within its memory and descriptors
+    And an ordinary request and a readiness check are answered with 200
+
+    Examples:
+      | size | listener        | flood                                                         |
+      | 200  | readiness       | a body that stops one byte short                              |
+      | 200  | readiness       | 40,000 chunks of one byte and no end                          |
+      | 200  | readiness       | headers just under the limit and no end                       |
+      | 400  | readiness       | no byte                                                       |
+      | 200  | metrics         | one large chunk that stops short                              |
+      | 200  | metrics         | chunks of one byte with extensions of 15,000 bytes and no end |
+      | 200  | metrics         | requests whose responses nobody reads                         |
+      | 400  | metrics         | no byte                                                       |
+      | 200  | other instances | bytes that are no frame                                       |
+      | 200  | other instances | a frame header with a length of 4 GB                          |
+      | 200  | other instances | a frame of 8 MB that stops short                              |
+      | 400  | other instances | no byte                                                       |
