Free bodies at the end of a request, and copy them less

The parser of a response and llhttp's parser referred to each other, and a scatter and its timers, so that the bodies of each request stayed until the garbage collector ran.

--- a/rattanrelay/http/client.py
+++ b/rattanrelay/http/client.py
@@ -68,16 +68,16 @@
         """
         if not self.usable:
             raise RelayError("connection_lost", "closed", step="send request", peer=self.peer)
-        data = self._encode(request)
+        head = self._head(request)
         parser = ResponseParser(max_body, head_only=request.method == "HEAD")
         self._parser = parser
         self.usable = False
         try:
-            if len(data) <= MAX_BUFFERED_REQUEST_BYTES:
-                await self.stream.send_all(data)
+            if len(head) + len(request.body) <= MAX_BUFFERED_REQUEST_BYTES:
+                await self.stream.send_all(head + request.body)
                 response = await self._read(parser)
             else:
-                response = await self._send_and_read(data, parser)
+                response = await self._send_and_read((head, request.body), parser)
         except (trio.BrokenResourceError, trio.ClosedResourceError, OSError) as error:
             raise self._connection_lost(str(error)) from error
         except MalformedResponse as error:
@@ -85,6 +85,7 @@
         finally:
             self.memory.release(self)
             self._parser = None
+            parser.close()
         self.usable = self.sent and self.reusable
         return response
 
@@ -114,8 +115,11 @@
         self.usable = False
         await trio.aclose_forcefully(self.stream)
 
-    async def _send_and_read(self, data: bytes, parser: ResponseParser) -> Response:
-        """Send and read concurrently: a server may respond before it has read all of a request."""
+    async def _send_and_read(self, parts: tuple[bytes, ...], parser: ResponseParser) -> Response:
+        """Send and read concurrently: a server may respond before it has read all of a request.
+
+        A large body is not copied: the same one goes to many servers.
+        """
         failure: Exception | None = None
         response: Response | None = None
         self.sent = False
@@ -123,7 +127,8 @@
         async def send() -> None:
             nonlocal failure
             try:
-                await self.stream.send_all(data)
+                for part in parts:
+                    await self.stream.send_all(part)
                 self.sent = True
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 failure = error
@@ -140,6 +145,9 @@
         return response
 
     def _encode(self, request: Request) -> bytes:
+        return self._head(request) + request.body
+
+    def _head(self, request: Request) -> bytes:
         lines = [f"{request.method} {request.target} HTTP/1.1"]
         if "host" not in request.headers:
             lines.append(f"host: {self.host}")
@@ -154,11 +162,7 @@
             raise RelayError(
                 "bad_request", "line break or null character in a header", step="send request"
             )
-        return b"%s\r\ncontent-length: %d\r\n\r\n%s" % (
-            head.encode("latin-1"),
-            len(request.body),
-            request.body,
-        )
+        return b"%s\r\ncontent-length: %d\r\n\r\n" % (head.encode("latin-1"), len(request.body))
 
     async def _read(self, parser: ResponseParser) -> Response:
         while not parser.complete:
@@ -172,7 +176,7 @@
             if not parser.complete:
                 raise self._connection_lost("connection closed before the end of the response")
         self.reusable = parser.reusable
-        return parser.response()
+        return Response(parser.status, parser.headers, self.memory.hold(parser.body))
 
     def _connection_lost(self, text: str) -> RelayError:
         return RelayError(
--- a/rattanrelay/http/parsing.py
+++ b/rattanrelay/http/parsing.py
@@ -73,6 +73,15 @@
         self.headers = {}
         self.body = bytearray()
 
+    def close(self) -> None:
+        """Free the memory of the response and the parser, which cannot be used any more.
+
+        llhttp's parser and this object refer to each other, so that the body would stay until the
+        garbage collector runs.
+        """
+        self.discard()
+        self.parser = None
+
     def end(self) -> None:
         """Handle the end of the connection, which completes a response without a length."""
         if self.in_body and not self.framed:
--- a/rattanrelay/http/plain.py
+++ b/rattanrelay/http/plain.py
@@ -84,10 +84,14 @@
 
     async def send_all(self, data: bytes) -> None:
         """Send all bytes; raises `trio.BrokenResourceError` or `trio.ClosedResourceError`."""
-        sent = self._send(data)
-        while sent < len(data):
-            await trio.lowlevel.wait_writable(self.socket)
-            sent += self._send(data[sent:])
+        sent = self.send_some(data)
+        if sent == len(data):
+            return
+        # Slices of a view are no copies, which many callers that read slowly would multiply.
+        with memoryview(data) as view:
+            while sent < len(data):
+                await trio.lowlevel.wait_writable(self.socket)
+                sent += self.send_some(view[sent:])
 
     async def wait_send_all_might_not_block(self) -> None:
         """Wait until the kernel accepts bytes."""
@@ -106,6 +110,21 @@
             except OSError as error:
                 raise trio.BrokenResourceError(str(error)) from error
 
+    async def wait_input(self) -> None:
+        """Wait until a receive would not wait; raises as `send_all`."""
+        self._check_open()
+        await trio.lowlevel.wait_readable(self.socket)
+
+    def receive_now(self, max_bytes: int) -> bytes | None:
+        """Return the next bytes, none at the end of the stream, or None if there are none yet."""
+        self._check_open()
+        try:
+            return self.socket.recv(max_bytes)
+        except BlockingIOError:
+            return None
+        except OSError as error:
+            raise trio.BrokenResourceError(str(error)) from error
+
     async def aclose(self) -> None:
         """Close the socket; raises `trio.ClosedResourceError` in a task that waits for it."""
         self.close()
@@ -117,7 +136,8 @@
             trio.lowlevel.notify_closing(self.socket)
             self.socket.close()
 
-    def _send(self, data: bytes) -> int:
+    def send_some(self, data: bytes) -> int:
+        """Send what the kernel accepts at once and return its size; raises as `send_all`."""
         self._check_open()
         try:
             return self.socket.send(data)
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -745,6 +745,8 @@
 
     def _close(self) -> None:
         self.closed = True
+        # Timers refer to this object, whose bodies would stay until the garbage collector runs.
+        self._timers.clear()
         for shard in self.shards:
             self.deployment.connections.remove(shard.service, shard)
         if self.succeeded:
