Draw on one memory account for all that others send to an instance

Connections of clients, other instances, balancers and monitoring draw on a budget derived from limits.memory_mb before they read, and are limited in number by limits.max_fds; those that hold most for longest are closed first, and a request that has not run gets 503 where the connection allows it. Connections to searchers are limited in number too. Many small chunks and large heads are parsed in turn, one connection for each iteration of the event loop. A body has a time limit by its bytes, and one that consists of chunk sizes and extensions for the most part is refused with 413.

--- /dev/null
+++ b/rattanrelay/http/intake.py
@@ -0,0 +1,112 @@
+"""The memory account of a process for the connections that others open to it."""
+
+import socket
+from collections.abc import Callable
+
+import trio
+
+from ..decide.intake import Intake, IntakeLimits, Lane, Stage, derive_limits
+
+__all__ = ["Account", "Share"]
+
+#: Parsing steps of one connection per iteration of the event loop; a step takes some microseconds.
+STEPS_PER_TURN = 64
+
+
+class Account:
+    """Connections of a process, what they hold, and the turns in which they parse."""
+
+    def __init__(self, limits: IntakeLimits | None = None) -> None:
+        self.intake = Intake(limits or derive_limits())
+        #: Held by the connection that parses a message of many parts: one per iteration of the
+        #: event loop, so that others are served in between.
+        self.turns = trio.Lock()
+        #: Connections that were closed for lack of memory, those closed for lack of connections by
+        #: lane, and reads that waited for memory.
+        self.closed_for_memory = 0
+        self.closed_for_connections = dict.fromkeys(Lane, 0)
+        self.waited = 0
+        self._released: trio.Event | None = None
+
+    def open(self, lane: Lane, address: str, abandon: Callable[[], None]) -> "Share | None":
+        """Return the share of a new connection, or None if there is no room for it.
+
+        `abandon` closes the connection at once; it has no checkpoint.
+        """
+        share = Share(self, abandon)
+        closed = self.intake.open(share, lane, address, trio.current_time())
+        self.closed_for_connections[lane] += len(closed)
+        for other in closed:
+            if other is not share:
+                other.abandon()
+        return None if share in closed else share
+
+    def close_for_memory(self, shares: tuple) -> None:
+        """Close connections that have been removed from the account."""
+        self.closed_for_memory += len(shares)
+        for share in shares:
+            share.abandon()
+        self.wake()
+
+    def wake(self) -> None:
+        """Let connections that wait for memory ask again."""
+        if self._released is not None:
+            self._released.set()
+            self._released = None
+
+    async def wait_released(self, seconds: float) -> None:
+        """Wait until bytes are released, at most for some seconds."""
+        self.waited += 1
+        if self._released is None:
+            self._released = trio.Event()
+        with trio.move_on_after(seconds):
+            await self._released.wait()
+
+
+class Share:
+    """The part of the account that one connection holds."""
+
+    def __init__(self, account: Account, abandon: Callable[[], None]) -> None:
+        self.account = account
+        self.abandon = abandon
+        self.held = 0
+
+    async def draw(self) -> int:
+        """Return how many bytes may be read now, 0 if the connection has been abandoned.
+
+        Has no checkpoint unless memory is short. The caller reads without a checkpoint and records
+        what it holds then.
+        """
+        intake = self.account.intake
+        while True:
+            verdict = intake.ask(self, trio.current_time())
+            if verdict.closed:
+                self.account.close_for_memory(verdict.closed)
+            if verdict.size or self in verdict.closed:
+                return verdict.size
+            await self.account.wait_released(verdict.wait)
+
+    def record(self, held: int) -> None:
+        """Record the bytes that the connection holds; this and others may be abandoned."""
+        released = held < self.held
+        self.held = held
+        account = self.account
+        account.intake.record(self, held, trio.current_time())
+        if released:
+            account.wake()
+        elif closed := account.intake.shrink(self, trio.current_time()):
+            account.close_for_memory(closed)
+
+    def record_stage(self, stage: Stage) -> None:
+        """Record what the connection does from now on."""
+        self.account.intake.record_stage(self, stage, trio.current_time())
+
+    def set_buffer(self, sock: socket.socket | trio.socket.SocketType) -> None:
+        """Limit the bytes that the kernel holds for a connection that is not read."""
+        size = self.account.intake.receive_buffer(self)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+
+    def close(self) -> None:
+        """Remove the connection from the account."""
+        self.account.intake.remove(self)
+        self.account.wake()
--- a/rattanrelay/platform/settings.py
+++ b/rattanrelay/platform/settings.py
@@ -9,6 +9,7 @@
 from ..decide.access import RevocationBound
 from ..decide.cold_start import ColdLimits
 from ..decide.extra_window import ExtraLimits
+from ..decide.intake import MB, derive_limits
 from ..errors import RelayError
 from ..relay import Bounds, Listen, RelaySettings
 from ..settings import MAX_PORT, Port, decode_settings, not_allowed_text
@@ -55,6 +56,10 @@
     cpu_share: Duration = 1.0
     #: Speed of that processor as a multiple of one core's, not a number of cores.
     cpu_cores: Duration = 1.0
+    #: Memory in MB beyond which the process is killed, and descriptors that it may open; 0 or
+    #: missing: not known.
+    memory_mb: Amount = 0.0
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
 class _Store(msgspec.Struct):
@@ -108,6 +113,7 @@
         ),
         first_start=file.bootstrap,
         cores=file.limits.cpu_share * file.limits.cpu_cores,
+        intake=derive_limits(int(file.limits.memory_mb * MB), file.limits.max_fds),
     )
 
 
--- a/rattanrelay/relay/connections.py
+++ b/rattanrelay/relay/connections.py
@@ -1,11 +1,16 @@
 """Requests that wait for a connection to a searcher of their service."""
 
+import math
 from collections.abc import Callable, Hashable
 from enum import Enum, auto
 
 import trio
 
-__all__ = ["ConnectionQueue", "Retry"]
+__all__ = ["ConnectionCount", "ConnectionQueue", "Retry"]
+
+#: Share of the limit from which on no idle connections are kept, so that those to some searchers do
+#: not use up what requests to others need.
+KEPT_SHARE = 0.9
 
 
 class Retry(Enum):
@@ -18,6 +23,36 @@
     DONE = auto()
 
 
+class ConnectionCount:
+    """Connections to all searchers together, whose number the descriptors of the process limit."""
+
+    def __init__(self, limit: float = math.inf) -> None:
+        self.limit = limit
+        self.open = 0
+        #: Called when a connection is closed while the limit is reached.
+        self.freed: Callable[[], None] = lambda: None
+
+    @property
+    def room(self) -> bool:
+        """Whether another connection may be opened."""
+        return self.open < self.limit
+
+    @property
+    def keeps_idle(self) -> bool:
+        """Whether idle connections are kept."""
+        return self.open <= KEPT_SHARE * self.limit
+
+    def add(self) -> None:
+        """Count a connection."""
+        self.open += 1
+
+    def remove(self) -> None:
+        """Count a connection no longer."""
+        self.open -= 1
+        if self.open + 1 >= self.limit:
+            self.freed()
+
+
 class ConnectionQueue:
     """Sends waiting requests in the order of their arrival as soon as connections are free."""
 
@@ -44,6 +79,11 @@
             self._freed.add(service)
             self._wake.set()
 
+    def freed_all(self) -> None:
+        """Record that a connection to a searcher of any service may be opened."""
+        for service in self.waiting:
+            self.freed(service)
+
     async def run(self) -> None:
         """Send waiting requests until cancelled."""
         while True:
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+import socket
 from collections.abc import Callable
 from typing import NamedTuple, Protocol
 
@@ -9,10 +10,12 @@
 
 from ..decide.access import Access
 from ..decide.canary import SharedEntry
+from ..decide.intake import IntakeLimits, Lane, derive_limits
 from ..decide.refusal import NOT_READY, QUARANTINED, STOPPING, UNVERIFIED_KEY, refusal
 from ..decide.timing import can_finish, response_due_at
 from ..errors import RelayError
-from ..http import HttpConnection, Request, Response, serve_http
+from ..http import HttpConnection, HttpLimits, Request, Response, serve_http
+from ..http.intake import Account, Share
 from ..http.plain import PlainStream
 from ..log import BoundedSink, event, traceback
 from ..wire import GatherShards, Handlers, serve_peers
@@ -41,6 +44,9 @@
 BALANCER_NOTICE_S = 2.2
 #: Time in seconds without a request after which no more are expected.
 QUIET_S = 0.7
+#: Connections accepted per iteration of the event loop. The kernel holds up to 64 KB for each that
+#: waits to be accepted.
+ACCEPTS_PER_TURN = 64
 #: Polling period during a stop, and time for sending the last responses, in seconds.
 DRAIN_POLL_S = 0.05
 LAST_RESPONSES_S = 0.05
@@ -57,6 +63,8 @@
 SETTINGS_POLL_S = 1.0
 #: Deadline in seconds of a request that states none.
 DEFAULT_DEADLINE_S = 60.0
+#: Limits of the listeners for readiness and metrics, whose requests have no bodies.
+CHECK_LIMITS = HttpLimits(max_body=16 * 1024)
 
 
 class Listen(NamedTuple):
@@ -82,6 +90,8 @@
     first_start: bool = False
     #: Speed of the processor that this process may use, in cores.
     cores: float = 1.0
+    #: Limits of what others send to this process and of its connections.
+    intake: IntakeLimits = derive_limits()
 
 
 class Feed(Protocol):
@@ -142,6 +152,8 @@
         self.handlers = Handlers()
         self.handlers.on_stream(GatherShards)(self.gather)
         self.feed.serve(self.handlers)
+        self.account = Account(settings.intake)
+        self._apply_intake(settings.intake)
         self.connections: set[ClientConnection] = set()
         self.handler = self.handle
         self.stopping = False
@@ -177,14 +189,14 @@
             clients = await _listen(settings.clients)
             nursery.start_soon(self._accept, clients)
             ready = await _listen(settings.ready)
-            nursery.start_soon(serve_http, self._answer_ready, [trio.SocketListener(ready)])
+            nursery.start_soon(self._serve_checks, self._answer_ready, ready, Lane.READINESS)
             if settings.metrics is not None:
                 metrics_listener = await _listen(settings.metrics)
                 nursery.start_soon(
-                    serve_http, self._answer_metrics, [trio.SocketListener(metrics_listener)]
+                    self._serve_checks, self._answer_metrics, metrics_listener, Lane.METRICS
                 )
             peer_listener = trio.SocketListener(await _listen(settings.peers))
-            nursery.start_soon(serve_peers, self.handlers, [peer_listener])
+            nursery.start_soon(serve_peers, self.handlers, [peer_listener], self.account)
             self.peers.start(self.background, self.handlers)
             self.quarantine.start(self.background, self.handlers)
             self.permits.start(self.background, self.handlers)
@@ -219,8 +231,14 @@
         self.settings = settings
         self.deployment.bounds = settings.bounds
         self.deployment.cores = settings.cores
+        self._apply_intake(settings.intake)
         event("settings.reloaded", cause=cause)
 
+    def _apply_intake(self, limits: IntakeLimits) -> None:
+        self.account.intake.limits = limits
+        self.deployment.all_connections.limit = limits.searchers
+        HttpConnection.memory.limit = limits.responses
+
     async def handle(self, request: Request, arrival: Arrival) -> Response:
         """Answer one request of a client."""
         self.requests_in_flight += 1
@@ -445,26 +463,50 @@
         return {name: value for name, value in headers.items() if name not in dropped}
 
     async def _accept(self, listener: trio.socket.SocketType) -> None:
-        while True:
+        with socket.socket(fileno=listener.detach()) as sock:
+            sock.setblocking(False)
+            while True:
+                await trio.lowlevel.wait_readable(sock)
+                try:
+                    self._accept_some(sock)
+                except OSError as error:
+                    event("client.accept_failed", reason=str(error))
+                    await trio.sleep(MAINTENANCE_PERIOD_S)
+
+    def _accept_some(self, sock: socket.socket) -> None:
+        for _ in range(ACCEPTS_PER_TURN):
             try:
-                accepted, _ = await listener.accept()
-            except OSError as error:
-                event("client.accept_failed", reason=str(error))
-                await trio.sleep(MAINTENANCE_PERIOD_S)
+                accepted, address = sock.accept()
+            except BlockingIOError:
+                return
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connection = ClientConnection(PlainStream(accepted), self)
+            # Counted before the next one is accepted, so that those that give way are closed.
+            share = self.account.open(Lane.CLIENTS, address[0], connection.abandon)
+            if share is None:
+                connection.stream.close()
                 continue
-            self.background.start_soon(self._connection, accepted)
+            share.set_buffer(accepted)
+            self.connections.add(connection)
+            self.background.start_soon(self._connection, connection, share)
 
-    async def _connection(self, accepted: trio.socket.SocketType) -> None:
-        accepted.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
-        connection = ClientConnection(PlainStream.adopt(trio.SocketStream(accepted)), self)
-        self.connections.add(connection)
+    async def _connection(self, connection: ClientConnection, share: Share) -> None:
         try:
-            await connection.run()
+            await connection.run(share)
         except Exception as error:
             event("client.connection_failed", reason=repr(error))
         finally:
             self.connections.discard(connection)
 
+    async def _serve_checks(self, handler, listener: trio.socket.SocketType, lane: Lane) -> None:
+        await serve_http(
+            handler,
+            [trio.SocketListener(listener)],
+            limits=CHECK_LIMITS,
+            account=self.account,
+            lane=lane,
+        )
+
     async def _answer_ready(self, request: Request) -> Response:
         ready = self.deployment.complete and not self.stopping
         return Response(200 if ready else 503)
@@ -482,6 +524,7 @@
             metrics.limit_age.set(labels, max(ages, default=0.0))
         metrics.unfinished_bytes.set({}, HttpConnection.memory.total)
         metrics.responses_abandoned.set({}, HttpConnection.memory.abandoned)
+        metrics.update_intake(self.account)
         for task, count in self.background.failed.items():
             metrics.tasks_failed.set({"task": task}, count)
         for kind, calls in self.feed.calls.items():
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -15,7 +15,7 @@
 from ..decide.split import SmoothSplit
 from ..decide.timing import RecentLag, RecentLatency, RecentRate
 from ..log import event
-from .connections import ConnectionQueue
+from .connections import ConnectionCount, ConnectionQueue
 from .model import Catalog, HeaderNames, Route, SearcherRecord, ServiceRow
 from .searchers import CONNECTION_SHARE, Searcher
 
@@ -97,6 +97,9 @@
         self._splits: dict[str, SmoothSplit] = {}
         #: Requests that wait for a connection.
         self.connections = ConnectionQueue()
+        #: Connections to all searchers.
+        self.all_connections = ConnectionCount()
+        self.all_connections.freed = self.connections.freed_all
         #: Called if a request waits for a permit of another instance.
         self.permit_needed: Callable[[Searcher], None] = lambda searcher: None
         #: Time at which a searcher was last found to take only a limited rate of requests.
@@ -144,6 +147,7 @@
         if known is not None:
             self._remove(known, "restarted", now)
         searcher = Searcher(record, self.names, now)
+        searcher.all_connections = self.all_connections
         searcher.freed = partial(self.connections.freed, record.service)
         if known is not None:
             # Requests that the new process has got before its entry was read count as well.
--- a/rattanrelay/relay/front.py
+++ b/rattanrelay/relay/front.py
@@ -1,13 +1,17 @@
 """Client connections: one request at a time, cancelled if the client disconnects."""
 
+import math
 from collections.abc import Awaitable, Callable
 from typing import NamedTuple, Protocol
 
 import h11
 import trio
 
+from ..decide.intake import Stage
 from ..decide.timing import ROUND_TRIP_S
 from ..http import Request, Response
+from ..http.intake import STEPS_PER_TURN, Account, Share
+from ..http.memory import HeldBody
 from ..http.plain import PlainStream
 from ..log import event
 from .model import ClientLimits
@@ -29,9 +33,27 @@
 #: Function that answers one request.
 Handler = Callable[[Request, Arrival], Awaitable[Response]]
 
-RECEIVE_BYTES = 65536
 #: Bytes that are buffered beyond a request while it is served.
 MAX_AHEAD_BYTES = 65536
+#: Bytes that the parser gets at once, which bounds those that it holds.
+PARSED_BYTES = 16 * 1024
+#: Bytes per second at which a body arrives on average, beyond the idle timeout; a client that sends
+#: one byte now and then would occupy its connection for hours.
+MIN_BODY_RATE = 4096
+#: Bytes for sizes and extensions of chunks for each byte of a body, beyond `max_header`; a chunk of
+#: one byte takes five.
+MAX_CHUNK_OVERHEAD = 8
+#: Bytes of a head from which on it is parsed in turn; most heads are smaller.
+LARGE_HEAD_BYTES = 4096
+#: Memory of a header beyond its bytes: two objects and their places in two dictionaries.
+HEADER_MEMORY = 250
+#: Responses up to this size are sent in one system call, longer ones without a copy.
+JOINED_BYTES = 64 * 1024
+#: Response to a request that is abandoned before it has run.
+ABANDONED_RESPONSE = (
+    b"HTTP/1.1 503 Service Unavailable\r\n"
+    b"retry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
+)
 #: Time in seconds for which a connection stays open after a rejected request, so that the client
 #: can read the response.
 REJECTED_LINGER_S = 0.5
@@ -45,6 +67,7 @@
 
     closing: bool
     handler: Handler
+    account: Account
 
     @property
     def limits(self) -> ClientLimits:
@@ -73,12 +96,26 @@
         #: Time at which it was opened or its last response was sent.
         self.idle_since = trio.current_time()
         self.request_scope: trio.CancelScope | None = None
+        #: Its part of the memory account; None until `run` has been called.
+        self.share: Share | None = None
         self._received = trio.Event()
         self._consumed = trio.Event()
         self._connection_scope: trio.CancelScope | None = None
-
-    async def run(self) -> None:
+        #: Whether a request has arrived in part and has not been handed over.
+        self._reading = False
+        #: Body of the request that is being read, and parsing steps that it has taken.
+        self._body = bytearray()
+        self._steps = 0
+        #: Bytes of the request that were handed to the parser.
+        self._parsed = 0
+        self._reader: _RequestReader | None = None
+        #: Bytes held beside the buffer and the body: what the parser may hold, headers, a request
+        #: that is being served, and a response that is not sent.
+        self._other_bytes = 0
+
+    async def run(self, share: Share) -> None:
         """Serve until the client disconnects, exceeds a limit, or the instance closes it."""
+        self.share = share
         try:
             async with trio.open_nursery() as nursery:
                 self._connection_scope = nursery.cancel_scope
@@ -86,8 +123,26 @@
                 await self._serve()
                 nursery.cancel_scope.cancel()
         finally:
+            share.close()
             self.stream.close()
 
+    def abandon(self) -> None:
+        """Free the memory of the connection and close it; refuse a request that has not run."""
+        if self._reading and self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            try:
+                self.stream.send_some(ABANDONED_RESPONSE)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                self.client_gone = True
+        self._reading = False
+        self.buffer.clear()
+        self._body.clear()
+        if self._reader is not None:
+            self._reader.head = None
+        # Closed here and not when its tasks end, since others are accepted before that.
+        self.stream.close()
+        if self._connection_scope is not None:
+            self._connection_scope.cancel()
+
     def close_if_idle(self) -> None:
         """Close the connection if it has been idle for `MIN_IDLE_S`.
 
@@ -102,9 +157,15 @@
         """Receive continuously, so that a disconnect is noticed while a request is served."""
         while True:
             try:
-                data = await self.stream.receive_some(RECEIVE_BYTES)
+                await self.stream.wait_input()
+                size = await self.share.draw()
+                if not size:
+                    return
+                data = self.stream.receive_now(size)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 data = b""
+            if data is None:
+                continue
             if not data:
                 self.client_gone = True
                 self._received.set()
@@ -112,31 +173,44 @@
                     self.request_scope.cancel()
                 return
             self.buffer += data
+            self._record()
             self._received.set()
             while len(self.buffer) > MAX_AHEAD_BYTES:
                 self._consumed = trio.Event()
                 await self._consumed.wait()
 
+    def _record(self) -> None:
+        self.share.record(len(self.buffer) + len(self._body) + self._other_bytes)
+
     async def _serve(self) -> None:
         while await self._wait_for_request():
             self.idle = False
             arrived = trio.current_time()
+            self._reading = True
             request = await self._read_request(arrived)
             if isinstance(request, _BadRequest):
                 await self._reject(request)
                 return
-            if request is None:
+            if request is None or not self._reading:
                 return
+            self._reading = False
             round_trip = self.stream.round_trip_time() or ROUND_TRIP_S
+            self.share.record_stage(Stage.BUSY)
             response = await self._handle(request, Arrival(arrived, round_trip, self.first))
+            self.share.record_stage(Stage.OPEN)
             self.first = False
             if response is None:
                 return
-            if not await self._send(response, request.method == "HEAD"):
+            head_only = request.method == "HEAD"
+            request = None
+            self._other_bytes = 0
+            if not await self._send(response, head_only):
                 return
             if self.h11.our_state is not h11.DONE or self.h11.their_state is not h11.DONE:
                 return
             self.h11.start_next_cycle()
+            self._other_bytes = 0
+            self._record()
             self.idle = True
 
     async def _handle(self, request: Request, arrival: Arrival) -> Response | None:
@@ -161,39 +235,71 @@
         return bool(self.buffer)
 
     async def _read_request(self, arrived: float) -> Request | _BadRequest | None:
+        """Read one request; return None if the client disconnected."""
         limits = self.front.limits
-        head: h11.Request | None = None
-        body = bytearray()
+        reader = self._reader = _RequestReader(limits)
         until = arrived + limits.header_timeout
+        latest = math.inf
+        self._body = reader.body
+        self._steps = 0
+        self._parsed = len(self.h11.trailing_data[0])
         while True:
             try:
-                event = self.h11.next_event()
+                event = await self._next_event(in_head=reader.head is None)
             except h11.RemoteProtocolError as error:
                 return _BadRequest(error.error_status_hint or 400, str(error))
             if event is h11.NEED_DATA:
                 if self.h11.they_are_waiting_for_100_continue:
                     await self._continue()
-                if not await self._wait_for_bytes(until):
+                if not await self._wait_for_bytes(min(until, latest)):
                     return (
                         None
-                        if self.client_gone
+                        if self.client_gone or not self._reading
                         else _BadRequest(408, "the request was not sent in time")
                     )
-                self.h11.receive_data(bytes(self.buffer))
-                self.buffer.clear()
+                data = bytes(self.buffer[:PARSED_BYTES])
+                del self.buffer[:PARSED_BYTES]
+                self.h11.receive_data(data)
+                self._parsed += len(data)
+                self._other_bytes = reader.head_memory + len(data)
+                self._record()
+                if reader.head is not None:
+                    reader.received += len(data)
+                    latest = reader.latest()
                 self._consumed.set()
             elif isinstance(event, h11.Request):
-                head = event
+                if bad := reader.take_head(event):
+                    return bad
             elif isinstance(event, h11.Data):
-                body += event.data
+                reader.body += event.data
                 until = trio.current_time() + limits.idle_timeout
-                if len(body) > limits.max_body:
-                    return _BadRequest(413, f"the body exceeds {limits.max_body} bytes")
+                if bad := reader.check_body():
+                    return bad
             elif isinstance(event, h11.EndOfMessage):
-                return _request(head, bytes(body))
+                if not self._reading:
+                    return None
+                request = reader.request()
+                self._body = bytearray()
+                self._reader = None
+                ahead = len(self.h11.trailing_data[0])
+                self._other_bytes = reader.head_memory + len(request.body) + ahead
+                self._record()
+                return request
             else:
                 return None
 
+    async def _next_event(self, *, in_head: bool):
+        """Return the next event; after many of a request, only in turn with other connections.
+
+        Parsing a chunk takes some microseconds, so that thousands of small ones would hold up all
+        other connections. A large head takes some milliseconds, and about 1 MB until it is parsed.
+        """
+        self._steps += 1
+        if self._steps % STEPS_PER_TURN == 0 or (in_head and self._parsed > LARGE_HEAD_BYTES):
+            async with self.front.account.turns:
+                await trio.lowlevel.checkpoint()
+        return self.h11.next_event()
+
     async def _continue(self) -> None:
         data = self.h11.send(h11.InformationalResponse(status_code=100, headers=[]))
         try:
@@ -202,6 +308,11 @@
             self.client_gone = True
 
     async def _reject(self, bad: _BadRequest) -> None:
+        self._reading = False
+        self.buffer.clear()
+        self._body.clear()
+        self._other_bytes = 0
+        self._record()
         if self.h11.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         headers = {"connection": "close", "content-type": "text/plain"}
@@ -216,23 +327,85 @@
         encoded = [
             (name.encode("ascii"), value.encode("latin-1")) for name, value in headers.items()
         ]
+        body = b"" if head_only else response.body
         try:
             data = self.h11.send(h11.Response(status_code=response.status, headers=encoded))
-            if response.body and not head_only:
-                data += self.h11.send(h11.Data(data=response.body))
-            data += self.h11.send(h11.EndOfMessage())
+            if body:
+                # The body is not copied: a client that reads slowly holds it once.
+                self.h11.send_with_data_passthrough(h11.Data(data=body))
+            self.h11.send(h11.EndOfMessage())
             with trio.move_on_after(self.front.limits.idle_timeout):
-                await self.stream.send_all(data)
+                await self._send_parts(data, body)
                 return True
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return False
-        event("client.silent", unsent_of=len(data))
+        event("client.silent", unsent_of=len(data) + len(body))
         return False
 
+    async def _send_parts(self, head: bytes, body: bytes) -> None:
+        if len(body) <= JOINED_BYTES:
+            head, body = head + body, b""
+        for part in (head, body):
+            sent = self.stream.send_some(part) if part else 0
+            if sent < len(part):
+                # Counted only while the client does not read, which most do at once.
+                self._other_bytes = len(head) + len(body)
+                self._record()
+                if isinstance(body, HeldBody):
+                    body.release()
+                with memoryview(part) as view:
+                    await self.stream.send_all(view[sent:])
+
+
+class _RequestReader:
+    """Head and body of a request that is being read."""
+
+    def __init__(self, limits: ClientLimits) -> None:
+        self.limits = limits
+        self.head: Request | None = None
+        self.body = bytearray()
+        #: Bytes that were received after the head, and memory that the head takes.
+        self.received = 0
+        self.head_memory = 0
+        #: Time at which the head was complete.
+        self.headed_at = math.inf
+
+    def take_head(self, event: h11.Request) -> _BadRequest | None:
+        """Decode the head; return why the request is refused, if it is."""
+        self.headed_at = trio.current_time()
+        head = self.head = _request(event)
+        count = len(event.headers)
+        self.head_memory = len(event.target) + count * HEADER_MEMORY
+        self.head_memory += sum(len(name) + len(value) for name, value in event.headers)
+        stated = head.headers.get("content-length", "")
+        if stated.isdecimal() and int(stated) > self.limits.max_body:
+            return self._too_large()
+        return None
+
+    def latest(self) -> float:
+        """Return the time until which the next bytes of the body must arrive."""
+        return self.headed_at + self.limits.idle_timeout + self.received / MIN_BODY_RATE
+
+    def check_body(self) -> _BadRequest | None:
+        """Return why the request is refused, if the bytes so far are too many."""
+        if len(self.body) > self.limits.max_body:
+            return self._too_large()
+        allowed = self.limits.max_header + MAX_CHUNK_OVERHEAD * (len(self.body) + PARSED_BYTES)
+        if self.received - len(self.body) > allowed:
+            return _BadRequest(413, "too many bytes of chunk sizes and extensions")
+        return None
+
+    def request(self) -> Request:
+        """Return the complete request."""
+        return self.head._replace(body=bytes(self.body))
+
+    def _too_large(self) -> _BadRequest:
+        return _BadRequest(413, f"the body exceeds {self.limits.max_body} bytes")
+
 
-def _request(head: h11.Request, body: bytes) -> Request:
+def _request(head: h11.Request) -> Request:
     headers: dict[str, str] = {}
     for raw_name, raw_value in head.headers:
         name, value = raw_name.decode("ascii"), raw_value.decode("latin-1")
         headers[name] = f"{headers[name]}, {value}" if name in headers else value
-    return Request(head.method.decode("ascii"), head.target.decode("ascii"), headers, body)
+    return Request(head.method.decode("ascii"), head.target.decode("ascii"), headers)
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram
 
+from ..http.intake import Account
 from ..metrics import LATENCY_BUCKETS_S, Collectors
 
 __all__ = ["RelayMetrics"]
@@ -55,11 +56,38 @@
         self.responses_abandoned = self.add(
             Counter, "responses_abandoned_total", "Responses abandoned for lack of memory"
         )
+        self.intake_bytes = self.add(
+            Gauge, "intake_bytes", "Bytes held of messages that come in, and their limit, by kind"
+        )
+        self.intake_connections = self.add(
+            Gauge, "intake_connections", "Connections opened by others, by listener and kind"
+        )
+        self.intake_closed = self.add(
+            Counter, "intake_closed_total", "Connections closed for lack of room, by what lacked"
+        )
+        self.intake_waits = self.add(
+            Counter, "intake_waits_total", "Reads that waited for memory of the intake"
+        )
         self.tasks_failed = self.add(
             Counter, "tasks_failed_total", "Tasks that ended by an unexpected error, by function"
         )
         self.log_dropped = self.add(Gauge, "log_lines_dropped", "Log lines that were dropped")
 
+    def update_intake(self, account: Account) -> None:
+        """Set the collectors of the memory account."""
+        limits = account.intake.limits
+        self.intake_bytes.set({"kind": "held"}, account.intake.total)
+        self.intake_bytes.set({"kind": "limit"}, limits.messages)
+        for lane, count in account.intake.counts.items():
+            listener = lane.name.lower()
+            self.intake_connections.set({"listener": listener, "kind": "open"}, count)
+            limit = limits.connections[lane]
+            self.intake_connections.set({"listener": listener, "kind": "limit"}, limit)
+            closed = account.closed_for_connections[lane]
+            self.intake_closed.set({"lack": f"{listener} connections"}, closed)
+        self.intake_closed.set({"lack": "memory"}, account.closed_for_memory)
+        self.intake_waits.set({}, account.waited)
+
     def text(self, accept: str = "text/plain") -> tuple[bytes, dict[str, str]]:
         """Return the exposition text with current counts, and its headers."""
         for (role, outcome), count in self.subrequest_counts.items():
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -15,6 +15,7 @@
 from ..errors import RelayError
 from ..http import MAX_RESPONSE_BYTES, HttpConnection, Request, Response
 from ..log import event
+from .connections import ConnectionCount
 from .model import HeaderNames, SearcherRecord
 
 __all__ = ["Outcome", "Searcher", "SubRequest"]
@@ -122,6 +123,8 @@
         self.connect_time = INITIAL_CONNECT_TIME_S
         #: Number of connections that are open or reserved for a request, idle ones included.
         self.open_connections = 0
+        #: Connections to all searchers together.
+        self.all_connections = ConnectionCount()
         #: Most connections that this instance may have, from its last reservation.
         self.connection_limit = 1
         #: Whether idle connections are kept, from the last reservation.
@@ -172,7 +175,7 @@
 
         A request that needs a new connection replaces an idle one.
         """
-        return bool(self._idle) or self.open_connections < limit
+        return bool(self._idle) or (self.open_connections < limit and self.all_connections.room)
 
     def reserve(self, limit: int, *, reuse: bool, keep: bool = True) -> HttpConnection | None:
         """Take an idle connection for a request, or count one that the request will open.
@@ -186,7 +189,7 @@
         if connection is None:
             if self.open_connections >= limit and self._idle:
                 self._close(self._idle.pop(0).connection)
-            self.open_connections += 1
+            self._count()
         return connection
 
     async def exchange(
@@ -227,9 +230,9 @@
 
     async def preconnect(self) -> None:
         """Open a connection in advance; after a failure the searcher is avoided for a time."""
-        if self.open_connections:
+        if self.open_connections or not self.all_connections.keeps_idle:
             return
-        self.open_connections += 1
+        self._count()
         try:
             connection = await self._connect()
         except RelayError as error:
@@ -245,7 +248,7 @@
                 return True
             if not await self._can_open():
                 return False
-            self.open_connections += 1
+            self._count()
             try:
                 connection = await self._connect()
             except RelayError:
@@ -263,7 +266,7 @@
             await trio.sleep(pause)
             if self._idle and self.open_connections >= self.connection_limit:
                 self._close(self._idle.pop(0).connection)
-            if self.open_connections < self.connection_limit:
+            if self.open_connections < self.connection_limit and self.all_connections.room:
                 return True
         return False
 
@@ -291,6 +294,10 @@
         """Whether there are more connections than allowed, as after the start of an instance."""
         return self.open_connections > self.connection_limit
 
+    @property
+    def _keeps_idle(self) -> bool:
+        return self.keeps_idle and self.all_connections.keeps_idle
+
     async def _exchange(
         self, sub: SubRequest, scope: trio.CancelScope, connection: HttpConnection | None
     ) -> Outcome:
@@ -425,7 +432,7 @@
             return
         stated_timeout = _idle_timeout(keep_alive)
         lifetime = IDLE_TIMEOUT_S if stated_timeout is None else stated_timeout - IDLE_MARGIN_S
-        if lifetime <= 0.0 or self._over_limit or not self.keeps_idle:
+        if lifetime <= 0.0 or self._over_limit or not self._keeps_idle:
             self._close(connection)
             return
         now = trio.current_time()
@@ -436,8 +443,13 @@
         connection.close_now()
         self._uncount()
 
+    def _count(self) -> None:
+        self.open_connections += 1
+        self.all_connections.add()
+
     def _uncount(self) -> None:
         self.open_connections -= 1
+        self.all_connections.remove()
         self.freed()
 
 
--- a/rattanrelay/wire/framing.py
+++ b/rattanrelay/wire/framing.py
@@ -92,11 +92,13 @@
                     f"frame of {length} bytes exceeds {MAX_FRAME_BYTES}",
                     step="decode frame",
                 )
+            # Checked before the frame is complete: its bytes would be kept until then.
+            frame_kind = _decode_kind(kind)
             end = _HEADER.size + length
             if len(self.buffer) < end:
                 break
             body = bytes(self.buffer[_HEADER.size : end])
             del self.buffer[:end]
             message = _decode_body(code, body) if code else None
-            frames.append(Frame(_decode_kind(kind), call_id, message))
+            frames.append(Frame(frame_kind, call_id, message))
         return frames
--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -10,7 +10,9 @@
 
 import trio
 
+from ..decide.intake import Lane, Stage
 from ..errors import CODES, RelayError
+from ..http.intake import STEPS_PER_TURN, Account, Share
 from ..log import event, traceback
 from .framing import Frame, FrameKind, FrameReader, encode_frame
 from .messages import Failure
@@ -278,9 +280,12 @@
 class _PeerConnection:
     """The server side of a connection; each call runs in its own task."""
 
-    def __init__(self, stream: trio.abc.Stream, handlers: Handlers) -> None:
+    def __init__(self, stream: trio.SocketStream, handlers: Handlers) -> None:
         self.stream = stream
         self.handlers = handlers
+        self.share: Share | None = None
+        self.reader = FrameReader()
+        self._scope = trio.CancelScope()
         self.writer = _FrameWriter(stream)
         self.scopes: dict[int, trio.CancelScope] = {}
         #: Time at which bytes arrived last.
@@ -288,20 +293,51 @@
         #: Whether the client checks its links.
         self.checked = False
 
-    async def run(self) -> None:
+    async def run(self, share: Share | None = None) -> None:
+        self.share = share
+        if share is not None:
+            share.set_buffer(self.stream.socket)
         try:
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.writer.run)
-                nursery.start_soon(self._end_if_silent, nursery.cancel_scope)
-                reader = FrameReader()
-                while data := await self.stream.receive_some(RECEIVE_BYTES):
-                    self.received_at = trio.current_time()
-                    for frame in reader.feed(data):
-                        self._handle_frame(frame, nursery)
-                nursery.cancel_scope.cancel()
+            with self._scope:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self.writer.run)
+                    nursery.start_soon(self._end_if_silent, nursery.cancel_scope)
+                    while data := await self._receive():
+                        self.received_at = trio.current_time()
+                        await self._handle_frames(self.reader.feed(data), nursery)
+                    nursery.cancel_scope.cancel()
         except* (trio.BrokenResourceError, trio.ClosedResourceError, OSError, RelayError):
             pass
 
+    def abandon(self) -> None:
+        """Free the memory of the connection and close it."""
+        self.reader.buffer.clear()
+        self.stream.socket.close()
+        self._scope.cancel()
+
+    async def _receive(self) -> bytes:
+        """Return the next bytes, for which there is room in the account."""
+        if self.share is None:
+            return await self.stream.receive_some(RECEIVE_BYTES)
+        await trio.lowlevel.wait_readable(self.stream.socket)
+        size = await self.share.draw()
+        if not size:
+            return b""
+        data = await self.stream.receive_some(size)
+        self.share.record(len(self.reader.buffer) + len(data))
+        return data
+
+    async def _handle_frames(self, frames: list[Frame], nursery: trio.Nursery) -> None:
+        for number, frame in enumerate(frames, start=1):
+            self._handle_frame(frame, nursery)
+            if number % STEPS_PER_TURN == 0:
+                await trio.lowlevel.checkpoint()
+        if self.share is not None:
+            self.share.record(len(self.reader.buffer))
+            if frames:
+                # Only other instances send frames; their links are closed last.
+                self.share.record_stage(Stage.BUSY)
+
     def _handle_frame(self, frame: Frame, nursery: trio.Nursery) -> None:
         if frame.kind is FrameKind.CANCEL:
             scope = self.scopes.get(frame.call_id)
@@ -378,13 +414,34 @@
             return
 
 
-async def serve_peers(handlers: Handlers, listeners: list[trio.SocketListener]) -> None:
-    """Accept connections of other instances and handle their messages until cancelled."""
+async def serve_peers(
+    handlers: Handlers, listeners: list[trio.SocketListener], account: Account | None = None
+) -> None:
+    """Accept connections of other instances and handle their messages until cancelled.
+
+    They draw on `account` if there is one.
+    """
 
     async def serve(stream: trio.SocketStream) -> None:
+        connection = _PeerConnection(stream, handlers)
+        share = None
+        if account is not None:
+            share = account.open(Lane.PEERS, _address_of(stream), connection.abandon)
+            if share is None:
+                return
         try:
-            await _PeerConnection(stream, handlers).run()
+            await connection.run(share)
         except Exception as error:
             event("link.failed", reason=traceback(error))
+        finally:
+            if share is not None:
+                share.close()
 
     await trio.serve_listeners(serve, listeners)
+
+
+def _address_of(stream: trio.SocketStream) -> str:
+    try:
+        return stream.socket.getpeername()[0]
+    except OSError:
+        return ""
--- a/tests/http/server.feature
+++ b/tests/http/server.feature
@@ -69,3 +69,16 @@
     Given a certificate for 127.0.0.1
     When a request is sent to an HTTP server over TLS
     Then it is answered, and a client without trust in the certificate is refused
+
+  Scenario Outline: A crowd that leaves <what> unfinished meets the memory account of a server
+    Given an HTTP server whose memory account has 1 MB for messages and 40 connections
+    When 100 connections leave <what> unfinished, and another client sends a request
+    Then the request gets status 200, the account held at most 1 MB and 40 connections
+
+    Examples:
+      | what                       |
+      | a body of 100,000 bytes    |
+      | one chunk of 100,000 bytes |
+      | 2,000 chunks of one byte   |
+      | headers of 10,000 bytes    |
+      | nothing                    |
--- a/tests/steps/http_steps.py
+++ b/tests/steps/http_steps.py
@@ -3,15 +3,19 @@
 import ssl
 import tempfile
 import tracemalloc
+from functools import partial
 from pathlib import Path
 
 import trio
+import trio.lowlevel
 import trustme
 from behave import given, then, when
 from http_parsing_steps import ENDLESS
 
+from rattanrelay.decide.intake import IntakeLimits, Lane
 from rattanrelay.errors import RelayError
 from rattanrelay.http import HttpConnection, HttpLimits, Request, json_response, serve_http
+from rattanrelay.http.intake import Account
 from rattanrelay.settings import load_settings
 
 HANG_LIMIT_S = 20.0
@@ -384,3 +388,64 @@
         assert error.code == code, error
         return
     raise AssertionError("connected")
+
+
+# Memory account of a server.
+
+UNFINISHED = {
+    "a body of 100,000 bytes": b"content-length: 100001\r\n\r\n" + b"x" * 100_000,
+    "one chunk of 100,000 bytes": b"transfer-encoding: chunked\r\n\r\n186a1\r\n" + b"x" * 100_000,
+    "2,000 chunks of one byte": b"transfer-encoding: chunked\r\n\r\n" + b"1\r\nx\r\n" * 2000,
+    "headers of 10,000 bytes": b"x: " + b"y" * 10_000,
+    "nothing": None,
+}
+
+
+@given("an HTTP server whose memory account has 1 MB for messages and 40 connections")
+def server_with_account(context):
+    connections = dict.fromkeys(Lane, 40)
+    context.account_limits = IntakeLimits(1024 * 1024, 1024 * 1024, 0, connections, 0)
+
+
+@when("100 connections leave {what} unfinished, and another client sends a request")
+def crowd_on_server(context, what):
+    data = UNFINISHED[what]
+    request = b"" if data is None else b"POST / HTTP/1.1\r\nhost: a\r\n" + data
+
+    async def crowd_member(port):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        try:
+            await stream.send_all(request)
+            await trio.sleep_forever()
+        except trio.BrokenResourceError:
+            await trio.aclose_forcefully(stream)
+
+    async def main(nursery):
+        account = Account(context.account_limits)
+        context.most = (0, 0)
+
+        async def watch():
+            while True:
+                open_now = account.intake.counts[Lane.CLIENTS]
+                held = max(context.most[0], account.intake.total)
+                context.most = held, max(context.most[1], open_now)
+                await trio.lowlevel.checkpoint()
+
+        listeners, port = await _listen()
+        nursery.start_soon(partial(serve_http, _echo, listeners, account=account))
+        nursery.start_soon(watch)
+        for _ in range(100):
+            nursery.start_soon(crowd_member, port)
+        # Until the crowd has sent what the server takes.
+        with trio.move_on_after(1.0):
+            await trio.sleep_forever()
+        other = await HttpConnection.open("127.0.0.1", port)
+        context.other = await other.request(Request("POST", "/other", {}, b"z" * 1000))
+
+    _run(main)
+
+
+@then("the request gets status 200, the account held at most 1 MB and 40 connections")
+def account_kept(context):
+    assert context.other.status == 200, context.other
+    assert context.most[0] <= 1024 * 1024 and context.most[1] <= 40, context.most
