--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -10,7 +10,9 @@
 import trio
 import uuid6
 
-from ..http import HttpLimits, serve_http
+from ..decide.intake import MB, Lane, derive_limits
+from ..http import HttpConnection, HttpLimits, serve_http
+from ..http.intake import Account
 from ..log import event
 from ..metrics import Metrics
 from ..settings import Address, Settings
@@ -54,6 +56,9 @@
         self.incarnation = uuid6.uuid7().hex[-INCARNATION_DIGITS:]
         self.metrics = Metrics(settings.instance)
         self.handlers = Handlers()
+        intake = derive_limits(settings.memory_mb * MB, settings.max_fds)
+        self.account = Account(intake)
+        HttpConnection.memory.limit = intake.responses
         self.addresses: Addresses | None = None
         self.peer_listeners: list[trio.SocketListener] = []
         self._stop = trio.Event()
@@ -79,7 +84,7 @@
         async with trio.open_nursery() as nursery:
             for task in self._tasks():
                 await nursery.start(task)
-            nursery.start_soon(serve_peers, self.handlers, listeners["peers"])
+            nursery.start_soon(serve_peers, self.handlers, listeners["peers"], self.account)
             nursery.start_soon(self._serve_callers, self._secured(listeners["callers"]))
             nursery.start_soon(self._serve_admin, listeners["admin"])
             event("daemon.started", **self.addresses._asdict(), incarnation=self.incarnation)
@@ -176,12 +181,17 @@
         limits = HttpLimits(
             max_body=self.settings.max_body, request_timeout=self.settings.request_timeout
         )
-        serve = partial(serve_http, limits=limits, stopping=self._callers_stopping)
+        serve = partial(
+            serve_http, limits=limits, stopping=self._callers_stopping, account=self.account
+        )
         await serve(self.callers.handle, listeners)
         self._callers_ended.set()
 
     async def _serve_admin(self, listeners: list[trio.SocketListener]) -> None:
-        await serve_http(self.admin.handle, listeners, limits=HttpLimits(max_body=ADMIN_BODY_BYTES))
+        limits = HttpLimits(max_body=ADMIN_BODY_BYTES)
+        await serve_http(
+            self.admin.handle, listeners, limits=limits, account=self.account, lane=Lane.METRICS
+        )
 
     # Stop.
 
--- a/rattanrelay/settings.py
+++ b/rattanrelay/settings.py
@@ -68,6 +68,10 @@
     balancer_grace: Annotated[float, msgspec.Meta(ge=0, le=600)] = 3.0
     request_timeout: PositiveSeconds = 10.0
     max_body: Annotated[int, msgspec.Meta(ge=1024, le=8 * 1024 * 1024)] = 1024 * 1024
+    #: Memory in MB beyond which the process is killed, and descriptors that it may open; 0 if they
+    #: are not known.
+    memory_mb: Annotated[int, msgspec.Meta(ge=0)] = 0
+    max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
     admin_tokens: list[AdminToken] = []
     tls: Tls | None = None
 
