--- a/rattanrelay/http/intake.py
+++ b/rattanrelay/http/intake.py
@@ -1,6 +1,7 @@
 """The memory account of a process for the connections that others open to it."""
 
 import socket
+from collections import Counter
 from collections.abc import Callable
 
 import trio
@@ -26,6 +27,8 @@
         self.closed_for_memory = 0
         self.closed_for_connections = dict.fromkeys(Lane, 0)
         self.waited = 0
+        #: Requests that were refused while they were read, by status.
+        self.refused: Counter[int] = Counter()
         self._released: trio.Event | None = None
 
     def open(self, lane: Lane, address: str, abandon: Callable[[], None]) -> "Share | None":
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -35,6 +35,10 @@
 __all__ = ["Feed", "Listen", "RelayDaemon", "RelaySettings"]
 
 BACKLOG = 1024
+#: The same and the size of receive buffers on the listeners for readiness and metrics. The kernel
+#: holds what connections send before they are accepted, and their requests are small.
+CHECK_BACKLOG = 64
+CHECK_BUFFER_BYTES = 16 * 1024
 #: Share of the stop's grace period after which new requests are refused.
 ACCEPT_SHARE = 0.75
 #: Share of the stop's grace period after which unfinished requests are cancelled.
@@ -188,10 +192,12 @@
             self.background = Background(nursery)
             clients = await _listen(settings.clients)
             nursery.start_soon(self._accept, clients)
-            ready = await _listen(settings.ready)
+            ready = await _listen(settings.ready, CHECK_BACKLOG, CHECK_BUFFER_BYTES)
             nursery.start_soon(self._serve_checks, self._answer_ready, ready, Lane.READINESS)
             if settings.metrics is not None:
-                metrics_listener = await _listen(settings.metrics)
+                metrics_listener = await _listen(
+                    settings.metrics, CHECK_BACKLOG, CHECK_BUFFER_BYTES
+                )
                 nursery.start_soon(
                     self._serve_checks, self._answer_metrics, metrics_listener, Lane.METRICS
                 )
@@ -525,6 +531,10 @@
         metrics.unfinished_bytes.set({}, HttpConnection.memory.total)
         metrics.responses_abandoned.set({}, HttpConnection.memory.abandoned)
         metrics.update_intake(self.account)
+        metrics.complete_bytes.set({}, HttpConnection.memory.complete)
+        to_searchers = deployment.all_connections
+        metrics.searcher_connections.set({"kind": "open"}, to_searchers.open)
+        metrics.searcher_connections.set({"kind": "limit"}, to_searchers.limit)
         for task, count in self.background.failed.items():
             metrics.tasks_failed.set({"task": task}, count)
         for kind, calls in self.feed.calls.items():
@@ -596,9 +606,14 @@
             await trio.sleep(DRAIN_POLL_S)
 
 
-async def _listen(address: Listen) -> trio.socket.SocketType:
+async def _listen(
+    address: Listen, backlog: int = BACKLOG, buffer: int = 0
+) -> trio.socket.SocketType:
+    """Listen on an address; `buffer` is the size of the receive buffers, 0 for the default."""
     listener = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
     listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
     await listener.bind((address.host, address.port))
-    listener.listen(BACKLOG)
+    if buffer:
+        listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, buffer)
+    listener.listen(backlog)
     return listener
--- a/rattanrelay/relay/front.py
+++ b/rattanrelay/relay/front.py
@@ -308,6 +308,7 @@
             self.client_gone = True
 
     async def _reject(self, bad: _BadRequest) -> None:
+        self.front.account.refused[bad.status] += 1
         self._reading = False
         self.buffer.clear()
         self._body.clear()
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -68,6 +68,15 @@
         self.intake_waits = self.add(
             Counter, "intake_waits_total", "Reads that waited for memory of the intake"
         )
+        self.refused = self.add(
+            Counter, "requests_refused_total", "Requests refused while they were read, by status"
+        )
+        self.searcher_connections = self.add(
+            Gauge, "searcher_connections", "Connections to searchers, and their limit, by kind"
+        )
+        self.complete_bytes = self.add(
+            Gauge, "complete_response_bytes", "Bytes held of large responses that are complete"
+        )
         self.tasks_failed = self.add(
             Counter, "tasks_failed_total", "Tasks that ended by an unexpected error, by function"
         )
@@ -87,6 +96,8 @@
             self.intake_closed.set({"lack": f"{listener} connections"}, closed)
         self.intake_closed.set({"lack": "memory"}, account.closed_for_memory)
         self.intake_waits.set({}, account.waited)
+        for status, count in account.refused.items():
+            self.refused.set({"status": str(status)}, count)
 
     def text(self, accept: str = "text/plain") -> tuple[bytes, dict[str, str]]:
         """Return the exposition text with current counts, and its headers."""
--- a/tests/platform/settings.feature
+++ b/tests/platform/settings.feature
@@ -18,6 +18,8 @@
       | bounds.budget_window_s    | 0             | key bounds.budget_window_s, 0, > 0.0     |
       | bounds.retry_budget_ratio | -0.1          | key bounds.retry_budget_ratio, -0.1      |
       | limits.cpu_share          | 0             | key limits.cpu_share, 0, > 0.0           |
+      | limits.memory_mb          | -1            | key limits.memory_mb, -1, >= 0           |
+      | limits.max_fds            | 1.5           | key limits.max_fds, 1.5                  |
 
   Scenario: Unknown keys are ignored, and numbers may be written as text
     When the platform's settings are read with bounds.drain_ms = "2500"
@@ -34,3 +36,14 @@
   Scenario: The command line names the key that is wrong
     When the platform's settings are checked on the command line with internal_ports = []
     Then the command fails and names "key internal_ports"
+
+  Scenario Outline: Limits of memory and descriptors
+    When the platform's settings are read with limits.<key> = <value>
+    Then messages of clients may take <messages> MB, and there may be <clients> clients
+
+    Examples:
+      | key       | value | messages | clients |
+      | memory_mb | 152   | 27       | 1382    |
+      | memory_mb | 0     | 245      | 2397    |
+      | max_fds   | 1535  | 245      | 400     |
+      | max_fds   | 0     | 245      | 2397    |
--- a/tests/steps/platform_settings_steps.py
+++ b/tests/steps/platform_settings_steps.py
@@ -10,6 +10,7 @@
 from behave import then, when
 
 from rattanrelay.cli import main
+from rattanrelay.decide.intake import MB, Lane
 from rattanrelay.errors import RelayError
 from rattanrelay.platform.settings import load
 
@@ -66,6 +67,13 @@
     assert round(context.settings.cores, 2) == cores, context.settings.cores
 
 
+@then("messages of clients may take {messages:d} MB, and there may be {clients:d} clients")
+def intake_limits(context, messages, clients):
+    assert context.error is None, context.error
+    limits = context.settings.intake
+    assert (limits.messages // MB, limits.connections[Lane.CLIENTS]) == (messages, clients), limits
+
+
 @when("the platform's settings are checked on the command line with {key} = {value}")
 def check(context, key, value):
     printed, failed = io.TextIOWrapper(io.BytesIO(), "utf-8", write_through=True), io.StringIO()
