--- a/tests/decide/quota.feature
+++ b/tests/decide/quota.feature
@@ -5,6 +5,10 @@
   Scenario: Shares that are lent, renewed, given back and lost never add up to more than the quota
     Then in 300 random histories of 4 voters and 3 owners the grants keep the quota exactly
 
+  Scenario: The tokens of a share do not come back after another owner has had it
+    When a full share expires, another owner gets it, and then the first one again
+    Then the first one has only what the share has earned since
+
   Scenario Outline: The sum over all instances stays in the bound through <trouble>
     Then with <size> instances and <trouble>, no window has more requests than allowed in 3 plays
 
--- a/tests/platform/settings.feature
+++ b/tests/platform/settings.feature
@@ -17,6 +17,8 @@
       | platform.address          | ":1"          | key platform.address, ':1'               |
       | bounds.budget_window_s    | 0             | key bounds.budget_window_s, 0, > 0.0     |
       | bounds.retry_budget_ratio | -0.1          | key bounds.retry_budget_ratio, -0.1      |
+      | bounds.quota_window_s     | 0             | key bounds.quota_window_s, 0, > 0.0      |
+      | bounds.quota_slack        | -1            | key bounds.quota_slack, -1               |
       | limits.cpu_share          | 0             | key limits.cpu_share, 0, > 0.0           |
 
   Scenario: Unknown keys are ignored, and numbers may be written as text
--- a/tests/steps/quota_decide_steps.py
+++ b/tests/steps/quota_decide_steps.py
@@ -116,6 +116,25 @@
             assert count <= allowed + 1e-6, (count, allowed)
 
 
+@when("a full share expires, another owner gets it, and then the first one again")
+def share_returns(context):
+    book = ShareBook(0.0, restarted=False)
+    context.first, other = (QuotaBucket(RATE, BURST, SLACK, 0.0) for _ in range(2))
+    context.before = []
+    for now, name, bucket in (
+        (0.0, "a", context.first),
+        (2.6, "b", other),
+        (5.2, "a", context.first),
+    ):
+        bucket.add_share(0, book.lend("crowd", name, 1.0, now), now, now)
+        context.before.append(bucket.tokens)
+
+
+@then("the first one has only what the share has earned since")
+def earned_since(context):
+    assert context.before[0] == BURST + HEADROOM and context.before[2] < 1.1, context.before
+
+
 async def kills(fleet):
     while True:
         await trio.sleep(fleet.rng.uniform(0.3, 3.0))
