--- a/rattanrelay/decide/quota.py
+++ b/rattanrelay/decide/quota.py
@@ -10,7 +10,7 @@
 
 import math
 from collections import OrderedDict, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import NamedTuple
 
 from .ownership import ranked
@@ -94,20 +94,27 @@
         self.names = frozenset({instance})
         #: Number of instances that may be running, listed or not.
         self.count = 1
+        #: Speed of the processors of instances in cores, by name.
+        self.cores: dict[str, float] = {}
         self._top: dict[str, tuple[str, ...]] = {}
 
-    def update(self, names: Iterable[str], count: int) -> None:
+    def update(self, names: Iterable[str], count: int, cores: Mapping[str, float]) -> None:
         """Apply the names of all other listed instances, and the number of those that may run."""
-        if self.names != (listed := frozenset(names) | {self.instance}):
-            self.names = listed
+        if self.names != (listed := frozenset(names) | {self.instance}) or self.cores != cores:
+            self.names, self.cores = listed, dict(cores)
             self._top.clear()
         self.count = max(count, len(listed))
 
     def top(self, workspace: str) -> tuple[str, ...]:
-        """Return the voters of a workspace, the owner first."""
+        """Return the voters of a workspace, the owner first.
+
+        Each request waits for the owner, so one with less than a core comes after the others.
+        """
         top = self._top.get(workspace)
         if top is None:
-            top = self._top[workspace] = tuple(ranked(self.names, workspace)[:VOTERS])
+            voters = ranked(self.names, workspace)[:VOTERS]
+            voters.sort(key=lambda name: -min(self.cores.get(name, 1.0), 1.0))
+            top = self._top[workspace] = tuple(voters)
         return top
 
     def weight(self, workspace: str) -> float:
--- a/rattanrelay/relay/quotas.py
+++ b/rattanrelay/relay/quotas.py
@@ -448,7 +448,8 @@
     def _update(self, now: float) -> None:
         if now - self._listed_at >= LIST_PERIOD_S:
             self._listed_at = now
-            self.ranking.update(self.peers.known, self.deployment.instances)
+            deployment = self.deployment
+            self.ranking.update(self.peers.known, deployment.instances, deployment.cores_of)
         if now - self._cleaned_at >= CLEAN_PERIOD_S:
             self._cleaned_at = now
             self._clean(now)
--- a/tests/harness/quota_fleet.py
+++ b/tests/harness/quota_fleet.py
@@ -54,6 +54,7 @@
             bounds=SimpleNamespace(quota=BOUNDS),
             catalog=SimpleNamespace(workspaces=fleet.workspaces),
             instances=fleet.size,
+            cores_of=fleet.cores_of,
         )
         self.peers = SimpleNamespace(known={}, link=self._link, check_link=lambda peer: None)
         self.see(fleet.names)
@@ -92,6 +93,8 @@
         self.latency = latency
         self.names = [f"entry-{number}" for number in range(size)]
         self.workspaces = workspaces or {"crowd": Workspace("crowd", None, 10.0, 10.0)}
+        #: Every other instance has half a core.
+        self.cores_of = {name: 0.5 + 0.5 * (number % 2) for number, name in enumerate(self.names)}
         self.nodes: dict[str, _Node] = {}
         #: Share of messages that are lost, and the part of the fleet that is cut off.
         self.loss = 0.0
@@ -162,7 +165,7 @@
     def owners(self, workspace="crowd") -> tuple[str, ...]:
         """Return the owner of a workspace and its deputy, as the first instance knows them."""
         node = next(iter(self.nodes.values()))
-        node.quotas.ranking.update(node.peers.known, self.size)
+        node.quotas.ranking.update(node.peers.known, self.size, self.cores_of)
         return node.quotas.ranking.top(workspace)[:2]
 
     def allowed(self, workspace="crowd") -> float:
--- a/tests/steps/quota_decide_steps.py
+++ b/tests/steps/quota_decide_steps.py
@@ -233,6 +233,7 @@
         return fleet
 
     context.fleet = play(scenario, size=size)
+    assert context.fleet.cores_of[context.fleet.owners()[0]] == 1.0, "a slow owner"
 
 
 @then("at most {refused:d} of them are refused, and they wait {wait:g} ms on average")
