--- a/rattanrelay/relay/quotas.py
+++ b/rattanrelay/relay/quotas.py
@@ -57,6 +57,10 @@
 #: Period in seconds of comparing the list of instances, and of removing unused state.
 LIST_PERIOD_S = 0.2
 CLEAN_PERIOD_S = 10.0
+#: Time in seconds after the start in which an instance that knows no other one lends no shares: it
+#: may not have read the list yet, and would lend whole quotas. The second one is for a fleet that
+#: starts for the first time.
+ALONE_S = (10.0, 2.0)
 PPB = 1_000_000_000
 #: Longest time in seconds that a message states.
 LONGEST_S = 86_400.0
@@ -138,12 +142,15 @@
         self.leaving = False
         self._background: Background | None = None
         self._listed_at = self._cleaned_at = -math.inf
+        self._alone_from = math.inf
         self._stamp = 0
 
     def start(self, background: Background, handlers: Handlers) -> None:
         """Register the handler for other instances."""
         self._background = background
-        self.book = ShareBook(trio.current_time(), restarted=not self.first_start)
+        now = trio.current_time()
+        self.book = ShareBook(now, restarted=not self.first_start)
+        self._alone_from = now + ALONE_S[self.first_start]
         handlers.on(AskQuota)(self._answer)
 
     @property
@@ -283,7 +290,8 @@
         if owner not in self.ranking.names:
             # Others cannot ask it for permits.
             return QuotaReply(unlisted=True)
-        weight = 0.0 if self.leaving else self.ranking.weight(workspace)
+        lends = not self.leaving and (self.ranking.count > 1 or now >= self._alone_from)
+        weight = self.ranking.weight(workspace) if lends else 0.0
         offer = self.book.lend(workspace, owner, weight, now, message.stamp)
         if offer is None:
             holder, left = self.book.holder(workspace, now)
--- a/tests/decide/quota.feature
+++ b/tests/decide/quota.feature
@@ -45,6 +45,10 @@
     When an instance gets requests for 20 s over links of 60 ms or more each way
     Then only its local allowance is used
 
+  Scenario: An instance that has not read the list of instances does not grant a whole quota
+    When an instance that knows no other one gets requests in its first 9 s
+    Then only its local allowance is used
+
   Scenario: Workspaces without a limit send no message and leave no state
     When 3 instances get requests of a workspace without a limit
     Then no message was sent
