--- a/rattanrelay/relay/quotas.py
+++ b/rattanrelay/relay/quotas.py
@@ -48,10 +48,9 @@
 #: Shortest and longest pause in seconds before an instance asks again for shares that are lent to
 #: another one; it doubles with each attempt. The first ones are for shares that are being given up.
 BLOCKED_RETRY_S = (0.03, 1.0)
-#: Time in seconds without a request after which shares are not renewed: collecting them again for
-#: the next request costs fewer messages. And the same for asking for shares that are lent.
+#: Time in seconds without a request after which an instance asks for shares no more: collecting
+#: them again for the next request costs fewer messages.
 IDLE_S = 1.5
-BLOCKED_IDLE_S = 1.5
 #: Time in seconds for which an instance that did not reply is asked last.
 AVOID_S = 1.0
 #: Period in seconds of comparing the list of instances, and of removing unused state.
@@ -289,7 +288,7 @@
         workspace, owner = message.workspace, message.asker
         if owner not in self.ranking.names:
             # Others cannot ask it for permits.
-            return QuotaReply(unlisted=True)
+            return QuotaReply(holder=self.book.holder(workspace, now)[0], unlisted=True)
         lends = not self.leaving and (self.ranking.count > 1 or now >= self._alone_from)
         weight = self.ranking.weight(workspace) if lends else 0.0
         offer = self.book.lend(workspace, owner, weight, now, message.stamp)
@@ -351,8 +350,7 @@
                 now = trio.current_time()
                 self._update(now)
                 owned.bucket.advance(now)
-                idle = IDLE_S if owned.bucket.shares else BLOCKED_IDLE_S
-                if self.leaving or now - owned.needed_at > idle:
+                if self.leaving or now - owned.needed_at > IDLE_S:
                     return
                 owned.collecting = not owned.bucket.shares and not owned.holder
         finally:
@@ -369,7 +367,7 @@
         if owned.bucket.weight >= ENOUGH_SHARES:
             owned.backoff = shortest
             return RENEW_S
-        if not owned.holders:
+        if not owned.holders and not owned.unlisted:
             return RETRY_S
         pause = owned.backoff
         owned.backoff = min(2.0 * pause, longest)
@@ -404,9 +402,9 @@
                 offer = ShareOffer(reply.weight_ppb / PPB, reply.term, reply.idle_us / 1e6)
                 owned.bucket.add_share(voter, offer, asked_at, now)
                 owned.notify()
-        elif reply.unlisted:
-            owned.unlisted += part
-        elif reply.holder:
+            return
+        owned.unlisted += part * reply.unlisted
+        if reply.holder not in ("", own):
             owned.holders[reply.holder] = owned.holders.get(reply.holder, 0.0) + part
             owned.lapses_at = min(owned.lapses_at, now + reply.wait_us / 1e6)
 
