--- a/rattanrelay/relay/quotas.py
+++ b/rattanrelay/relay/quotas.py
@@ -11,6 +11,7 @@
 
 from ..decide.quota import (
     ENOUGH_SHARES,
+    OWNERS,
     Grant,
     LocalAllowance,
     QuotaBucket,
@@ -47,17 +48,18 @@
 #: Shortest and longest pause in seconds before an instance asks again for shares that are lent to
 #: another one; it doubles with each attempt. The first ones are for shares that are being given up.
 BLOCKED_RETRY_S = (0.03, 1.0)
-#: Time in seconds without a request after which shares are renewed no more, and after which an
-#: instance without shares asks for them no more.
-IDLE_S = 5.0
-BLOCKED_IDLE_S = 1.5
-#: Instances that are asked for a permit if it is not known who holds the shares.
-OWNERS = 2
+#: Time in seconds without a request after which an instance asks for shares no more: collecting
+#: them again for the next request costs fewer messages.
+IDLE_S = 1.5
 #: Time in seconds for which an instance that did not reply is asked last.
 AVOID_S = 1.0
 #: Period in seconds of comparing the list of instances, and of removing unused state.
 LIST_PERIOD_S = 0.2
 CLEAN_PERIOD_S = 10.0
+#: Time in seconds after the start in which an instance that knows no other one lends no shares: it
+#: may not have read the list yet, and would lend whole quotas. The second one is for a fleet that
+#: starts for the first time.
+ALONE_S = (10.0, 2.0)
 PPB = 1_000_000_000
 #: Longest time in seconds that a message states.
 LONGEST_S = 86_400.0
@@ -139,12 +141,15 @@
         self.leaving = False
         self._background: Background | None = None
         self._listed_at = self._cleaned_at = -math.inf
+        self._alone_from = math.inf
         self._stamp = 0
 
     def start(self, background: Background, handlers: Handlers) -> None:
         """Register the handler for other instances."""
         self._background = background
-        self.book = ShareBook(trio.current_time(), restarted=not self.first_start)
+        now = trio.current_time()
+        self.book = ShareBook(now, restarted=not self.first_start)
+        self._alone_from = now + ALONE_S[self.first_start]
         handlers.on(AskQuota)(self._answer)
 
     @property
@@ -232,13 +237,17 @@
         return Grant(reply.granted, reply.decided, reply.wait_us / 1e6), reply.holder
 
     def _admit_locally(self, workspace: Workspace, reason: str, wait: float = 0.0) -> QuotaDecision:
-        now, bounds = trio.current_time(), self.deployment.bounds.quota
-        allowance = self.allowances.setdefault(workspace.name, LocalAllowance())
-        count = self.ranking.fallback(workspace.name, bounds.slack)
-        if allowance.take(count, bounds.window + PERMIT_TIMEOUT_S, now):
+        if self._take_allowance(workspace.name, trio.current_time()):
             return QuotaDecision(True, source="")
         return self._refused(workspace, max(wait, RETRY_S), reason, "")
 
+    def _take_allowance(self, workspace: str, now: float) -> bool:
+        """Return whether this instance may admit a request without shares, and count it if so."""
+        bounds = self.deployment.bounds.quota
+        used = self.allowances.setdefault(workspace, LocalAllowance())
+        count = self.ranking.allowance(workspace, bounds.slack)
+        return used.take(count, bounds.window + PERMIT_TIMEOUT_S, now)
+
     @staticmethod
     def _refused(workspace: Workspace, wait: float, reason: str, owner: str) -> QuotaDecision:
         event(
@@ -279,8 +288,9 @@
         workspace, owner = message.workspace, message.asker
         if owner not in self.ranking.names:
             # Others cannot ask it for permits.
-            return QuotaReply(unlisted=True)
-        weight = 0.0 if self.leaving else self.ranking.weight(workspace)
+            return QuotaReply(holder=self.book.holder(workspace, now)[0], unlisted=True)
+        lends = not self.leaving and (self.ranking.count > 1 or now >= self._alone_from)
+        weight = self.ranking.weight(workspace) if lends else 0.0
         offer = self.book.lend(workspace, owner, weight, now, message.stamp)
         if offer is None:
             holder, left = self.book.holder(workspace, now)
@@ -314,6 +324,8 @@
         grant = owned.bucket.refuse(now := trio.current_time())
         if grant.decided:
             return grant, ""
+        if self._take_allowance(workspace.name, now):
+            return Grant(True), ""
         wait = min(max(owned.lapses_at - now, grant.wait), BLOCKED_RETRY_S[1])
         return grant._replace(wait=wait), owned.holder
 
@@ -338,8 +350,7 @@
                 now = trio.current_time()
                 self._update(now)
                 owned.bucket.advance(now)
-                idle = IDLE_S if owned.bucket.shares else BLOCKED_IDLE_S
-                if self.leaving or now - owned.needed_at > idle:
+                if self.leaving or now - owned.needed_at > IDLE_S:
                     return
                 owned.collecting = not owned.bucket.shares and not owned.holder
         finally:
@@ -356,7 +367,7 @@
         if owned.bucket.weight >= ENOUGH_SHARES:
             owned.backoff = shortest
             return RENEW_S
-        if not owned.holders:
+        if not owned.holders and not owned.unlisted:
             return RETRY_S
         pause = owned.backoff
         owned.backoff = min(2.0 * pause, longest)
@@ -391,9 +402,9 @@
                 offer = ShareOffer(reply.weight_ppb / PPB, reply.term, reply.idle_us / 1e6)
                 owned.bucket.add_share(voter, offer, asked_at, now)
                 owned.notify()
-        elif reply.unlisted:
-            owned.unlisted += part
-        elif reply.holder:
+            return
+        owned.unlisted += part * reply.unlisted
+        if reply.holder not in ("", own):
             owned.holders[reply.holder] = owned.holders.get(reply.holder, 0.0) + part
             owned.lapses_at = min(owned.lapses_at, now + reply.wait_us / 1e6)
 
@@ -443,7 +454,8 @@
     def _update(self, now: float) -> None:
         if now - self._listed_at >= LIST_PERIOD_S:
             self._listed_at = now
-            self.ranking.update(self.peers.known, self.deployment.instances)
+            deployment = self.deployment
+            self.ranking.update(self.peers.known, deployment.instances, deployment.cores_of)
         if now - self._cleaned_at >= CLEAN_PERIOD_S:
             self._cleaned_at = now
             self._clean(now)
--- a/tests/decide/quota.feature
+++ b/tests/decide/quota.feature
@@ -5,6 +5,10 @@
   Scenario: Shares that are lent, renewed, given back and lost never add up to more than the quota
     Then in 300 random histories of 4 voters and 3 owners the grants keep the quota exactly
 
+  Scenario: The tokens of a share do not come back after another owner has had it
+    When a full share expires, another owner gets it, and then the first one again
+    Then the first one has only what the share has earned since
+
   Scenario Outline: The sum over all instances stays in the bound through <trouble>
     Then with <size> instances and <trouble>, no window has more requests than allowed in 3 plays
 
@@ -41,6 +45,10 @@
     When an instance gets requests for 20 s over links of 60 ms or more each way
     Then only its local allowance is used
 
+  Scenario: An instance that has not read the list of instances does not grant a whole quota
+    When an instance that knows no other one gets requests in its first 9 s
+    Then only its local allowance is used
+
   Scenario: Workspaces without a limit send no message and leave no state
     When 3 instances get requests of a workspace without a limit
     Then no message was sent
