Admit, queue or refuse requests while an instance or its searchers are short of capacity

Requests were sent on at once however many were in flight, so that a burst on half a core made all of them late, and full searchers got requests that could not be answered within their deadlines. The room keeps the level of the own processor and of the searchers of each service. Requests start while the level allows their target, wait by rank and workspace, or are refused with the time to drain.

--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -18,6 +18,7 @@
 from ..wire import GatherShards, Handlers, serve_peers
 from ..wire.link import Emit
 from .access import CallerAccess
+from .admission import Admission
 from .background import Background
 from .deployment import Bounds, DeploymentState
 from .front import Arrival, ClientConnection
@@ -139,6 +140,9 @@
         self.quarantine = Quarantine(self.deployment, self.peers, feed, self.rng)
         self.permits = Permits(self.deployment, self.peers, self.rng)
         self.access = CallerAccess(self.deployment, self.peers, self.rng, lambda: feed.reader)
+        self.admission = Admission(
+            self.deployment, self.metrics, self.rng, lambda: (self.cut_at, self.refusing)
+        )
         self.handlers = Handlers()
         self.handlers.on_stream(GatherShards)(self.gather)
         self.feed.serve(self.handlers)
@@ -173,7 +177,7 @@
         """Serve until `stop` is called, then finish or cancel the requests in flight."""
         settings = self.settings
         async with trio.open_nursery() as nursery:
-            self.background = Background(nursery)
+            self.background = self.admission.background = Background(nursery)
             clients = await _listen(settings.clients)
             nursery.start_soon(self._accept, clients)
             ready = await _listen(settings.ready)
@@ -292,6 +296,10 @@
             lag=deployment.lag.quantile,
             cores=deployment.cores,
         )
+        ticket = await self.admission.enter(request_id, route, caller.workspace, sub.deadline)
+        if ticket.refusal is not None:
+            _, reason, retry_after = ticket.refusal
+            return self._refuse(request_id, route.name, reason, arrived, retry_after)
         status, outcome = 0, "client_left"
         scope = trio.CancelScope()
         self.request_scopes.add(scope)
@@ -308,6 +316,7 @@
             status = response.status
         finally:
             self.request_scopes.discard(scope)
+            self.admission.leave(ticket, answered=outcome == "answered")
             summary = scatter.summary
             details = {}
             if summary.missing and (status != 200 or route.shards):
@@ -374,10 +383,12 @@
             emit=emit,
         )
         self.requests_in_flight += 1
+        work = self.admission.begin_gather(len(route.shards))
         try:
             await scatter.gather()
         finally:
             self.requests_in_flight -= 1
+            self.admission.end_gather(len(route.shards), work)
             summary = scatter.summary
             event(
                 "gather",
@@ -480,6 +491,7 @@
             labels = {"part": "own" if part else "none"}
             metrics.limited_searchers.set(labels, len(ages))
             metrics.limit_age.set(labels, max(ages, default=0.0))
+        metrics.admission_waiting.set({}, self.admission.room.waiting)
         metrics.unfinished_bytes.set({}, HttpConnection.memory.total)
         metrics.responses_abandoned.set({}, HttpConnection.memory.abandoned)
         for task, count in self.background.failed.items():
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -32,6 +32,18 @@
         self.denied = self.add(
             Counter, "extra_denied_total", "Hedges and retries that the budget did not allow"
         )
+        self.admission = self.add(
+            Counter,
+            "admission_total",
+            "Requests that waited or were refused for lack of capacity, by outcome and reason",
+        )
+        self.admission_wait = self.add(
+            Histogram,
+            "admission_wait_seconds",
+            "Time for which such requests waited, by reason",
+            buckets=LATENCY_BUCKETS_S,
+        )
+        self.admission_waiting = self.add(Gauge, "admission_waiting", "Requests that wait now")
         self.version = self.add(Gauge, "configuration_version", "Version in force")
         self.searchers = self.add(Gauge, "searchers", "Searchers known")
         self.store_calls = self.add(Gauge, "store_calls_total", "Calls to the store by kind")
