--- a/rattanrelay/decide/room.py
+++ b/rattanrelay/decide/room.py
@@ -29,27 +29,46 @@
 #: request to a searcher. Measured values outside these factors of it are not believed.
 INITIAL_WORK_S = 0.0004
 WORK_RANGE = (0.2, 5.0)
-#: Weight of a new measurement in an average.
+#: Rank of work for other instances, which is not refused; and work in seconds that counts as none.
+OTHERS_RANK = -1
+NO_WORK_S = 1e-9
+#: Weight of a new measurement in an average, and that of a longer or shorter time of a route. A
+#: route that was slow for some seconds would otherwise be refused for long after that.
 GAIN = 0.2
-#: The work that is due is at most this multiple of a lag that was just measured: the rest of the
-#: work of a gathered request begins when its searchers respond, and does not delay others yet.
+GAIN_UP = 0.1
+GAIN_DOWN = 0.4
+#: The work that is due is at most this multiple of the lags of a short time, which end with this
+#: half-life in seconds. The rest of the work of a gathered request begins when its searchers
+#: respond, so the event loop is punctual for a moment before.
 LAG_FACTOR = 4.0
-#: Time in seconds for which a measured lag holds.
+LAG_HALF_LIFE_S = 0.1
+#: Time in seconds for which a measured lag holds if no work is added.
 LAG_VALID_S = 0.03
 #: Usual time of a route as a share of its target, until one was measured.
 INITIAL_USUAL_SHARE = 0.3
+#: Shortest usual time in seconds: a level in multiples of it has to mean something.
+MIN_USUAL_S = 0.001
 #: Lowest level up to which requests start, as a share of the target: a route whose usual time is
 #: longer than its target would otherwise never get a second request in flight.
 MIN_LEVEL_SHARE = 0.25
 #: Share of that level for requests that are less urgent than others of the last seconds, so that an
 #: urgent one finds room.
-HEADROOM_SHARE = 0.6
+HEADROOM_SHARE = 0.35
+#: Share of the time until the latest start up to which a request starts although its target may be
+#: missed: only what runs tells how the queues are, and a wait that ends too late gains nothing.
+DEADLINE_SHARE = 0.6
+#: A workspace crowds if it has started this multiple of the mean of the workspaces of the last
+#: seconds; its requests leave the same room as less urgent ones. Half-life of these counts in
+#: seconds, and the count of a workspace that is forgotten.
+CROWD_FACTOR = 2.0
+USE_HALF_LIFE_S = 2.0
+MIN_USE = 0.1
 URGENT_MEMORY_S = 5.0
 #: What other instances add to the queues of a service while this one adds a request, as a share of
 #: their number: they know the same, but not all of them have a request to add.
 OTHERS_SHARE = 0.25
 #: Time in seconds for which the queue of a searcher is taken to fall no faster than it did.
-TREND_VALID_S = 2.0
+TREND_VALID_S = 1.0
 #: Shortest time between two reports from which a trend is taken, in seconds.
 TREND_GAP_S = 0.05
 #: Bounds in seconds of the time until the next look at those that wait.
@@ -59,6 +78,10 @@
 #: which callers wait before they try again.
 MIN_RETRY_AFTER_S = 0.02
 RETRY_SHARE = 1.0 / 3.0
+#: Multiple of the expected time of the drain that callers are told, and the spread of what they are
+#: told: callers that were refused together return one after the other.
+RETRY_FACTOR = 1.5
+RETRY_SPREAD = (0.3, 1.0)
 #: Routes and services that are remembered.
 MAX_REMEMBERED = 4096
 
@@ -127,9 +150,15 @@
         self.unit_work = INITIAL_WORK_S
         self.owed = 0.0
         self.at = -math.inf
+        #: Highest lag of a short time, and its time.
+        self.recent_lag = 0.0
+        self.recent_at = 0.0
+        #: Time of the last measured lag, minus infinity if work was added since.
         self.lag_at = -math.inf
         #: Work of the requests in flight, as it was at their starts.
         self.in_flight = 0.0
+        #: The same by rank.
+        self.by_rank: dict[int, float] = {}
 
     def work(self, units: int) -> float:
         """Return the time that some units take if nothing else runs."""
@@ -138,19 +167,35 @@
     def level(self, now: float) -> float:
         return max(0.0, min(self.owed - (now - self.at), self.in_flight))
 
-    def add(self, work: float, now: float) -> None:
+    def level_for(self, rank: int, now: float) -> float:
+        """Return the level without the work of less urgent requests, for which none should wait."""
+        level = self.level(now)
+        if level:
+            level = min(level, sum(work for one, work in self.by_rank.items() if one <= rank))
+        return level
+
+    def add(self, work: float, rank: int, now: float) -> None:
         self.owed, self.at = self.level(now) + work, now
+        self.by_rank[rank] = self.by_rank.get(rank, 0.0) + work
         self.in_flight += work
+        self.lag_at = -math.inf
 
-    def remove(self, work: float, now: float) -> None:
+    def remove(self, work: float, rank: int, now: float) -> None:
         level = self.level(now)
-        self.in_flight = max(0.0, self.in_flight - work)
+        left = self.by_rank[rank] - work
+        if left > NO_WORK_S:
+            self.by_rank[rank] = left
+        else:
+            del self.by_rank[rank]
+        self.in_flight = sum(self.by_rank.values())
         self.owed, self.at = min(level, self.in_flight), now
 
     def tell_lag(self, lag: float, now: float) -> None:
         """Correct the level by a lag that was just measured."""
+        recent = self.recent_lag * 0.5 ** ((now - self.recent_at) / LAG_HALF_LIFE_S)
+        self.recent_lag, self.recent_at = max(lag, recent), now
         level = self.level(now)
-        self.owed, self.at = min(max(level, lag), LAG_FACTOR * lag), now
+        self.owed, self.at = min(max(level, lag), LAG_FACTOR * self.recent_lag), now
         self.lag_at = now
 
     def tell_work(self, units: int, seconds: float) -> None:
@@ -239,6 +284,32 @@
         self.last_start = now if len(self.queue) else -math.inf
 
 
+class _Uses:
+    """What each workspace has started in the last seconds; the oldest is forgotten first."""
+
+    def __init__(self) -> None:
+        self.uses: OrderedDict[str, tuple[float, float]] = OrderedDict()
+        self.total = 0.0
+        self.at = 0.0
+
+    def add(self, workspace: str, cost: float, now: float) -> None:
+        use, at = self.uses.pop(workspace, (0.0, now))
+        self.uses[workspace] = (use * _decay(now - at) + cost, now)
+        self.total = self.total * _decay(now - self.at) + cost
+        self.at = now
+        oldest, (use, at) = next(iter(self.uses.items()))
+        if len(self.uses) > MAX_REMEMBERED or use * _decay(now - at) < MIN_USE:
+            del self.uses[oldest]
+
+    def crowds(self, workspace: str, now: float) -> bool:
+        """Return whether a workspace has started much more than the others."""
+        use, at = self.uses.get(workspace, (0.0, now))
+        if not use or len(self.uses) < 2:
+            return False
+        mean = self.total * _decay(now - self.at) / len(self.uses)
+        return use * _decay(now - at) > CROWD_FACTOR * mean
+
+
 class Room:
     """Admits, queues or refuses the requests of one instance."""
 
@@ -251,6 +322,7 @@
         self.waiting = 0
         #: Usual time of each route, from its start without a queue.
         self.usual: OrderedDict[str, float] = OrderedDict()
+        self.uses = _Uses()
         #: Rank of the most urgent request of the last seconds, and the time of the last one of it.
         self.urgent_rank = math.inf
         self.urgent_at = -math.inf
@@ -288,8 +360,8 @@
         processor = self.processor
         if now - processor.lag_at <= LAG_VALID_S:
             return False
-        level = processor.level(now)
-        return level > 0.0 and level > self._limit(demand, now)
+        level = processor.level_for(demand.rank, now)
+        return level > 0.0 and level > self._processor_limit(demand, now)
 
     def arrive(self, demand: Demand, now: float) -> Ticket:
         """Return the ticket of a request that has started, waits or is refused."""
@@ -301,7 +373,8 @@
         if (line is None or not len(line.queue)) and not reason:
             self._start(ticket, now, waited=False)
             return ticket
-        ticket.reason = reason or SEARCHERS_FULL
+        first = line.queue.first() if line is not None else None
+        ticket.reason = reason or first.reason
         if line is None:
             line = self.lines[demand.service] = _Line()
         line.used_at = now
@@ -325,7 +398,7 @@
         if ticket.state == "waiting":
             self._remove(ticket)
         elif ticket.state == "started":
-            self.processor.remove(ticket.work, now)
+            self.processor.remove(ticket.work, ticket.rank, now)
             service = self.services.get(ticket.demand.service)
             if service is not None and ticket.counted:
                 service.in_flight = max(0, service.in_flight - 1)
@@ -339,12 +412,12 @@
     def begin_work(self, units: int, now: float) -> float:
         """Count work that is done for another instance, and return it for `end_work`."""
         work = self.processor.work(units)
-        self.processor.add(work, now)
+        self.processor.add(work, OTHERS_RANK, now)
         return work
 
     def end_work(self, work: float, now: float) -> None:
         """Record the end of work for another instance."""
-        self.processor.remove(work, now)
+        self.processor.remove(work, OTHERS_RANK, now)
         self.poll(now)
 
     def poll(self, now: float) -> None:
@@ -394,23 +467,33 @@
         # One that waits for the processor goes before all that are less urgent.
         if demand.rank > self.processor_rank:
             return PROCESSOR_SHORT
-        level = self.processor.level(now)
-        if level and level > self._limit(demand, now):
+        level = self.processor.level_for(demand.rank, now)
+        if level and level > self._processor_limit(demand, now):
             return PROCESSOR_SHORT
         service = self.services.get(demand.service)
         if service is None or not (service.full or waits):
             return ""
-        if service.may_start(self._limit(demand, now), now):
+        if service.may_start(self._service_limit(demand, now), now):
             return ""
         return SEARCHERS_FULL
 
-    def _limit(self, demand: Demand, now: float) -> float:
-        """Return the level up to which a request starts."""
+    def _processor_limit(self, demand: Demand, now: float) -> float:
+        """Return the level of the processor up to which a request starts."""
+        usual = self._usual(demand)
+        limit = min(demand.target, demand.deadline - now) - usual
+        return self._with_headroom(max(limit, MIN_LEVEL_SHARE * demand.target), demand, now)
+
+    def _service_limit(self, demand: Demand, now: float) -> float:
+        """Return the level of the searchers up to which a request starts."""
         usual = self._usual(demand)
-        least = MIN_LEVEL_SHARE * demand.target
-        limit = max(min(demand.target, demand.deadline - now) - usual, least)
-        if demand.rank > self.urgent_rank and now - self.urgent_at <= URGENT_MEMORY_S:
-            limit *= HEADROOM_SHARE
+        left = demand.deadline - now - usual
+        limit = max(min(demand.target - usual, left), DEADLINE_SHARE * left)
+        return self._with_headroom(max(limit, MIN_LEVEL_SHARE * demand.target), demand, now)
+
+    def _with_headroom(self, limit: float, demand: Demand, now: float) -> float:
+        urgent = now - self.urgent_at <= URGENT_MEMORY_S
+        if (urgent and demand.rank > self.urgent_rank) or self.uses.crowds(demand.workspace, now):
+            return limit * HEADROOM_SHARE
         return limit
 
     def _usual(self, demand: Demand) -> float:
@@ -428,7 +511,11 @@
     def _expected_wait(self, line: _Line, ticket: Ticket, now: float) -> float:
         """Return the seconds until a request starts that is added now."""
         demand = ticket.demand
-        above = max(0.0, self._level(demand, now) - self._limit(demand, now))
+        level = self.processor.level_for(demand.rank, now)
+        above = max(0.0, level - self._processor_limit(demand, now))
+        service = self.services.get(demand.service)
+        if service is not None:
+            above = max(above, service.level(now) - self._service_limit(demand, now))
         return above + line.queue.ahead(ticket) * self._drain(line, ticket)
 
     def _drain(self, line: _Line, ticket: Ticket) -> float:
@@ -444,7 +531,8 @@
         ticket.state = "started"
         ticket.started = now
         ticket.level = self._level(ticket.demand, now)
-        self.processor.add(ticket.work, now)
+        self.processor.add(ticket.work, ticket.rank, now)
+        self.uses.add(ticket.workspace, ticket.cost, now)
         service = self.services.get(ticket.demand.service)
         if service is not None:
             service.start(waited, now)
@@ -456,8 +544,11 @@
         usual = self._usual(demand)
         start = now + self._expected_wait(line, ticket, now)
         needed = max(start + usual - demand.deadline, 0.0) + self._drain(line, ticket) * ticket.cost
-        longest = RETRY_SHARE * max(0.0, demand.deadline - now)
-        after = max(MIN_RETRY_AFTER_S, min(1.5 * needed, longest) * self.rng.uniform(0.6, 1.0))
+        left = max(0.0, demand.deadline - now)
+        after = RETRY_FACTOR * needed
+        if (1.0 - RETRY_SHARE) * left > usual:
+            after = min(after, RETRY_SHARE * left)
+        after = max(MIN_RETRY_AFTER_S, after * self.rng.uniform(*RETRY_SPREAD))
         ticket.state = "refused"
         refused = refusal(ticket.reason, may_have_run=False)
         ticket.refusal = refused._replace(retry_after=after)
@@ -472,8 +563,10 @@
         demand = ticket.demand
         usual = self._usual(demand)
         sample = (now - ticket.started) * usual / (usual + ticket.level)
+        sample = max(sample, MIN_USUAL_S)
         known = demand.route in self.usual
-        self.usual[demand.route] = usual + GAIN * (sample - usual) if known else sample
+        gain = GAIN_UP if sample > usual else GAIN_DOWN
+        self.usual[demand.route] = usual + gain * (sample - usual) if known else sample
         if len(self.usual) > MAX_REMEMBERED:
             self.usual.popitem(last=False)
         service = self.services.get(demand.service)
@@ -491,5 +584,9 @@
     return min(item[1].queue.ranks, default=0)
 
 
+def _decay(seconds: float) -> float:
+    return 0.5 ** (seconds / USE_HALF_LIFE_S)
+
+
 def _nothing() -> None:
     pass
