--- a/rattanrelay/decide/room.py
+++ b/rattanrelay/decide/room.py
@@ -69,6 +69,8 @@
 OTHERS_SHARE = 0.25
 #: Time in seconds for which the queue of a searcher is taken to fall no faster than it did.
 TREND_VALID_S = 1.0
+#: Shortest time in seconds without news after which a request is sent to full searchers.
+PROBE_PAUSE_S = 0.1
 #: Shortest time between two reports from which a trend is taken, in seconds.
 TREND_GAP_S = 0.05
 #: Bounds in seconds of the time until the next look at those that wait.
@@ -254,10 +256,11 @@
     def may_start(self, limit: float, now: float) -> bool:
         if self.level(now) <= limit:
             return True
-        # Only answers tell how the queues are now. The requests that all instances send for that
-        # are at most what the searchers can take.
+        # Only answers tell how the queues are now. What all instances send for that is at most what
+        # the searchers can do, and lets none of them be shut out by the others.
         pause = self.usual / self.slots * self.senders
-        return self.in_flight == 0 and now - self.last_start >= pause
+        old = now - self.told_at >= PROBE_PAUSE_S
+        return old and self.in_flight == 0 and now - self.last_start >= pause
 
     def start(self, waited: bool, now: float) -> None:
         self.in_flight += 1
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -298,6 +298,8 @@
         self.limit = ""
         self.retry_after = ""
         self.leaving = False
+        #: Load that its answers state, as text.
+        self.load = ""
         #: Whether it has answered before, so that a copy of that answer may still arrive.
         self.stray = False
         #: Part of a path that ends the process when it begins to run the request, the time in
@@ -423,6 +425,8 @@
         good = {HEADERS.signature: self.signature(request_id), HEADERS.request_id: request_id}
         if self.limit:
             good[HEADERS.limit] = self.limit
+        if self.load:
+            good[HEADERS.load] = self.load
         if self.leaving:
             good[HEADERS.leaving] = "1"
         if self.keep_alive:
