--- a/rattanrelay/decide/room.py
+++ b/rattanrelay/decide/room.py
@@ -27,8 +27,8 @@
 MAX_WAITING = 128
 #: Work of the own processor for one unit in seconds of a core, until it was measured; a unit is a
 #: request to a searcher. Measured values outside these factors of it are not believed.
-INITIAL_WORK_S = 0.0004
-WORK_RANGE = (0.2, 5.0)
+INITIAL_WORK_S = 0.0002
+WORK_RANGE = (0.25, 4.0)
 #: Rank of work for other instances, which is not refused; and work in seconds that counts as none.
 OTHERS_RANK = -1
 NO_WORK_S = 1e-9
@@ -167,7 +167,10 @@
         return units * self.unit_work / max(self.cores, 0.05)
 
     def level(self, now: float) -> float:
-        return max(0.0, min(self.owed - (now - self.at), self.in_flight))
+        level = self.owed - (now - self.at)
+        if level <= 0.0:
+            return 0.0
+        return level if level < self.in_flight else self.in_flight
 
     def level_for(self, rank: int, now: float) -> float:
         """Return the level without the work of less urgent requests, for which none should wait."""
@@ -184,12 +187,13 @@
 
     def remove(self, work: float, rank: int, now: float) -> None:
         level = self.level(now)
-        left = self.by_rank[rank] - work
+        left = self.by_rank.get(rank, 0.0) - work
         if left > NO_WORK_S:
             self.by_rank[rank] = left
+            self.in_flight = sum(self.by_rank.values())
         else:
-            del self.by_rank[rank]
-        self.in_flight = sum(self.by_rank.values())
+            self.by_rank.pop(rank, None)
+            self.in_flight = sum(self.by_rank.values()) if self.by_rank else 0.0
         self.owed, self.at = min(level, self.in_flight), now
 
     def tell_lag(self, lag: float, now: float) -> None:
@@ -296,8 +300,9 @@
         self.at = 0.0
 
     def add(self, workspace: str, cost: float, now: float) -> None:
-        use, at = self.uses.pop(workspace, (0.0, now))
+        use, at = self.uses.get(workspace, (0.0, now))
         self.uses[workspace] = (use * _decay(now - at) + cost, now)
+        self.uses.move_to_end(workspace)
         self.total = self.total * _decay(now - self.at) + cost
         self.at = now
         oldest, (use, at) = next(iter(self.uses.items()))
@@ -426,6 +431,8 @@
     def poll(self, now: float) -> None:
         """Start those for which there is room, and refuse those for which it is too late."""
         self.processor_rank = math.inf
+        if not self.lines:
+            return
         for key, line in sorted(self.lines.items(), key=_most_urgent):
             for ticket in line.queue.all():
                 if now > self._latest_start(ticket):
--- a/rattanrelay/relay/admission.py
+++ b/rattanrelay/relay/admission.py
@@ -170,9 +170,20 @@
                 for demand, route in looked_at.values():
                     self._look(demand, route, now)
                 room.poll(now)
+        except Exception as error:
+            event("admission.failed", reason=traceback(error))
+            self._start_over()
         finally:
             self.polling = False
 
+    def _start_over(self) -> None:
+        """Let all in that wait after an error, and forget what may be inconsistent."""
+        self.room = Room(self.deployment.cores, self.room.rng)
+        for ticket in list(self.routes):
+            if ticket.state == "waiting":
+                ticket.state = "ended"
+                ticket.wake()
+
     async def _measure_lag(self) -> float:
         """Measure the time of two passes of the event loop; return the time after them."""
         started = trio.current_time()
--- a/tests/steps/room_decide_steps.py
+++ b/tests/steps/room_decide_steps.py
@@ -165,6 +165,7 @@
         self.play.done.append(call)
         if ticket is not None:
             self.room.end(ticket, now, answered=taken <= call.deadline)
+            self.room.tell_work(call.units, call.units * UNIT_S)
 
     def compute(self, work, then_):
         self.advance()
