Start the most urgent requests on stale news, and refuse those that wait when an instance refuses

A planned stop refuses those that wait directly, since the next look at them came up to 50 ms later.

--- a/rattanrelay/decide/room.py
+++ b/rattanrelay/decide/room.py
@@ -53,7 +53,7 @@
 MIN_LEVEL_SHARE = 0.25
 #: Share of that level for requests that are less urgent than others of the last seconds, so that an
 #: urgent one finds room.
-HEADROOM_SHARE = 0.35
+HEADROOM_SHARE = 0.2
 #: Share of the time until the latest start up to which a request starts although its target may be
 #: missed: only what runs tells how the queues are, and a wait that ends too late gains nothing.
 DEADLINE_SHARE = 0.6
@@ -71,6 +71,9 @@
 TREND_VALID_S = 1.0
 #: Shortest time in seconds without news after which a request is sent to full searchers.
 PROBE_PAUSE_S = 0.1
+#: Time in seconds without news after which requests are sent that are among the most urgent and
+#: whose workspace does not crowd: a queue that may have drained is no reason to refuse them.
+STALE_S = 0.25
 #: Shortest time between two reports from which a trend is taken, in seconds.
 TREND_GAP_S = 0.05
 #: Bounds in seconds of the time until the next look at those that wait.
@@ -257,12 +260,14 @@
             self.full, self.told, self.owed = True, wait, wait
         self.told_at = self.at = at
 
-    def may_start(self, limit: float, now: float) -> bool:
+    def may_start(self, limit: float, now: float, *, preferred: bool) -> bool:
         if self.level(now) <= limit:
             return True
         # Only answers tell how the queues are now. What all instances send for that is at most what
         # the searchers can do, and lets none of them be shut out by the others.
         pause = self.usual / self.slots * self.senders
+        if preferred and now - self.told_at >= STALE_S:
+            return True
         old = now - self.told_at >= PROBE_PAUSE_S
         return old and self.in_flight == 0 and now - self.last_start >= pause
 
@@ -483,7 +488,8 @@
         service = self.services.get(demand.service)
         if service is None or not (service.full or waits):
             return ""
-        if service.may_start(self._service_limit(demand, now), now):
+        limit = self._service_limit(demand, now)
+        if service.may_start(limit, now, preferred=self._preferred(demand, now)):
             return ""
         return SEARCHERS_FULL
 
@@ -501,10 +507,13 @@
         return self._with_headroom(max(limit, MIN_LEVEL_SHARE * demand.target), demand, now)
 
     def _with_headroom(self, limit: float, demand: Demand, now: float) -> float:
-        urgent = now - self.urgent_at <= URGENT_MEMORY_S
-        if (urgent and demand.rank > self.urgent_rank) or self.uses.crowds(demand.workspace, now):
-            return limit * HEADROOM_SHARE
-        return limit
+        return limit if self._preferred(demand, now) else limit * HEADROOM_SHARE
+
+    def _preferred(self, demand: Demand, now: float) -> bool:
+        """Return whether it is among the most urgent of the last seconds and does not crowd."""
+        if demand.rank > self.urgent_rank and now - self.urgent_at <= URGENT_MEMORY_S:
+            return False
+        return not self.uses.crowds(demand.workspace, now)
 
     def _usual(self, demand: Demand) -> float:
         return self.usual.get(demand.route, INITIAL_USUAL_SHARE * demand.target)
--- a/rattanrelay/relay/admission.py
+++ b/rattanrelay/relay/admission.py
@@ -53,12 +53,12 @@
         deployment: DeploymentState,
         metrics: RelayMetrics,
         rng: random.Random,
-        stopping: Callable[[], tuple[float, bool]],
+        cut_at: Callable[[], float],
     ) -> None:
         self.deployment = deployment
         self.metrics = metrics
-        #: Returns when a planned stop cuts requests off, and whether it refuses new ones already.
-        self.stopping = stopping
+        #: Returns the time at which a planned stop cuts requests off.
+        self.cut_at = cut_at
         self.room = Room(deployment.cores, rng)
         self.background: Background | None = None
         self.polling = False
@@ -129,6 +129,10 @@
         self._count_end(shards, now)
         self.room.end_work(work, now)
 
+    def refuse_waiting(self) -> None:
+        """Refuse all that wait, since this instance refuses new requests as well."""
+        self.room.stop(trio.current_time(), self.cut_at(), refuse_all=True)
+
     async def _wait(self, ticket: Ticket, route: Route) -> None:
         woken = trio.Event()
         ticket.wake = woken.set
@@ -161,9 +165,9 @@
                 await trio.sleep_until(due)
                 now = trio.current_time()
                 room.tell_lag(now - due, now)
-                cut_at, refuse_all = self.stopping()
+                cut_at = self.cut_at()
                 if cut_at < math.inf:
-                    room.stop(now, cut_at, refuse_all=refuse_all)
+                    room.stop(now, cut_at)
                 looked_at = {}
                 for ticket, route in self.routes.items():
                     looked_at.setdefault(ticket.demand.service, (ticket.demand, route))
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -140,9 +140,7 @@
         self.quarantine = Quarantine(self.deployment, self.peers, feed, self.rng)
         self.permits = Permits(self.deployment, self.peers, self.rng)
         self.access = CallerAccess(self.deployment, self.peers, self.rng, lambda: feed.reader)
-        self.admission = Admission(
-            self.deployment, self.metrics, self.rng, lambda: (self.cut_at, self.refusing)
-        )
+        self.admission = Admission(self.deployment, self.metrics, self.rng, lambda: self.cut_at)
         self.handlers = Handlers()
         self.handlers.on_stream(GatherShards)(self.gather)
         self.feed.serve(self.handlers)
@@ -537,6 +535,7 @@
         self.background.start_soon(self.feed.leave)
         await self._wait_until_quiet(started, started + ACCEPT_SHARE * grace)
         self.refusing = True
+        self.admission.refuse_waiting()
         for connection in list(self.connections):
             connection.close_if_idle()
         event(
