--- a/rattanrelay/decide/room.py
+++ b/rattanrelay/decide/room.py
@@ -248,10 +248,10 @@
     def tell(self, queue: float | None, at: float, slots: int, senders: int) -> None:
         if at <= self.told_at:
             return
-        self.slots, self.senders = max(1, slots), senders
         if queue is None:
             self.full, self.trend, self.owed = False, -1.0, 0.0
         else:
+            self.slots, self.senders = max(1, slots), senders
             wait = queue * self.usual
             gap = at - self.told_at
             if self.full and gap >= TREND_GAP_S:
@@ -394,13 +394,9 @@
         if now + self._expected_wait(line, ticket, now) > self._latest_start(ticket):
             self._refuse(ticket, line, now)
             return ticket
-        if self.waiting >= MAX_WAITING:
-            victim = line.queue.victim(ticket)
-            self._refuse(victim or ticket, line, now)
-            if victim is None:
-                return ticket
-            self._remove(victim)
-            victim.wake()
+        if self.waiting >= MAX_WAITING and not self._evict(line, ticket, now):
+            self._refuse(ticket, line, now)
+            return ticket
         line.queue.push(ticket)
         self.waiting += 1
         self.poll(now)
@@ -573,6 +569,19 @@
         ticket.refusal = refused._replace(retry_after=after)
         line.queue.refused(ticket, now)
 
+    def _evict(self, line: _Line, arriving: Ticket, now: float) -> bool:
+        """Refuse a waiting request in favour of one that arrives, if one has to give way."""
+        longest = max(self.lines.values(), key=lambda one: len(one.queue))
+        victim = line.queue.victim(arriving)
+        if victim is None and len(longest.queue) > len(line.queue) + 1:
+            line, victim = longest, longest.queue.victim(None)
+        if victim is None:
+            return False
+        self._refuse(victim, line, now)
+        self._remove(victim)
+        victim.wake()
+        return True
+
     def _remove(self, ticket: Ticket) -> None:
         self.lines[ticket.demand.service].queue.remove(ticket)
         self.waiting -= 1
--- a/rattanrelay/decide/turns.py
+++ b/rattanrelay/decide/turns.py
@@ -130,17 +130,18 @@
         missing = max(0.0, own + request.cost - standing.credit)
         return min(before, missing * len(self.standings) / LEAST_SHARE)
 
-    def victim(self, arriving: Waiting) -> Waiting | None:
+    def victim(self, arriving: Waiting | None) -> Waiting | None:
         """Return the request that leaves a full queue for one that arrives, None if none does.
 
-        It is the newest of the workspace that waits with most, among the least urgent.
+        It is the newest of the workspace that waits with most, among the least urgent. If the one
+        that arrives is for another queue, one always leaves.
         """
-        if not self.ranks or max(self.ranks) < arriving.rank:
+        if not self.ranks or (arriving is not None and max(self.ranks) < arriving.rank):
             return None
         worst = max(self.ranks)
         flows = self.ranks[worst]
         longest = max(flows.values(), key=lambda flow: len(flow.requests))
-        if worst == arriving.rank:
+        if arriving is not None and worst == arriving.rank:
             own = flows.get(arriving.workspace)
             mine = len(own.requests) if own is not None else 0
             if mine + 1 >= len(longest.requests):
--- a/rattanrelay/relay/admission.py
+++ b/rattanrelay/relay/admission.py
@@ -201,10 +201,12 @@
         """Tell the room what the searchers of a route have told."""
         self.room.processor.cores = self.deployment.cores
         queue = self._gather_queue(route, now) if route.shards else self._split_queue(route, now)
-        # In calm, no load is known or one searcher has no queue.
-        if queue is not None:
-            senders = 1 if route.shards else self.deployment.instances
-            self.room.tell_queue(demand, queue.length, queue.at, queue.slots, senders)
+        if queue is None:
+            return
+        senders = 1
+        if queue.length is not None and not route.shards:
+            senders = self.deployment.instances
+        self.room.tell_queue(demand, queue.length, queue.at, queue.slots, senders)
 
     def _split_queue(self, route: Route, now: float) -> _Queue | None:
         by_service = self.deployment.by_service
