Refuse the last waiting request early if the measured drain is too slow for it

Gathers that waited were refused when it was too late to try elsewhere. The scenarios of tests/decide/room.feature pass.

--- a/rattanrelay/decide/room.py
+++ b/rattanrelay/decide/room.py
@@ -87,6 +87,9 @@
 #: told: callers that were refused together return one after the other.
 RETRY_FACTOR = 1.5
 RETRY_SPREAD = (0.3, 1.0)
+#: Part of the expected wait of the last request in a queue beyond which it is refused early: the
+#: measured drain is that of a few requests.
+HOPELESS_FACTOR = 0.8
 #: Routes and services that are remembered.
 MAX_REMEMBERED = 4096
 
@@ -440,6 +443,7 @@
                     self._refuse(ticket, line, now)
                     self._remove(ticket)
                     ticket.wake()
+            self._refuse_hopeless(line, now)
             while (ticket := line.queue.first()) is not None:
                 reason = self._short_of(ticket.demand, now, waits=True)
                 if reason:
@@ -569,6 +573,17 @@
         ticket.refusal = refused._replace(retry_after=after)
         line.queue.refused(ticket, now)
 
+    def _refuse_hopeless(self, line: _Line, now: float) -> None:
+        """Refuse the last one if the queue drains too slowly, so that it may try elsewhere."""
+        last = line.queue.victim(None)
+        if last is None or not line.gap:
+            return
+        wait = (line.queue.ahead(last) - last.cost) * line.gap
+        if now + HOPELESS_FACTOR * wait > self._latest_start(last):
+            self._refuse(last, line, now)
+            self._remove(last)
+            last.wake()
+
     def _evict(self, line: _Line, arriving: Ticket, now: float) -> bool:
         """Refuse a waiting request in favour of one that arrives, if one has to give way."""
         longest = max(self.lines.values(), key=lambda one: len(one.queue))
