Log callers that leave while they wait, and bound what a workspace owes after its least share

A workspace that was served by its least share for long would have had no turn in its own rank for as long after that. An error in the task that looks at waiting requests is covered by a scenario now.

--- a/rattanrelay/decide/room.py
+++ b/rattanrelay/decide/room.py
@@ -54,6 +54,8 @@
 #: Share of that level for requests that are less urgent than others of the last seconds, so that an
 #: urgent one finds room.
 HEADROOM_SHARE = 0.2
+#: Time in seconds for which the rank of the most urgent request counts.
+URGENT_MEMORY_S = 5.0
 #: Share of the time until the latest start up to which a request starts although its target may be
 #: missed: only what runs tells how the queues are, and a wait that ends too late gains nothing.
 DEADLINE_SHARE = 0.6
@@ -63,7 +65,6 @@
 CROWD_FACTOR = 2.0
 USE_HALF_LIFE_S = 2.0
 MIN_USE = 0.1
-URGENT_MEMORY_S = 5.0
 #: What other instances add to the queues of a service while this one adds a request, as a share of
 #: their number: they know the same, but not all of them have a request to add.
 OTHERS_SHARE = 0.25
@@ -266,13 +267,13 @@
     def may_start(self, limit: float, now: float, *, preferred: bool) -> bool:
         if self.level(now) <= limit:
             return True
+        age = now - self.told_at
+        if preferred and age >= STALE_S:
+            return True
         # Only answers tell how the queues are now. What all instances send for that is at most what
         # the searchers can do, and lets none of them be shut out by the others.
         pause = self.usual / self.slots * self.senders
-        if preferred and now - self.told_at >= STALE_S:
-            return True
-        old = now - self.told_at >= PROBE_PAUSE_S
-        return old and self.in_flight == 0 and now - self.last_start >= pause
+        return age >= PROBE_PAUSE_S and not self.in_flight and now - self.last_start >= pause
 
     def start(self, waited: bool, now: float) -> None:
         self.in_flight += 1
--- a/rattanrelay/decide/turns.py
+++ b/rattanrelay/decide/turns.py
@@ -94,7 +94,9 @@
 
     def start(self, request: Waiting, now: float) -> None:
         """Remove a request that starts, and account for it."""
-        self.ranks[request.rank][request.workspace].deficit -= request.cost
+        # One that started by its least share was not in turn, and owes one turn at most.
+        flow = self.ranks[request.rank][request.workspace]
+        flow.deficit = max(flow.deficit - request.cost, -self.turn)
         self._forget(now)
         earned = LEAST_SHARE * request.cost / len(self.standings)
         most = SAVED_TURNS * self.turn
--- a/rattanrelay/relay/admission.py
+++ b/rattanrelay/relay/admission.py
@@ -99,11 +99,12 @@
             ticket.state = "ended"
             return ticket
         if ticket.state == "waiting":
-            await self._wait(ticket, route)
+            await self._wait(ticket, route, request_id)
         if ticket.state == "started":
             self._count_start(demand.units, now)
         if ticket.reason and ticket.state != "ended":
-            self._report(ticket, request_id)
+            outcome = "refused" if ticket.refusal is not None else "waited"
+            self._report(ticket, request_id, outcome)
         return ticket
 
     def leave(self, ticket: Ticket, *, answered: bool) -> None:
@@ -133,7 +134,7 @@
         """Refuse all that wait, since this instance refuses new requests as well."""
         self.room.stop(trio.current_time(), self.cut_at(), refuse_all=True)
 
-    async def _wait(self, ticket: Ticket, route: Route) -> None:
+    async def _wait(self, ticket: Ticket, route: Route, request_id: str) -> None:
         woken = trio.Event()
         ticket.wake = woken.set
         self.routes[ticket] = route
@@ -147,7 +148,7 @@
         except trio.Cancelled:
             # The caller has left, perhaps at the moment at which its request was let in.
             self.room.end(ticket, trio.current_time(), answered=False)
-            self.metrics.admission.inc({"outcome": "left", "reason": ticket.reason})
+            self._report(ticket, request_id, "left")
             raise
         finally:
             del self.routes[ticket]
@@ -254,9 +255,8 @@
             self.room.tell_work(self._units, spent - used)
             self._units, self._busy_since = 0, (now, spent)
 
-    def _report(self, ticket: Ticket, request_id: str) -> None:
+    def _report(self, ticket: Ticket, request_id: str, outcome: str) -> None:
         waited = trio.current_time() - ticket.arrived
-        outcome = "refused" if ticket.refusal is not None else "waited"
         reason = ticket.refusal.reason if ticket.refusal is not None else ticket.reason
         self.metrics.admission.inc({"outcome": outcome, "reason": reason})
         if waited:
--- a/tests/relay/admission.feature
+++ b/tests/relay/admission.feature
@@ -13,6 +13,11 @@
     When a less urgent request with a deadline of 4 s waits, and nothing happens
     Then it gets status 200 after 0.4 to 1.1 s
 
+  Scenario: An error in admission lets those in that wait
+    Given a service whose searchers state a load of "2,80,2" after an answer
+    When a less urgent request with a deadline of 4 s waits, and admission fails
+    Then it gets status 200 after 0.1 to 0.3 s
+
   Scenario Outline: A wait ends early
     Given a service whose searchers state a load of "2,80,2" after an answer
     When a less urgent request with a deadline of 4 s waits, and <event>
--- a/tests/steps/admission_relay_steps.py
+++ b/tests/steps/admission_relay_steps.py
@@ -83,6 +83,8 @@
                     scope.cancel()
                 elif event_ == "the instance stops":
                     daemon.stop("test")
+                elif event_ == "admission fails":
+                    daemon.admission.room.poll = lambda now: 1 / 0
                 await trio.sleep(1.0)
                 context.left = daemon.admission.room.waiting
                 context.ran = ran(context)
