--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -21,6 +21,7 @@
 from ..wire import GatherShards, Handlers, serve_peers
 from ..wire.link import Emit
 from .access import CallerAccess
+from .admission import Admission
 from .background import Background
 from .deployment import Bounds, DeploymentState
 from .front import Arrival, ClientConnection
@@ -156,6 +157,7 @@
         self.quotas = Quotas(
             self.deployment, self.peers, self.metrics, first_start=settings.first_start
         )
+        self.admission = Admission(self.deployment, self.metrics, self.rng, lambda: self.cut_at)
         self.handlers = Handlers()
         self.handlers.on_stream(GatherShards)(self.gather)
         self.feed.serve(self.handlers)
@@ -192,7 +194,7 @@
         """Serve until `stop` is called, then finish or cancel the requests in flight."""
         settings = self.settings
         async with trio.open_nursery() as nursery:
-            self.background = Background(nursery)
+            self.background = self.admission.background = Background(nursery)
             queued = settings.intake.queued
             clients = await _listen(settings.clients, queued)
             nursery.start_soon(self._accept, clients)
@@ -331,6 +333,12 @@
             lag=deployment.lag.quantile,
             cores=deployment.cores,
         )
+        ticket = await self.admission.enter(request_id, route, caller.workspace, sub.deadline)
+        if ticket.refusal is not None:
+            if caller.workspace is not None:
+                self.quotas.refund(caller.workspace, permit)
+            _, reason, retry_after = ticket.refusal
+            return self._refuse(request_id, route.name, reason, arrived, retry_after)
         status, outcome = 0, "client_left"
         scope = trio.CancelScope()
         self.request_scopes.add(scope)
@@ -347,6 +355,7 @@
             status = response.status
         finally:
             self.request_scopes.discard(scope)
+            self.admission.leave(ticket, answered=outcome == "answered")
             summary = scatter.summary
             if caller.workspace is not None and status == 503 and not summary.sent:
                 self.quotas.refund(caller.workspace, permit)
@@ -415,10 +424,12 @@
             emit=emit,
         )
         self.requests_in_flight += 1
+        work = self.admission.begin_gather(len(route.shards))
         try:
             await scatter.gather()
         finally:
             self.requests_in_flight -= 1
+            self.admission.end_gather(len(route.shards), work)
             summary = scatter.summary
             event(
                 "gather",
@@ -555,6 +566,7 @@
             labels = {"part": "own" if part else "none"}
             metrics.limited_searchers.set(labels, len(ages))
             metrics.limit_age.set(labels, max(ages, default=0.0))
+        metrics.admission_waiting.set({}, self.admission.room.waiting)
         metrics.unfinished_bytes.set({}, HttpConnection.memory.total)
         metrics.responses_abandoned.set({}, HttpConnection.memory.abandoned)
         metrics.update_intake(self.account)
@@ -608,6 +620,7 @@
         self.quotas.leave()
         await self._wait_until_quiet(started, started + ACCEPT_SHARE * grace)
         self.refusing = True
+        self.admission.refuse_waiting()
         for connection in list(self.connections):
             connection.close_if_idle()
         event(
