Choose searchers that tell their load by expected completion time

Where a request goes depended on this instance's latencies alone, which show neither the cost of a request nor the queue at a searcher. Costs are learned by route, method, body size and path, and the remaining work of a searcher from its told load and this instance's requests in flight. Services whose searchers tell no load are served as before, with the same random numbers.

--- /dev/null
+++ b/rattanrelay/decide/placement.py
@@ -0,0 +1,376 @@
+"""Choice of a searcher by the likely cost of a request and the remaining work of each searcher.
+
+It applies to searchers that report their load. A request goes where it is expected to end first. A
+reported load is a snapshot that all instances see, so its weight decays with its age, and requests
+that this instance has sent since then stand for those of the other instances as well.
+"""
+
+import math
+from collections.abc import Container
+from typing import NamedTuple
+
+from .choice import FAILURE_COST, MISSING_ENTRY_PENALTY_S
+from .load import ToldLoad
+
+__all__ = ["Costs", "Kind", "Offer", "Tally", "Work", "place"]
+
+#: Kinds of requests that are remembered. Half of them are kinds seen fewer than `PROVEN` times, so
+#: that invented paths replace only each other.
+MAX_KINDS = 1024
+PROVEN = 4
+#: Longest path prefix that tells kinds apart, in characters.
+MAX_PREFIX = 64
+#: Weight of the newest cost once a kind has many; the first ones are averaged.
+COST_WEIGHT = 0.04
+#: A kind counts as much as the wider kind that contains it after this many costs.
+PRIOR_COSTS = 3.0
+#: Time in seconds after which what was learned of a kind counts half.
+COST_HALF_LIFE_S = 300.0
+#: Part of a latency that is always counted as cost, since the expected wait is an estimate.
+MIN_COST_SHARE = 0.2
+#: A cost that differs from the expected one by more than this factor is counted as off.
+OFF_FACTOR = 2.0
+#: Mean time in seconds of a request at a searcher, until one was measured.
+INITIAL_COST_S = 0.05
+
+
+class _Costs:
+    """Costs of one kind: their mean, and how many they are after decay."""
+
+    __slots__ = ("count", "mean", "seen", "updated")
+
+    def __init__(self) -> None:
+        self.mean = 0.0
+        self.count = 0.0
+        self.seen = 0
+        self.updated = 0.0
+
+    def weight(self, now: float) -> float:
+        """Return the number of costs, decayed with the time since the last one."""
+        age = now - self.updated
+        return self.count / (1.0 + age / COST_HALF_LIFE_S) if age > 0.0 else self.count
+
+    def add(self, cost: float, now: float) -> None:
+        """Add a cost."""
+        self.count = min(self.weight(now) + 1.0, 1.0 / COST_WEIGHT)
+        self.mean += (cost - self.mean) / self.count
+        self.seen += 1
+        self.updated = now
+
+
+class Tally:
+    """Costs of the requests of a route as they were expected and as they were, in seconds."""
+
+    __slots__ = ("actual", "answers", "expected", "off")
+
+    def __init__(self) -> None:
+        self.answers = 0
+        self.expected = 0.0
+        self.actual = 0.0
+        #: Number of costs more than `OFF_FACTOR` above or below the expected one.
+        self.off = 0
+
+    def add(self, expected: float, actual: float) -> None:
+        """Add the cost of an answered request."""
+        self.answers += 1
+        self.expected += expected
+        self.actual += actual
+        self.off += actual > OFF_FACTOR * expected or expected > OFF_FACTOR * actual
+
+
+class Kind:
+    """Requests that are expected to cost the same, from the widest to the narrowest description."""
+
+    __slots__ = ("confidence", "expected", "levels", "tally")
+
+    def __init__(self, levels: list[_Costs], tally: Tally, initial: float, now: float) -> None:
+        self.levels = levels
+        self.tally = tally
+        #: Expected seconds of work on a searcher of usual speed.
+        self.expected = initial
+        #: From 0 (nothing known of the narrowest description) to 1.
+        self.confidence = 0.0
+        for level in levels:
+            weight = level.weight(now)
+            self.confidence = weight / (weight + PRIOR_COSTS)
+            self.expected += self.confidence * (level.mean - self.expected)
+
+    def observe(self, cost: float, now: float) -> None:
+        """Record what a request of this kind has cost, in seconds."""
+        self.tally.add(self.expected, cost)
+        for level in self.levels:
+            level.add(cost, now)
+
+
+class Costs:
+    """Costs of the kinds of requests, by route, method, size of the body and path."""
+
+    def __init__(self, limit: int = MAX_KINDS) -> None:
+        self.half = limit // 2
+        #: Kinds seen often and kinds seen seldom, each with those looked up last at the end.
+        self.proven: dict[tuple, _Costs] = {}
+        self.new: dict[tuple, _Costs] = {}
+        #: Expected and actual costs by route.
+        self.tallies: dict[str, Tally] = {}
+
+    def __len__(self) -> int:
+        return len(self.proven) + len(self.new)
+
+    def kind(
+        self, route: str, method: str, body: int, path: str, now: float, initial: float
+    ) -> Kind:
+        """Return the kind of a request; `path` is what follows the prefix of the route.
+
+        `initial` is its expected cost in seconds while nothing is known.
+        """
+        path = path.partition("?")[0][:MAX_PREFIX]
+        first, _, rest = path.strip("/").partition("/")
+        wide = (route, method, body.bit_length())
+        levels = [self._level(wide[:2]), self._level(wide), self._level((*wide, first))]
+        if rest:
+            levels.append(self._level((*wide, first, rest.partition("/")[0])))
+        tally = self.tallies.get(route)
+        if tally is None:
+            tally = self.tallies[route] = Tally()
+        return Kind(levels, tally, initial, now)
+
+    def keep_routes(self, routes: Container[str]) -> None:
+        """Forget the sums of other routes."""
+        self.tallies = {name: tally for name, tally in self.tallies.items() if name in routes}
+
+    def _level(self, key: tuple) -> _Costs:
+        costs = self.proven.pop(key, None)
+        if costs is None:
+            costs = self.new.pop(key, None) or _Costs()
+            if costs.seen < PROVEN:
+                return self._keep(self.new, key, costs)
+        return self._keep(self.proven, key, costs)
+
+    def _keep(self, kept: dict[tuple, _Costs], key: tuple, costs: _Costs) -> _Costs:
+        if len(kept) >= self.half:
+            del kept[next(iter(kept))]
+        kept[key] = costs
+        return costs
+
+
+#: Weight of the newest told load in the mean load of a searcher.
+LEVEL_WEIGHT = 0.05
+#: The told load counts half after this multiple of the time in which the searcher drains.
+NEWS_DECAY = 1.0
+#: Weight of the newest answer in the mean time of an answer.
+SERVICE_WEIGHT = 0.03
+#: Weight of the newest answer in the slowness of a searcher, and of the assumption of usual speed
+#: in answers.
+SLOWNESS_WEIGHT = 0.01
+SLOWNESS_PRIOR = 5.0
+#: Time in seconds without an answer after which slowness counts half, so that a searcher that was
+#: slow is tried again.
+SLOWNESS_HALF_LIFE_S = 10.0
+#: An answer is late after this multiple of its expected time. One may be a dear request; from the
+#: second in a row on, the searcher counts as slow by the weights of late and other answers.
+LATE_FACTOR = 2.5
+LATE_WEIGHT = 0.5
+LATE_FALL_WEIGHT = 0.3
+LATE_HALF_LIFE_S = 4.0
+#: Uncertainty of the number of requests at a searcher, as a number of requests.
+SPREAD = 1.0
+#: Time in seconds after which a told pace counts half.
+PACE_HALF_LIFE_S = 0.1
+#: Least part of its expected cost that a request in flight still needs.
+LEAST_REMAINDER = 0.5
+#: A request is overdue after this multiple of the expected time.
+OVERDUE_FACTOR = 1.5
+#: Most requests of all instances for which one of this instance stands. Without it, instances that
+#: know the same told load send to the same searcher until it tells a longer queue.
+MAX_STANDS_FOR = 8.0
+#: Longer way to a searcher in another failure domain, in seconds: two round trips at most.
+OTHER_DOMAIN_S = 0.0025
+#: Random part of the expected time, as a share of the wait and of the mean time of a request.
+#: Without it, instances with the same state make the same choices; a share of the time of a dear
+#: request would be longer than the waits that it is to tell apart.
+NOISE = 0.05
+
+
+class _Sent(NamedTuple):
+    at: float
+    #: Expected wait and cost in seconds; the cost is that on this searcher.
+    wait: float
+    cost: float
+    #: The same on a searcher of usual speed.
+    usual: float
+    #: Time at which it is overdue.
+    overdue_at: float
+
+
+class Work:
+    """What this instance knows of the remaining work of one searcher; times in seconds."""
+
+    def __init__(self) -> None:
+        self.told: ToldLoad | None = None
+        #: Mean number of requests at the searcher, of those of this instance, and mean time of one.
+        self.level = 0.0
+        self.own_level = 0.0
+        self.service = INITIAL_COST_S
+        self.answers = 0
+        #: Sums of the latencies and of the expected ones, with the weight of older answers.
+        self.actual = 0.0
+        self.predicted = 0.0
+        self.weight = 0.0
+        #: Lateness of answers, 1 if they are in time, and late answers in a row.
+        self.lateness = 1.0
+        self.late_in_row = 0
+        self.late_at = -math.inf
+        #: Time of the last response.
+        self.heard_at = -math.inf
+        self.in_flight: dict[int, _Sent] = {}
+
+    def record_sent(self, token: int, cost: float, now: float) -> None:
+        """Record a request that is expected to cost some seconds on a searcher of usual speed."""
+        wait, work = self.wait(now), cost * self.slowness(now)
+        overdue_at = now + OVERDUE_FACTOR * (wait + work)
+        self.in_flight[token] = _Sent(now, wait, work, cost, overdue_at)
+
+    def record_end(self, token: int) -> None:
+        """Record that a request has ended without an answer that shows its cost."""
+        self.in_flight.pop(token, None)
+
+    def record_unanswered(self, token: int, now: float) -> None:
+        """Record a request that was cancelled; it counts if its answer was late already."""
+        sent = self.in_flight.pop(token)
+        ratio = (now - sent.at) / (sent.wait + sent.cost)
+        if ratio > LATE_FACTOR:
+            self._count_late(ratio, sent.at, now)
+
+    def record_told(self, told: ToldLoad) -> None:
+        """Record a told load."""
+        weight = LEVEL_WEIGHT if self.told else 1.0
+        self.level += weight * (told.running + told.waiting - self.level)
+        self.own_level += weight * (len(self.in_flight) - self.own_level)
+        self.told = told
+
+    def record_answer(self, token: int, now: float) -> float:
+        """Record a response; return what the request has cost, in seconds at usual speed."""
+        sent = self.in_flight.pop(token)
+        latency = now - sent.at
+        work = max(latency - sent.wait, MIN_COST_SHARE * latency)
+        slowness = self.slowness(now) * self.pace(now)
+        self._count_late(latency / (sent.wait + sent.cost), sent.at, now)
+        self.heard_at = now
+        self.answers += 1
+        self.service += max(SERVICE_WEIGHT, 1.0 / self.answers) * (work - self.service)
+        if self.late_in_row < 2:
+            keep = 1.0 - SLOWNESS_WEIGHT
+            self.actual = keep * self.actual + latency
+            self.predicted = keep * self.predicted + sent.wait + sent.usual
+            self.weight = keep * self.weight + 1.0
+        return work / slowness
+
+    def _count_late(self, ratio: float, sent: float, now: float) -> None:
+        if ratio <= LATE_FACTOR:
+            self.late_in_row = 0
+            self.lateness += LATE_FALL_WEIGHT * (1.0 - self.lateness)
+        elif sent >= self.late_at:
+            self.late_in_row += 1
+            self.late_at = now
+        if self.late_in_row > 1:
+            self.lateness += LATE_WEIGHT * (ratio - self.lateness)
+
+    def expect(self, cost: float, now: float) -> tuple[float, float, float, float]:
+        """Return the first four fields of an `Offer` to a request of this cost."""
+        work = cost * self.slowness(now) * self.pace(now)
+        return self.wait(now), work, self.service, self.silent_for(now)
+
+    def slowness(self, now: float) -> float:
+        """Return how much longer work takes than on a searcher of usual speed."""
+        if not self.answers:
+            return 1.0
+        prior = SLOWNESS_PRIOR * self.predicted / self.weight
+        slowness = (self.actual + prior) / (self.predicted + prior)
+        unheard = now - self.heard_at
+        if unheard > 0.0:
+            age = unheard / SLOWNESS_HALF_LIFE_S
+            slowness = 1.0 + (slowness - 1.0) / (1.0 + age * age)
+        if self.lateness > 1.01:
+            age = unheard / LATE_HALF_LIFE_S
+            slowness *= 1.0 + (self.lateness - 1.0) / (1.0 + age * age * age)
+        return slowness
+
+    def pace(self, now: float) -> float:
+        """Return the told pace; it decays to 1 with its age."""
+        told = self.told
+        if told is None or told.pace == 1.0:
+            return 1.0
+        age = max(0.0, now - told.at) / PACE_HALF_LIFE_S
+        return 1.0 + (told.pace - 1.0) / (1.0 + age * age)
+
+    def wait(self, now: float) -> float:
+        """Return the expected time until a slot is free."""
+        told = self.told
+        if told is None:
+            return 0.0
+        work = since = 0.0
+        for sent in self.in_flight.values():
+            work += max(sent.cost - (now - sent.at), LEAST_REMAINDER * sent.cost)
+            since += sent.at >= told.at
+        own = len(self.in_flight)
+        news = told.running + told.waiting
+        drain = NEWS_DECAY * self.service * max(1.0, news / told.slots)
+        age = max(0.0, now - told.at) / drain
+        if since:
+            # Other instances are taken to have sent as many for their part of the mean load.
+            since *= min(MAX_STANDS_FOR, max(1.0, self.level / max(self.own_level, 0.01)))
+        load = self.level + (news - self.level) / (1.0 + age * age) + since
+        others = max(0.0, load - own)
+        work += others * self.service
+        excess = own + others + 1.0 - told.slots
+        excess = 0.5 * (excess + math.sqrt(excess * excess + SPREAD))
+        mean = work / (own + others) if own + others > 0.0 else self.service
+        return excess * mean / told.slots
+
+    def silent_for(self, now: float) -> float:
+        """Return for how long an answer has been overdue without any other answer since."""
+        longest = 0.0
+        for sent in self.in_flight.values():
+            if sent.overdue_at > self.heard_at and now - sent.overdue_at > longest:
+                longest = now - sent.overdue_at
+        return longest
+
+
+class Offer(NamedTuple):
+    """What a request can expect of a searcher; times in seconds."""
+
+    #: Time until a slot is free; None if the searcher has not told its load.
+    wait: float | None
+    #: Time of the work there.
+    work: float
+    #: Mean time of a request there.
+    service: float
+    #: Time for which an answer is overdue.
+    silent: float
+    failure_rate: float = 0.0
+    connect_time: float = 0.0
+    own_domain: bool = True
+    entry_missing: bool = False
+
+
+def place(offers: list[Offer], noise: list[float]) -> int:
+    """Return the index of the offer with the least expected completion time.
+
+    `noise` has a random number in 0..1 for each. A searcher that has not told its load is taken to
+    have the longest wait of all.
+    """
+    longest = max([offer.wait for offer in offers if offer.wait is not None], default=0.0)
+    best, least = 0, math.inf
+    for index, offer in enumerate(offers):
+        wait, work, service, silent, failure_rate, connect_time, own_domain, missing = offer
+        if wait is None:
+            wait = longest
+        seconds = (wait + work) * (1.0 + FAILURE_COST * failure_rate) + silent + connect_time
+        seconds += NOISE * noise[index] * (wait + service)
+        if not own_domain:
+            seconds += OTHER_DOMAIN_S
+        if missing:
+            seconds += MISSING_ENTRY_PENALTY_S
+        if seconds < least:
+            best, least = index, seconds
+    return best
--- a/rattanrelay/platform/settings.py
+++ b/rattanrelay/platform/settings.py
@@ -57,6 +57,11 @@
     cpu_cores: Duration = 1.0
 
 
+class _Log(msgspec.Struct):
+    #: Whether each choice of a searcher that tells its load is logged.
+    choices: bool = False
+
+
 class _Store(msgspec.Struct):
     address: AddressText
 
@@ -72,6 +77,7 @@
     #: Period with which searchers renew their entries.
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    log: _Log = msgspec.field(default_factory=_Log)
     #: True only while the whole fleet starts for the first time.
     bootstrap: bool = False
 
@@ -108,6 +114,7 @@
         ),
         first_start=file.bootstrap,
         cores=file.limits.cpu_share * file.limits.cpu_cores,
+        log_choices=file.log.choices,
     )
 
 
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -82,6 +82,8 @@
     first_start: bool = False
     #: Speed of the processor that this process may use, in cores.
     cores: float = 1.0
+    #: Whether each choice of a searcher that tells its load is logged.
+    log_choices: bool = False
 
 
 class Feed(Protocol):
@@ -135,6 +137,7 @@
             settings.instance, settings.domain, names, settings.bounds
         )
         self.deployment.cores = settings.cores
+        self.deployment.log_choices = settings.log_choices
         self.peers = Peers(self.deployment, self.rng)
         self.quarantine = Quarantine(self.deployment, self.peers, feed, self.rng)
         self.permits = Permits(self.deployment, self.peers, self.rng)
@@ -219,6 +222,7 @@
         self.settings = settings
         self.deployment.bounds = settings.bounds
         self.deployment.cores = settings.cores
+        self.deployment.log_choices = settings.log_choices
         event("settings.reloaded", cause=cause)
 
     async def handle(self, request: Request, arrival: Arrival) -> Response:
@@ -482,6 +486,7 @@
             metrics.limit_age.set(labels, max(ages, default=0.0))
         metrics.unfinished_bytes.set({}, HttpConnection.memory.total)
         metrics.responses_abandoned.set({}, HttpConnection.memory.abandoned)
+        metrics.show_placement(deployment.told_loads, deployment.costs, trio.current_time())
         for task, count in self.background.failed.items():
             metrics.tasks_failed.set({"task": task}, count)
         for kind, calls in self.feed.calls.items():
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -10,14 +10,16 @@
 from ..decide.connections import keeps_connection
 from ..decide.extra_window import ExtraLimits, ExtraWindow, floor_divisor
 from ..decide.grouping import own_askers, shared_searcher
+from ..decide.load import ToldLoad
 from ..decide.missing_entries import grace_until
 from ..decide.pacing import Terms, limit_senders
+from ..decide.placement import Costs, Kind
 from ..decide.split import SmoothSplit
 from ..decide.timing import RecentLag, RecentLatency, RecentRate
 from ..log import event
 from .connections import ConnectionQueue
 from .model import Catalog, HeaderNames, Route, SearcherRecord, ServiceRow
-from .searchers import CONNECTION_SHARE, Searcher
+from .searchers import CONNECTION_SHARE, Searcher, SubRequest
 
 __all__ = ["Bounds", "DeploymentState"]
 
@@ -57,6 +59,8 @@
         self.domain = domain
         self.names = names
         self.bounds = bounds
+        #: Whether each choice of a searcher that tells its load is logged.
+        self.log_choices = False
         #: Speed of the processor that this instance may use, in cores.
         self.cores = 1.0
         #: The same of all listed instances and of this one, by name.
@@ -94,6 +98,10 @@
         self._domains: dict[str, str] = {}
         self._extras: dict[str, ExtraWindow] = {}
         self._latency: dict[str, RecentLatency] = {}
+        #: Costs of the kinds of requests to searchers that tell their load.
+        self.costs = Costs()
+        #: Path prefix of each route.
+        self._prefixes: dict[str, str] = {}
         self._splits: dict[str, SmoothSplit] = {}
         #: Requests that wait for a connection.
         self.connections = ConnectionQueue()
@@ -114,6 +122,10 @@
         before = None if self.catalog is None else self.catalog.version
         self.catalog = catalog
         self._splits.clear()
+        self._prefixes = {
+            route.name: route.prefix for rows in catalog.routes.values() for route in rows
+        }
+        self.costs.keep_routes(self._prefixes)
         event("configuration.in_force", version=catalog.version, before=before)
         return True
 
@@ -435,6 +447,18 @@
             recent = self._latency[route.name] = RecentLatency(INITIAL_LATENCY_SHARE * route.target)
         return recent
 
+    def kind(self, route: Route, sub: SubRequest, now: float) -> Kind:
+        """Return the kind of a request, by which its cost is expected."""
+        # A route of another instance's request has no prefix.
+        path = sub.target.removeprefix(self._prefixes.get(route.name, ""))
+        median = self.latency(route).median
+        return self.costs.kind(route.name, sub.method, len(sub.body), path, now, median)
+
+    @property
+    def told_loads(self) -> list[ToldLoad]:
+        """Load that each searcher has told last, without those that have told none."""
+        return [one.told for one in self.searchers.values() if one.told is not None]
+
     def next_service(self, route: Route) -> str:
         """Return the service of a route that gets the next request."""
         if len(route.split) == 1:
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -4,6 +4,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram
 
+from ..decide.load import ToldLoad
+from ..decide.placement import Costs
 from ..metrics import LATENCY_BUCKETS_S, Collectors
 
 __all__ = ["RelayMetrics"]
@@ -58,8 +60,35 @@
         self.tasks_failed = self.add(
             Counter, "tasks_failed_total", "Tasks that ended by an unexpected error, by function"
         )
+        self.told_searchers = self.add(Gauge, "told_searchers", "Searchers that tell their load")
+        self.told_requests = self.add(
+            Gauge, "told_requests", "Requests and slots that they told last, by state"
+        )
+        self.told_age = self.add(Gauge, "told_age_seconds", "Mean age of the told loads")
+        self.costs = self.add(
+            Counter,
+            "placement_cost_seconds_total",
+            "Cost of answered requests, expected and actual, by route",
+        )
+        self.cost_answers = self.add(
+            Counter,
+            "placement_answers_total",
+            "Answered requests by route and whether their cost was off by more than twice",
+        )
         self.log_dropped = self.add(Gauge, "log_lines_dropped", "Log lines that were dropped")
 
+    def show_placement(self, told: list[ToldLoad], costs: Costs, now: float) -> None:
+        """Set the collectors of told loads and of expected and actual costs."""
+        self.told_searchers.set({}, len(told))
+        for state in ("running", "waiting", "slots"):
+            self.told_requests.set({"state": state}, sum(getattr(one, state) for one in told))
+        self.told_age.set({}, sum(now - one.at for one in told) / max(len(told), 1))
+        for route, tally in costs.tallies.items():
+            self.costs.set({"route": route, "kind": "expected"}, tally.expected)
+            self.costs.set({"route": route, "kind": "actual"}, tally.actual)
+            self.cost_answers.set({"route": route, "off": "no"}, tally.answers - tally.off)
+            self.cost_answers.set({"route": route, "off": "yes"}, tally.off)
+
     def text(self, accept: str = "text/plain") -> tuple[bytes, dict[str, str]]:
         """Return the exposition text with current counts, and its headers."""
         for (role, outcome), count in self.subrequest_counts.items():
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -14,6 +14,7 @@
 from ..decide.grouping import plan_groups
 from ..decide.name_hashes import join_hashes, split_hashes
 from ..decide.pacing import MAX_PAUSE_S
+from ..decide.placement import Kind, Offer, place
 from ..decide.records import greatest_records, needed_parts
 from ..decide.refusal import (
     NO_SEARCHER,
@@ -207,6 +208,7 @@
         #: Time from which the next silent instance may be suspected.
         self._next_suspicion_at = 0.0
         self._wake = trio.Event()
+        self._kind: Kind | None = None
         self._timers: list[tuple[float, int, Callable[[float], None]]] = []
         self._timer_order = count()
 
@@ -237,6 +239,13 @@
         reason = self.refused.reason if self.refused else ""
         return RequestSummary(reason, self.sent, self.hedges, self.retries, missing)
 
+    @property
+    def kind(self) -> Kind:
+        """Kind of the request; looked up only for searchers that tell their load."""
+        if self._kind is None:
+            self._kind = self.deployment.kind(self.route, self.sub, trio.current_time())
+        return self._kind
+
     async def _until_decided(self) -> Response:
         while True:
             now = trio.current_time()
@@ -302,7 +311,7 @@
         if self.quarantine.time_left(self.sub, shard.service):
             self._hold_quarantined(shard, now)
             return False
-        searcher = again or self._choose(shard, now)
+        searcher = again or self._choose(shard, now, sending=True)
         deployment = self.deployment
         if searcher is None:
             if not hedge:
@@ -378,9 +387,12 @@
     ) -> None:
         started = trio.current_time()
         outcome = None
+        kind = None if searcher.told is None else self.kind
         with scope:
             try:
-                outcome = await searcher.exchange(self.sub, self.latency.median, scope, connection)
+                outcome = await searcher.exchange(
+                    self.sub, self.latency.median, scope, connection, kind
+                )
             except Exception as error:
                 event("subrequest.failed", request=self.sub.request_id, reason=traceback(error))
                 outcome = Outcome("lost", "internal")
@@ -492,7 +504,8 @@
         serving = list(self.deployment.serving(shard.service, now))
         return shard.permitted(serving, self.route.attempts)
 
-    def _choose(self, shard: _Shard, now: float) -> Searcher | None:
+    def _choose(self, shard: _Shard, now: float, *, sending: bool = False) -> Searcher | None:
+        """Return the searcher that is expected to respond first; `sending` logs the choice."""
         new_connection = not self.sub.idempotent
         usable = self.deployment.usable(shard.service, now)
         usable = shard.permitted(usable, self.route.attempts)
@@ -507,12 +520,43 @@
         if len(usable) <= 1:
             return usable[0] if usable else None
         median_latency, domain = self.latency.median, self.deployment.domain
+        if any(searcher.told is not None for searcher in usable):
+            cost = self.kind.expected
+            offers = [
+                searcher.offer(cost, median_latency, domain, now, new_connection=new_connection)
+                for searcher in usable
+            ]
+            searcher = usable[place(offers, [self.rng.random() for _ in usable])]
+            if sending and self.deployment.log_choices:
+                self._log_choice(shard, searcher, usable, offers, now)
+            return searcher
         candidates = [
             searcher.candidate(median_latency, domain, now, new_connection=new_connection)
             for searcher in usable
         ]
         return usable[pick(candidates, [self.rng.random() for _ in usable])]
 
+    def _log_choice(
+        self,
+        shard: _Shard,
+        chosen: Searcher,
+        usable: list[Searcher],
+        offers: list[Offer],
+        now: float,
+    ) -> None:
+        event(
+            "searcher.chosen",
+            request=self.sub.request_id,
+            service=shard.service,
+            searcher=chosen.record.searcher,
+            cost_ms=round(1000 * self.kind.expected, 1),
+            confidence=round(self.kind.confidence, 2),
+            offers={
+                searcher.record.searcher: _offer_fields(searcher, offer, now)
+                for searcher, offer in zip(usable, offers, strict=True)
+            },
+        )
+
     def _delegate(self, now: float) -> list[_Shard]:
         """Delegate shards to other instances as planned; return those that this one gathers."""
         if not self.route.shards:
@@ -854,6 +898,20 @@
     return Response(refused.status, headers, f"{refused.reason}\n".encode())
 
 
+def _offer_fields(searcher: Searcher, offer: Offer, now: float) -> dict:
+    """Return the inputs of a choice for the log; times in milliseconds."""
+    told = searcher.told
+    return {
+        "wait": None if offer.wait is None else round(1000 * offer.wait, 1),
+        "work": round(1000 * offer.work, 1),
+        "silent": round(1000 * offer.silent, 1),
+        "failure_rate": round(offer.failure_rate, 2),
+        "in_flight": len(searcher.in_flight),
+        "told": told and f"{told.running},{told.waiting},{told.slots},{told.pace:g}",
+        "told_age": told and round(1000 * (now - told.at)),
+    }
+
+
 def _base_reason(reason: str) -> str:
     """Return the reason without its details if its bare form is a known refusal."""
     short = reason.partition(":")[0]
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -7,10 +7,11 @@
 
 import trio
 
-from ..decide.choice import Candidate, Estimate
+from ..decide.choice import IN_FLIGHT_SHARE, Candidate, Estimate
 from ..decide.load import ToldLoad, parse_load
 from ..decide.name_hashes import name_hash
 from ..decide.pacing import Pacer
+from ..decide.placement import Kind, Offer, Work
 from ..decide.timing import silence_delay
 from ..errors import RelayError
 from ..http import MAX_RESPONSE_BYTES, HttpConnection, Request, Response
@@ -119,6 +120,10 @@
         self.estimate = Estimate()
         #: Load that its last response told, None before the first one.
         self.told: ToldLoad | None = None
+        #: Its remaining work, from the told load and this instance's requests.
+        self.work = Work()
+        #: Whether it has sent a response.
+        self.heard = False
         self.connect_time = INITIAL_CONNECT_TIME_S
         #: Number of connections that are open or reserved for a request, idle ones included.
         self.open_connections = 0
@@ -167,6 +172,31 @@
             entry_missing=self.grace_until is not None,
         )
 
+    def offer(
+        self, cost: float, median_latency: float, domain: str, now: float, *, new_connection: bool
+    ) -> Offer:
+        """Return what a request of a likely cost can expect of it; the cost is in seconds.
+
+        For a searcher that has not told its load, the time of the work is expected as from
+        `median_latency` and the requests in flight. One that was not heard yet gets a first
+        request as if it were idle.
+        """
+        if self.told is not None:
+            expected = self.work.expect(cost, now)
+        else:
+            latency = self.estimate.expected_latency(median_latency, now)
+            waiting = IN_FLIGHT_SHARE * len(self.in_flight) / max(self.record.slots, 1)
+            overdue = max((now - end for end in self.in_flight.values()), default=0.0)
+            wait = None if self.heard or self.in_flight else 0.0
+            expected = wait, latency * (1.0 + waiting), latency, max(0.0, overdue)
+        return Offer(
+            *expected,
+            self.estimate.current_failure_rate(now),
+            0.0 if self._idle and not new_connection else self.connect_time,
+            self.record.domain == domain,
+            self.grace_until is not None,
+        )
+
     def connection_available(self, limit: int) -> bool:
         """Return whether a connection is idle, or another one may be opened within `limit`.
 
@@ -195,27 +225,34 @@
         median_latency: float,
         scope: trio.CancelScope,
         connection: HttpConnection | None,
+        kind: Kind | None = None,
     ) -> Outcome:
         """Send a request and classify the response; raises nothing but `trio.Cancelled`.
 
         `connection` is what `reserve` returned. The request runs in `scope`, whose deadline becomes
-        that of the request before the request is sent.
+        that of the request before the request is sent. With `kind`, its cost is learned.
         """
         started = trio.current_time()
         token = self._next_token = self._next_token + 1
         self.in_flight[token] = started + 2.0 * max(
             median_latency, self.estimate.expected_latency(median_latency, started)
         )
+        if kind is not None:
+            self.work.record_sent(token, kind.expected, started)
         try:
             outcome = await self._exchange(sub, scope, connection)
         except trio.Cancelled:
             now = trio.current_time()
+            if kind is not None:
+                self.work.record_unanswered(token, now)
             if now - started >= silence_delay(median_latency):
                 self.close_idle(started)
             self.estimate.record_unanswered(now - started, median_latency, now)
             raise
         finally:
             del self.in_flight[token]
+        if kind is not None:
+            self._learn_cost(outcome, token, kind)
         self._observe(outcome, trio.current_time() - started, median_latency)
         return outcome
 
@@ -358,7 +395,11 @@
     def _apply_statements(self, response: Response) -> None:
         """Apply what a response states about the requests that the searcher takes."""
         now, headers = trio.current_time(), response.headers
-        self.told = parse_load(headers.get(self.names.load), now) or self.told
+        self.heard = True
+        told = parse_load(headers.get(self.names.load), now)
+        if told is not None:
+            self.told = told
+            self.work.record_told(told)
         if headers.get(self.names.leaving) == "1" and not self.pacer.leaving:
             self.pacer.leaving = True
             self.close_idle()
@@ -380,6 +421,14 @@
         else:
             self.estimate.record_failure(now)
 
+    def _learn_cost(self, outcome: Outcome, token: int, kind: Kind) -> None:
+        if outcome.kind != "answer" or outcome.response.status >= 500:
+            self.work.record_end(token)
+            return
+        now = trio.current_time()
+        cost = self.work.record_answer(token, now)
+        kind.observe(cost, now)
+
     def _back_off(self) -> None:
         backoff = min(LONGEST_BACKOFF_S, FIRST_BACKOFF_S * 2**self.failures_in_row)
         self.failures_in_row = min(self.failures_in_row + 1, 8)
