Count a request as work when its searcher is chosen

Requests that were chosen in one turn of the event loop did not see each other, since each was counted when its task began.

--- a/rattanrelay/decide/placement.py
+++ b/rattanrelay/decide/placement.py
@@ -240,6 +240,9 @@
     overdue_at: float
 
 
+_NOTHING_CACHED = (math.nan, 0.0, 1.0)
+
+
 class Work:
     """What this instance knows of the remaining work of one searcher; times in seconds."""
 
@@ -261,19 +264,25 @@
         #: Time of the last response.
         self.answered_at = -math.inf
         self.in_flight: dict[int, _Sent] = {}
+        #: Wait and slowness as computed last, valid at one time until something is recorded.
+        self._cached = _NOTHING_CACHED
 
     def record_sent(self, token: int, cost: float, now: float) -> None:
         """Record a request that is expected to cost some seconds on a searcher of usual speed."""
-        wait, work = self.wait(now), cost * self.slowness(now)
+        wait, slowness = self.state(now)
+        work = cost * slowness
+        self._cached = _NOTHING_CACHED
         overdue_at = now + OVERDUE_FACTOR * (wait + work)
         self.in_flight[token] = _Sent(now, wait, work, cost, overdue_at)
 
     def record_end(self, token: int) -> None:
         """Record that a request has ended without an answer that shows its cost."""
+        self._cached = _NOTHING_CACHED
         self.in_flight.pop(token, None)
 
     def record_unanswered(self, token: int, now: float) -> None:
         """Record a request that was cancelled; it counts if its answer was late already."""
+        self._cached = _NOTHING_CACHED
         sent = self.in_flight.pop(token)
         ratio = (now - sent.at) / (sent.wait + sent.cost)
         if ratio > LATE_FACTOR:
@@ -281,6 +290,7 @@
 
     def record_load(self, told: ToldLoad) -> None:
         """Record a told load."""
+        self._cached = _NOTHING_CACHED
         load = told.running + told.waiting
         self.level += (LEVEL_WEIGHT if self.told else 1.0) * (load - self.level)
         self.senders.add(load, len(self.in_flight))
@@ -288,6 +298,7 @@
 
     def record_answer(self, token: int, now: float) -> float:
         """Record a response; return what the request has cost, in seconds at usual speed."""
+        self._cached = _NOTHING_CACHED
         sent = self.in_flight.pop(token)
         latency = now - sent.at
         work = max(latency - sent.wait, MIN_COST_SHARE * latency)
@@ -315,8 +326,16 @@
 
     def expect(self, cost: float, now: float) -> tuple[float, float, float, float]:
         """Return the first four fields of an `Offer` to a request of this cost."""
-        work = cost * self.slowness(now) * self.pace(now)
-        return self.wait(now), work, self.service, self.silent_for(now)
+        wait, slowness = self.state(now)
+        return wait, cost * slowness * self.pace(now), self.service, self.silent_for(now)
+
+    def state(self, now: float) -> tuple[float, float]:
+        """Return the wait and the slowness, which a choice and the request after it both need."""
+        at, wait, slowness = self._cached
+        if at != now:
+            wait, slowness = self.wait(now), self.slowness(now)
+            self._cached = now, wait, slowness
+        return wait, slowness
 
     def slowness(self, now: float) -> float:
         """Return how much longer work takes than on a searcher of usual speed."""
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -45,7 +45,7 @@
 from .model import Route
 from .peers import Peer, Peers
 from .quarantine import Quarantine
-from .searchers import HOP_HEADERS, Outcome, Searcher, SubRequest
+from .searchers import HOP_HEADERS, ExpectedCost, Outcome, Searcher, SubRequest
 
 __all__ = ["DelegatedScatter", "RequestSummary", "Scatter", "refusal_response"]
 
@@ -348,29 +348,29 @@
             reuse=self.sub.idempotent and again is None,
             keep=deployment.keeps_connection(searcher),
         )
+        likely, expected = self.latency.median, None
+        if searcher.told is not None:
+            kind = self.kind
+            likely = likely_latency(searcher.work.state(now)[0], kind.expected, kind.deviation)
+            expected = searcher.expect_cost(kind, now)
         self.background.start_soon(
-            self._send, shard, number, searcher, scope, hedge, extra, counted, connection
+            self._send, shard, number, searcher, scope, hedge, extra, counted, connection, expected
         )
-        likely = self._likely_latency(searcher, now)
         if connection is not None:
             shard.kept[number] = searcher
             delay = silence_delay(max(likely, self.latency.median))
             self._schedule(now + delay, partial(self._suspect_connection, shard, number))
         if self.sub.idempotent and number < self.route.attempts:
-            expected = searcher.estimate.expected_latency(self.latency.median, now)
-            delay = hedge_delay(expected if searcher.told is None else likely, likely)
-            if self.route.shards and searcher.told is not None:
-                delay = min(delay, max(MIN_HEDGE_S, SHARD_HEDGE_SHARE * self.route.target))
+            if expected is None:
+                latency = searcher.estimate.expected_latency(likely, now)
+                delay = hedge_delay(latency, likely)
+            else:
+                delay = hedge_delay(likely, likely)
+                if self.route.shards:
+                    delay = min(delay, max(MIN_HEDGE_S, SHARD_HEDGE_SHARE * self.route.target))
             self._schedule(now + delay, partial(self._hedge, shard))
         return True
 
-    def _likely_latency(self, searcher: Searcher, now: float) -> float:
-        """Return the seconds within which a searcher likely answers, unless it is slow."""
-        if searcher.told is None:
-            return self.latency.median
-        kind = self.kind
-        return likely_latency(searcher.work.wait(now), kind.expected, kind.deviation)
-
     def _suspect_connection(self, shard: _Shard, number: int, now: float) -> None:
         """Send a sub-request again on a new connection if all in flight may be on silent ones."""
         searcher = shard.kept[number]
@@ -397,14 +397,14 @@
         extra: bool,
         counted: bool,
         connection: HttpConnection | None,
+        expected: ExpectedCost | None,
     ) -> None:
         started = trio.current_time()
         outcome = None
-        kind = None if searcher.told is None else self.kind
         with scope:
             try:
                 outcome = await searcher.exchange(
-                    self.sub, self.latency.median, scope, connection, kind
+                    self.sub, self.latency.median, scope, connection, expected
                 )
             except Exception as error:
                 event("subrequest.failed", request=self.sub.request_id, reason=traceback(error))
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -93,6 +93,13 @@
         return self.response is not None and 200 <= self.response.status < 300
 
 
+class ExpectedCost(NamedTuple):
+    """A request whose cost is expected and learned; its number in the searcher's work, its kind."""
+
+    token: int
+    kind: Kind
+
+
 class _Idle(NamedTuple):
     connection: HttpConnection
     #: Time of its last response.
@@ -227,12 +234,12 @@
         median_latency: float,
         scope: trio.CancelScope,
         connection: HttpConnection | None,
-        kind: Kind | None = None,
+        expected: ExpectedCost | None = None,
     ) -> Outcome:
         """Send a request and classify the response; raises nothing but `trio.Cancelled`.
 
         `connection` is what `reserve` returned. The request runs in `scope`, whose deadline becomes
-        that of the request before the request is sent. With `kind`, its cost is learned.
+        that of the request before the request is sent. `expected` is what `expect_cost` returned.
         """
         started = trio.current_time()
         token = self._next_token = self._next_token + 1
@@ -240,27 +247,36 @@
             median_latency, self.estimate.expected_latency(median_latency, started)
         )
         outcome = None
-        if kind is not None:
-            self.work.record_sent(token, kind.expected, started)
         try:
             outcome = await self._exchange(sub, scope, connection)
         except trio.Cancelled:
             now = trio.current_time()
-            if kind is not None:
-                self.work.record_unanswered(token, now)
+            if expected is not None:
+                self.work.record_unanswered(expected.token, now)
             if now - started >= silence_delay(median_latency):
                 self.close_idle(started)
             self.estimate.record_unanswered(now - started, median_latency, now)
             raise
         finally:
             del self.in_flight[token]
-            if outcome is None:
-                self.work.record_end(token)
-        if kind is not None:
-            self._learn_cost(outcome, token, kind)
+            if outcome is None and expected is not None:
+                self.work.record_end(expected.token)
+        if expected is not None:
+            self._learn_cost(outcome, *expected)
         self._observe(outcome, trio.current_time() - started, median_latency)
         return outcome
 
+    def expect_cost(self, kind: Kind, now: float) -> ExpectedCost | None:
+        """Count a request that is about to be sent as work; None if no load is known.
+
+        Counted when the searcher is chosen, as in `reserve`.
+        """
+        if self.told is None:
+            return None
+        token = self._next_token = self._next_token + 1
+        self.work.record_sent(token, kind.expected, now)
+        return ExpectedCost(token, kind)
+
     def record_no_answer(self) -> Outcome:
         """Record that a request had no response at its deadline; return the outcome."""
         self.close_idle()
