--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -442,13 +442,18 @@
         kind.observe(searcher.work.record_answer(0, 0.1), 0.1)
         del searcher.in_flight[0]
 
+    # Each call has its own time, since searchers keep what they computed for one.
+    steps = count()
+
     def by_latency() -> int:
-        states = [one.candidate(0.1, "a", 0.15, new_connection=False) for one in searchers]
+        now = 0.15 + 1e-9 * next(steps)
+        states = [one.candidate(0.1, "a", now, new_connection=False) for one in searchers]
         return pick(states, [rng.random() for _ in searchers])
 
     def by_cost() -> int:
+        now = 0.15 + 1e-9 * next(steps)
         any(one.told is not None for one in searchers)
-        offers = [one.offer(0.1, 0.1, "a", 0.15, new_connection=False) for one in searchers]
+        offers = [one.offer(0.1, 0.1, "a", now, new_connection=False) for one in searchers]
         return place(offers, [rng.random() for _ in searchers])
 
     def bookkeeping() -> None:
