Keep the slowness of a searcher defined when its first requests are cancelled

Two cancelled requests that were late already, before the first answer, led to a division by zero in the next choice, and the lateness of a searcher that never answers was ignored. Found by random orders of events, which are a test now.

--- a/rattanrelay/decide/placement.py
+++ b/rattanrelay/decide/placement.py
@@ -225,7 +225,8 @@
     def add_cost(self, cost: float) -> None:
         """Add the cost of an answered request."""
         self.answers += 1
-        self.cost += max(MEAN_COST_WEIGHT, 1.0 / self.answers) * (cost - self.cost)
+        weight = max(MEAN_COST_WEIGHT, 1.0 / self.answers)
+        self.cost = max(MIN_COST_S, self.cost + weight * (cost - self.cost))
 
     def add(self, load: int, own: int) -> None:
         """Add a told load and the number of own requests in flight at that searcher."""
@@ -263,7 +264,6 @@
         self.told: ToldLoad | None = None
         #: Mean number of requests at the searcher.
         self.level = 0.0
-        self.answers = 0
         #: Sums of the latencies and of the expected ones, with the weight of older answers.
         self.actual = 0.0
         self.predicted = 0.0
@@ -316,7 +316,6 @@
         slowness = self.slowness(now) * self.pace(now)
         self._count_late(latency / (sent.wait + sent.cost), sent.at, now)
         self.answered_at = now
-        self.answers += 1
         self.service.add_cost(work / slowness)
         if self.late_in_row < 2:
             keep = 1.0 - SLOWNESS_WEIGHT
@@ -351,16 +350,14 @@
 
     def slowness(self, now: float) -> float:
         """Return how much longer work takes than on a searcher of usual speed."""
-        if not self.answers:
-            return 1.0
-        prior = SLOWNESS_PRIOR * self.predicted / self.weight
-        slowness = (self.actual + prior) / (self.predicted + prior)
-        unanswered = now - self.answered_at
-        if unanswered > 0.0:
-            age = unanswered / SLOWNESS_HALF_LIFE_S
+        slowness = 1.0
+        if self.weight:
+            prior = SLOWNESS_PRIOR * self.predicted / self.weight
+            slowness = (self.actual + prior) / (self.predicted + prior)
+            age = max(0.0, now - self.answered_at) / SLOWNESS_HALF_LIFE_S
             slowness = 1.0 + (slowness - 1.0) / (1.0 + age * age)
         if self.lateness > 1.01:
-            age = unanswered / LATE_HALF_LIFE_S
+            age = max(0.0, now - self.late_at) / LATE_HALF_LIFE_S
             slowness *= 1.0 + (self.lateness - 1.0) / (1.0 + age * age * age)
         return slowness
 
--- a/tests/decide/placement.feature
+++ b/tests/decide/placement.feature
@@ -5,6 +5,9 @@
   Scenario: Old reports of a searcher do not hide this instance's own requests there
     Then in 200 orders of reports and requests, one full of own requests is passed by
 
+  Scenario: No order of events makes an expectation undefined
+    Then after 300 random orders of events, all expected times are finite and not negative
+
   Scenario: An old report of a long queue loses its effect
     Given a searcher that tells 6,60,6 and one that tells 0,0,6
     Then the first one gets a cheap request after 60 s, not after 1 s
--- a/tests/steps/placement_decide_steps.py
+++ b/tests/steps/placement_decide_steps.py
@@ -1,5 +1,6 @@
 """Steps for the choice of a searcher by likely cost and remaining work."""
 
+import math
 import random
 
 from behave import given, then, when
@@ -54,6 +55,35 @@
     holds()
 
 
+@then("after {count:d} random orders of events, all expected times are finite and not negative")
+def always_defined(context, count):
+    events = st.sampled_from(["sent", "told", "answer", "cancelled", "failed"])
+    times = st.sampled_from([0.0, 0.001, 0.1, 20.0])
+
+    @settings(max_examples=count)
+    @for_all(st.lists(st.tuples(events, times, st.integers(0, 9)), max_size=30))
+    def holds(orders):
+        now, work, costs = 0.0, Work(ServiceLoad()), Costs()
+        for number, (event, pause, load) in enumerate(orders):
+            now += pause
+            kind = costs.kind("route", "GET", 0, "path", now, 0.0)
+            token = next(iter(work.in_flight), None)
+            if event == "sent":
+                work.record_sent(number, kind.expected, now)
+            elif event == "told":
+                work.record_load(ToldLoad(load, 0, 2, 1.0, now))
+            elif token is not None and event == "answer":
+                kind.observe(work.record_answer(token, now), now)
+            elif token is not None and event == "cancelled":
+                work.record_unanswered(token, now)
+            elif token is not None:
+                work.record_end(token)
+            expected = work.expect(kind.expected, now)
+            assert all(0.0 <= seconds < math.inf for seconds in expected), expected
+
+    holds()
+
+
 @then("in {count:d} cases, {instances:d} instances with {each:d} requests each use both searchers")
 def spread(context, count, instances, each):
     @settings(max_examples=count)
