--- a/rattanrelay/decide/load.py
+++ b/rattanrelay/decide/load.py
@@ -22,6 +22,8 @@
     pace: float
     #: Time at which the response arrived.
     at: float
+    #: Whether the response told the pace.
+    paced: bool = False
 
 
 def parse_load(text: str | None, now: float) -> ToldLoad | None:
@@ -39,4 +41,5 @@
     if slots < 1:
         return None
     pace = numbers[3] / 100.0 if len(numbers) > 3 else 1.0
-    return ToldLoad(running, waiting, slots, min(max(pace, MIN_PACE), MAX_PACE), now)
+    pace = min(max(pace, MIN_PACE), MAX_PACE)
+    return ToldLoad(running, waiting, slots, pace, now, len(numbers) > 3)
--- a/rattanrelay/platform/settings.py
+++ b/rattanrelay/platform/settings.py
@@ -68,6 +68,11 @@
     max_fds: Annotated[int, msgspec.Meta(ge=0)] = 0
 
 
+class _Log(msgspec.Struct):
+    #: Whether each choice of a searcher that tells its load is logged.
+    choices: bool = False
+
+
 class _Store(msgspec.Struct):
     address: AddressText
 
@@ -83,6 +88,7 @@
     #: Period with which searchers renew their entries.
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    log: _Log = msgspec.field(default_factory=_Log)
     #: True only while the whole fleet starts for the first time.
     bootstrap: bool = False
 
@@ -121,6 +127,7 @@
         first_start=file.bootstrap,
         cores=file.limits.cpu_share * file.limits.cpu_cores,
         intake=derive_limits(int(file.limits.memory_mb * MB), file.limits.max_fds),
+        log_choices=file.log.choices,
     )
 
 
--- a/rattanrelay/relay/admission.py
+++ b/rattanrelay/relay/admission.py
@@ -70,12 +70,6 @@
         self._units = 0
         self._busy_since = (0.0, 0.0)
 
-    @property
-    def active(self) -> bool:
-        """Whether the configuration has workspaces, whose callers compete for the capacity."""
-        catalog = self.deployment.catalog
-        return catalog is not None and catalog.workspaces is not None
-
     async def enter(
         self, request_id: str, route: Route, workspace: Workspace | None, deadline: float
     ) -> Ticket:
@@ -94,7 +88,7 @@
             deadline,
         )
         now = trio.current_time()
-        if not self.active:
+        if not self.deployment.has_workspaces:
             return _unlimited(demand, now)
         try:
             if self.room.needs_lag(demand, now):
@@ -126,7 +120,7 @@
 
     def begin_gather(self, shards: int) -> float | None:
         """Count work that is done for another instance; return it for `end_gather`."""
-        if not self.active:
+        if not self.deployment.has_workspaces:
             return None
         now = trio.current_time()
         self._count_start(shards, now)
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -97,6 +97,8 @@
     cores: float = 1.0
     #: Limits of what others send to this process and of its connections.
     intake: IntakeLimits = derive_limits()
+    #: Whether each choice of a searcher that tells its load is logged.
+    log_choices: bool = False
 
 
 class Feed(Protocol):
@@ -150,6 +152,7 @@
             settings.instance, settings.domain, names, settings.bounds
         )
         self.deployment.cores = settings.cores
+        self.deployment.log_choices = settings.log_choices
         self.peers = Peers(self.deployment, self.rng)
         self.quarantine = Quarantine(self.deployment, self.peers, feed, self.rng)
         self.permits = Permits(self.deployment, self.peers, self.rng)
@@ -245,6 +248,7 @@
         self.deployment.bounds = settings.bounds
         self.deployment.cores = settings.cores
         self._apply_intake(settings.intake)
+        self.deployment.log_choices = settings.log_choices
         event("settings.reloaded", cause=cause)
 
     def _apply_intake(self, limits: IntakeLimits) -> None:
@@ -574,6 +578,7 @@
         to_searchers = deployment.all_connections
         metrics.searcher_connections.set({"kind": "open"}, to_searchers.open)
         metrics.searcher_connections.set({"kind": "limit"}, to_searchers.limit)
+        metrics.show_placement(deployment.told_loads, deployment.costs, trio.current_time())
         for task, count in self.background.failed.items():
             metrics.tasks_failed.set({"task": task}, count)
         metrics.quota_workspaces.set({"role": "owner"}, len(self.quotas.owned))
--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -10,15 +10,17 @@
 from ..decide.connections import keeps_connection
 from ..decide.extra_window import ExtraLimits, ExtraWindow, floor_divisor
 from ..decide.grouping import own_askers, shared_searcher
+from ..decide.load import ToldLoad
 from ..decide.missing_entries import grace_until
 from ..decide.pacing import Terms, limit_senders
+from ..decide.placement import Costs, Kind, ServiceLoad
 from ..decide.quota import QuotaBounds
 from ..decide.split import SmoothSplit
 from ..decide.timing import RecentLag, RecentLatency, RecentRate
 from ..log import event
 from .connections import ConnectionCount, ConnectionQueue
 from .model import Catalog, HeaderNames, Route, SearcherRecord, ServiceRow
-from .searchers import CONNECTION_SHARE, Searcher
+from .searchers import CONNECTION_SHARE, Searcher, SubRequest
 
 __all__ = ["Bounds", "DeploymentState"]
 
@@ -60,6 +62,8 @@
         self.domain = domain
         self.names = names
         self.bounds = bounds
+        #: Whether each choice of a searcher that tells its load is logged.
+        self.log_choices = False
         #: Speed of the processor that this instance may use, in cores.
         self.cores = 1.0
         #: The same of all listed instances and of this one, by name.
@@ -97,6 +101,12 @@
         self._domains: dict[str, str] = {}
         self._extras: dict[str, ExtraWindow] = {}
         self._latency: dict[str, RecentLatency] = {}
+        #: Costs of the kinds of requests to searchers that tell their load.
+        self.costs = Costs()
+        #: What is learned of the load of each service.
+        self._service_loads: dict[str, ServiceLoad] = {}
+        #: Path prefix of each route.
+        self._prefixes: dict[str, str] = {}
         self._splits: dict[str, SmoothSplit] = {}
         #: Requests that wait for a connection.
         self.connections = ConnectionQueue()
@@ -113,6 +123,11 @@
         """Whether configuration and searchers have been read, so that requests can be served."""
         return self.catalog is not None and self.searchers_listed
 
+    @property
+    def has_workspaces(self) -> bool:
+        """Whether the configuration has workspaces, whose callers compete for the capacity."""
+        return self.catalog is not None and self.catalog.workspaces is not None
+
     def apply_catalog(self, catalog: Catalog) -> bool:
         """Apply a configuration and return whether it is newer; an older one is ignored."""
         if self.catalog is not None and catalog.version <= self.catalog.version:
@@ -120,6 +135,10 @@
         before = None if self.catalog is None else self.catalog.version
         self.catalog = catalog
         self._splits.clear()
+        self._prefixes = {
+            route.name: route.prefix for rows in catalog.routes.values() for route in rows
+        }
+        self.costs.keep_routes(self._prefixes)
         event("configuration.in_force", version=catalog.version, before=before)
         return True
 
@@ -151,6 +170,8 @@
             self._remove(known, "restarted", now)
         searcher = Searcher(record, self.names, now)
         searcher.all_connections = self.all_connections
+        load = self._service_loads.setdefault(record.service, ServiceLoad())
+        searcher = Searcher(record, self.names, now, load)
         searcher.freed = partial(self.connections.freed, record.service)
         if known is not None:
             # Requests that the new process has got before its entry was read count as well.
@@ -442,6 +463,18 @@
             recent = self._latency[route.name] = RecentLatency(INITIAL_LATENCY_SHARE * route.target)
         return recent
 
+    def kind(self, route: Route, sub: SubRequest, now: float) -> Kind:
+        """Return the kind of a request, by which its cost is expected."""
+        # A route of another instance's request has no prefix.
+        path = sub.target.removeprefix(self._prefixes.get(route.name, ""))
+        median = self.latency(route).median
+        return self.costs.kind(route.name, sub.method, len(sub.body), path, now, median)
+
+    @property
+    def told_loads(self) -> list[ToldLoad]:
+        """Load that each searcher has told last, without those that have told none."""
+        return [one.told for one in self.searchers.values() if one.told is not None]
+
     def next_service(self, route: Route) -> str:
         """Return the service of a route that gets the next request."""
         if len(route.split) == 1:
