--- a/rattanrelay/decide/quota.py
+++ b/rattanrelay/decide/quota.py
@@ -20,6 +20,7 @@
     "LENT_S",
     "OWNERS",
     "VOTERS",
+    "BucketLimit",
     "Grant",
     "LocalAllowance",
     "QuotaBounds",
@@ -28,6 +29,7 @@
     "ShareBook",
     "ShareOffer",
     "allowance",
+    "bucket_limit",
     "most_allowed",
 ]
 
@@ -48,13 +50,16 @@
 #: Parts of the slack for requests that are admitted without shares, in any window: by the owner, by
 #: its deputy, and by the next instances, one each. All of it can be used twice in a window, since
 #: an instance that restarts forgets what it has used.
-OWNER_ALLOWANCE = 0.15
-DEPUTY_ALLOWANCE = 0.1
-OTHERS_ALLOWANCE = 0.2
-#: Tokens beyond the burst, and their limit as a part of the slack. Without them, the bucket of a
-#: workspace with a burst of 1 would hold less than a token as soon as one share is missing.
+OWNER_ALLOWANCE = 0.1
+DEPUTY_ALLOWANCE = 0.05
+OTHERS_ALLOWANCE = 0.1
+#: Tokens beyond the burst. Without them, the bucket of a workspace with a burst of 1 would hold
+#: less than a token as soon as one share is missing.
 HEADROOM = 2.0
-HEADROOM_SHARE = 0.1
+#: Part of a quota that is kept for lists of instances that differ, and the time in seconds by which
+#: a request may run later than its permit was granted.
+LISTS_SHARE = 0.03
+PERMIT_AGE_S = 0.1
 #: Part of the shares from which an owner refuses in the name of all; one with fewer may not be
 #: the owner in the view of others.
 ENOUGH_SHARES = 0.5
@@ -86,6 +91,28 @@
     return int(rank - OWNERS < int(OTHERS_ALLOWANCE * slack))
 
 
+class BucketLimit(NamedTuple):
+    """Refill rate in tokens per second and size of the bucket of a whole quota."""
+
+    rate: float
+    size: float
+
+
+def bucket_limit(rate: float, burst: float, bounds: QuotaBounds) -> BucketLimit:
+    """Return the bucket that grants most within what may run in any window.
+
+    A quota allows rate times window, and the burst, in each window. A bucket that refills at the
+    bare rate grants the burst only once, so a busy workspace would be refused below its quota.
+    """
+    quota = rate * bounds.window + burst
+    allowances = 2.0 * bounds.slack * (OWNER_ALLOWANCE + DEPUTY_ALLOWANCE + OTHERS_ALLOWANCE)
+    reserved = allowances + LISTS_SHARE * quota + PERMIT_AGE_S * rate
+    total = max(most_allowed(rate, burst, bounds) - reserved, 0.0)
+    refill = (total - burst - HEADROOM) / bounds.window
+    refill = min(max(refill, min(rate, total / bounds.window)), quota / bounds.window)
+    return BucketLimit(refill, total - refill * bounds.window)
+
+
 class Ranking:
     """Ranks of the listed instances for each workspace: the owner, its deputy and the voters."""
 
@@ -236,7 +263,7 @@
 class QuotaBucket:
     """Token bucket of an owner for one workspace, in proportion to the shares that it holds."""
 
-    def __init__(self, rate: float, burst: float, slack: float, now: float) -> None:
+    def __init__(self, limit: BucketLimit, now: float) -> None:
         self.tokens = 0.0
         self.shares: dict[str, _Share] = {}
         self.expired: dict[str, _Expired] = {}
@@ -244,14 +271,13 @@
         self.at = now
         #: Requests refused lately that were told to come again.
         self.promised = 0.0
-        self.set_limit(rate, burst, slack, now)
+        self.set_limit(limit, now)
 
-    def set_limit(self, rate: float, burst: float, slack: float, now: float) -> None:
+    def set_limit(self, limit: BucketLimit, now: float) -> None:
         """Apply a limit from now on."""
         if self.shares or self.expired:
             self.advance(now)
-        self.rate = rate
-        self.size = burst + min(HEADROOM, HEADROOM_SHARE * slack)
+        self.rate, self.size = limit
         self.tokens = min(self.tokens, self.size * self.weight)
 
     @property
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -107,6 +107,21 @@
         self.quota_workspaces = self.add(
             Gauge, "quota_workspaces", "Workspaces of which state is kept here, by role"
         )
+        self.told_searchers = self.add(Gauge, "told_searchers", "Searchers that tell their load")
+        self.told_requests = self.add(
+            Gauge, "told_requests", "Requests and slots that they told last, by state"
+        )
+        self.told_age = self.add(Gauge, "told_age_seconds", "Mean age of the told loads")
+        self.costs = self.add(
+            Counter,
+            "placement_cost_seconds_total",
+            "Cost of answered requests, expected and actual, by route",
+        )
+        self.cost_answers = self.add(
+            Counter,
+            "placement_answers_total",
+            "Answered requests by route and whether their cost was off by more than twice",
+        )
         self.log_dropped = self.add(Gauge, "log_lines_dropped", "Log lines that were dropped")
 
     def update_intake(self, account: Account) -> None:
@@ -125,22 +140,6 @@
         self.intake_waits.set({}, account.waited)
         for status, count in account.refused.items():
             self.refused.set({"status": str(status)}, count)
-        self.told_searchers = self.add(Gauge, "told_searchers", "Searchers that tell their load")
-        self.told_requests = self.add(
-            Gauge, "told_requests", "Requests and slots that they told last, by state"
-        )
-        self.told_age = self.add(Gauge, "told_age_seconds", "Mean age of the told loads")
-        self.costs = self.add(
-            Counter,
-            "placement_cost_seconds_total",
-            "Cost of answered requests, expected and actual, by route",
-        )
-        self.cost_answers = self.add(
-            Counter,
-            "placement_answers_total",
-            "Answered requests by route and whether their cost was off by more than twice",
-        )
-        self.log_dropped = self.add(Gauge, "log_lines_dropped", "Log lines that were dropped")
 
     def show_placement(self, told: list[ToldLoad], costs: Costs, now: float) -> None:
         """Set the collectors of told loads and of expected and actual costs."""
--- a/rattanrelay/relay/quotas.py
+++ b/rattanrelay/relay/quotas.py
@@ -18,6 +18,7 @@
     Ranking,
     ShareBook,
     ShareOffer,
+    bucket_limit,
 )
 from ..decide.refusal import QUOTA, QUOTA_UNKNOWN
 from ..errors import RelayError
@@ -331,12 +332,12 @@
 
     def _own(self, workspace: Workspace, now: float) -> _Owned:
         owned = self.owned.get(workspace.name)
-        slack = self.deployment.bounds.quota.slack
+        limit = bucket_limit(workspace.rate, workspace.burst, self.deployment.bounds.quota)
         if owned is None:
-            bucket = QuotaBucket(workspace.rate, workspace.burst, slack, now)
+            bucket = QuotaBucket(limit, now)
             owned = self.owned[workspace.name] = _Owned(bucket)
         else:
-            owned.bucket.set_limit(workspace.rate, workspace.burst, slack, now)
+            owned.bucket.set_limit(limit, now)
         return owned
 
     async def _keep_shares(self, workspace: str, owned: _Owned) -> None:
