--- a/benchmarks/placement.py
+++ b/benchmarks/placement.py
@@ -246,9 +246,9 @@
     def hedge_after(self, copy: Copy, now: float, by_kind: bool) -> float:
         work, kind = self.work[copy.searcher], copy.note
         if by_kind:
-            likely = likely_latency(work.wait(now), kind.expected, kind.deviation)
+            likely = likely_latency(work.state(now)[0], kind.expected, kind.deviation)
             return hedge_delay(likely, likely)
-        expected = work.wait(now) + kind.expected * work.slowness(now)
+        expected = work.state(now)[0] + kind.expected * work.slowness(now)
         return hedge_delay(expected, self.latency.median)
 
 
--- a/rattanrelay/decide/placement.py
+++ b/rattanrelay/decide/placement.py
@@ -341,10 +341,14 @@
         return wait, work, self.service.cost, self.silent_for(now)
 
     def state(self, now: float) -> tuple[float, float]:
-        """Return the wait and the slowness, which a choice and the request after it both need."""
+        """Return the expected time until a slot is free, and the slowness.
+
+        A choice and the request after it both need them.
+        """
         at, wait, slowness = self._cached
         if at != now:
-            wait, slowness = self.wait(now), self.slowness(now)
+            slowness = self.slowness(now)
+            wait = self._wait(now, self.service.cost * slowness)
             self._cached = now, wait, slowness
         return wait, slowness
 
@@ -369,18 +373,17 @@
         age = max(0.0, now - told.at) / PACE_HALF_LIFE_S
         return 1.0 + (told.pace - 1.0) / (1.0 + age * age)
 
-    def wait(self, now: float) -> float:
-        """Return the expected time until a slot is free."""
+    def _wait(self, now: float, service: float) -> float:
+        """Return the expected time until a slot is free; `service` is a request's mean time."""
         told = self.told
         if told is None:
             return 0.0
-        work = since = 0.0
+        own, work, since = len(self.in_flight), 0.0, 0.0
         for sent in self.in_flight.values():
-            work += max(sent.cost - (now - sent.at), LEAST_REMAINDER * sent.cost)
+            remainder, least = sent.cost - (now - sent.at), LEAST_REMAINDER * sent.cost
+            work += remainder if remainder > least else least
             since += sent.at >= told.at
-        own = len(self.in_flight)
         reported = told.running + told.waiting
-        service = self.service.cost * self.slowness(now)
         drain = REPORT_DECAY * service * max(1.0, reported / told.slots)
         age = max(0.0, now - told.at) / drain
         if since:
