--- a/tests/steps/intake_decide_steps.py
+++ b/tests/steps/intake_decide_steps.py
@@ -139,6 +139,9 @@
         modest = [crowd.open("modest") for _ in range(CONNECTIONS // 8)]
         for _ in range(STEPS):
             crowd.step()
+            # Often enough that the listener is full most of the time.
+            if crowd.rng.random() < 0.3:
+                crowd.open(crowd.rng.choice(crowd.addresses))
             key = crowd.rng.choice(modest)
             if key in crowd.keys:
                 held = crowd.intake.by_address.get("modest", 0)
