--- a/rattanrelay/cli/commands/table.py
+++ b/rattanrelay/cli/commands/table.py
@@ -222,7 +222,7 @@
 
     :param file: path of the document, as it is under op/config
     :param against: path of the version in force; what differs is listed, which is no finding
-    :param searchers: path of the store's answer to /kv-range?prefix=servers/, for their number
+    :param searchers: path of the platform's list of searchers, for their number
     :param json: print JSON
     """
     # Imported here since it loads the whole relay, which other uses of the command do not need.
