--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -568,13 +568,10 @@
         ]
         return usable[pick(candidates, [self.rng.random() for _ in usable])]
 
-    def _by_cost(self, searcher: Searcher) -> bool:
-        """Return whether requests to a searcher are placed by cost.
-
-        They are where workspaces compete for the searchers, or machines differ in their pace.
-        """
-        told = searcher.told
-        return told is not None and (told.paced or self.deployment.has_workspaces)
+    @staticmethod
+    def _by_cost(searcher: Searcher) -> bool:
+        """Return whether requests to a searcher are placed by cost: if it tells its pace."""
+        return searcher.told is not None and searcher.told.paced
 
     def _log_choice(
         self,
