Keep the limit of connections to searchers for new connections beside idle ones

Cause: a request that needs a new connection replaced an idle one only at the limit of its searcher, and one that is sent again past a silent connection asked for no limit, so that a crowd of clients made the process open up to 223 connections to a searcher where 91 are allowed for all. Change: both keep to the limit of the process.

--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -385,6 +385,8 @@
             return
         if not searcher.usable(now) or self.deployment.wait(searcher, now):
             return
+        if not self.deployment.all_connections.room:
+            return
         if self._launch(shard, now, hedge=True, again=searcher):
             event(
                 "connection.silent", request=self.sub.request_id, searcher=searcher.record.searcher
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -232,7 +232,8 @@
         self.connection_limit, self.keeps_idle = limit, keep
         connection = self._reuse_idle() if reuse else None
         if connection is None:
-            if self.open_connections >= limit and self._idle:
+            full = self.open_connections >= limit or not self.all_connections.room
+            if full and self._idle:
                 self._close(self._idle.pop(0).connection)
             self._count()
         return connection
