Count permits in reserve from the time at which their owner got its shares

One whose bucket was older gave them at once when it got the shares of another owner, whose permits in reserve were still good, so that both numbers added up beyond the bound. Change: the time counts from the last share that another owner may have held.

--- a/rattanrelay/decide/quota.py
+++ b/rattanrelay/decide/quota.py
@@ -286,6 +286,8 @@
         self.expired: dict[str, _Expired] = {}
         #: Time up to which the bucket is refilled.
         self.at = now
+        #: Time at which it last got a share that another owner may have held before.
+        self.gained_at = now
         #: Requests refused lately that were told to come again.
         self.promised = 0.0
         self.set_limit(limit, now)
@@ -326,6 +328,8 @@
             if before is not None and before.term == offer.term:
                 # Nobody else has held it meanwhile.
                 earned = before.tokens + (now - before.at) * self.rate * offer.weight
+            else:
+                self.gained_at = now
             self.tokens += min(earned, self.size * offer.weight)
         self.shares[voter] = _Share(offer.weight, offer.term, expires)
         self.tokens = min(self.tokens, self.size * self.weight)
@@ -395,9 +399,7 @@
     target is a few times longer than such a message takes.
     """
 
-    def __init__(self, since: float) -> None:
-        #: Time at which those of a former owner have expired.
-        self.offers_from = since + RESERVE_COUNTED_S
+    def __init__(self) -> None:
         self.held: dict[str, float] = {}
 
     def offer(self, instance: str, bucket: QuotaBucket, now: float) -> bool:
@@ -408,7 +410,10 @@
         bucket.advance(now)
         self.held = {name: until for name, until in self.held.items() if until > now}
         most = int(bucket.reserve * bucket.weight + 1e-9)
-        if now < self.offers_from or (instance not in self.held and len(self.held) >= most):
+        # Those of a former owner of a share must have expired.
+        if now < bucket.gained_at + RESERVE_COUNTED_S or (
+            instance not in self.held and len(self.held) >= most
+        ):
             return False
         if bucket.tokens < RESERVE_FILL * bucket.size * bucket.weight or not bucket.take(now):
             return False
--- a/rattanrelay/relay/quotas.py
+++ b/rattanrelay/relay/quotas.py
@@ -87,7 +87,7 @@
 
     def __init__(self, bucket: QuotaBucket) -> None:
         self.bucket = bucket
-        self.reserve = Reserve(bucket.at)
+        self.reserve = Reserve()
         #: Time of the last request for which this instance has to hold shares.
         self.needed_at = -math.inf
         #: Whether a task asks for shares, and whether that is for the first ones.
--- a/tests/decide/quota.feature
+++ b/tests/decide/quota.feature
@@ -41,6 +41,11 @@
     When 6 instances get requests at 0.5 of the rate for 12 s, and for 20 s more
     Then at least 0.7 of the later requests wait for no message
 
+  Scenario: Permits in reserve of two owners in a row do not add up
+    Guards against a second owner whose bucket is older than the first one's last permits.
+    When an owner that has long been ready gets the shares of another one
+    Then it gives no permit into reserve until those of the other one have expired
+
   Scenario: A crowding workspace keeps its quota and takes nothing from others
     When 61 instances get five times the quota of one workspace and 0.6 of that of 9 others
     Then no request of the others is refused
--- a/tests/steps/quota_decide_steps.py
+++ b/tests/steps/quota_decide_steps.py
@@ -11,9 +11,11 @@
 
 from rattanrelay.decide.quota import (
     LENT_S,
+    RESERVE_USED_S,
     BucketLimit,
     QuotaBounds,
     QuotaBucket,
+    Reserve,
     ShareBook,
     allowance,
     bucket_limit,
@@ -379,3 +381,23 @@
 def no_wait(context, part):
     waits = context.fleet.waits
     assert sum(not wait for wait in waits) >= part * len(waits), waits
+
+
+@when("an owner that has long been ready gets the shares of another one")
+def late_owner(context):
+    book = ShareBook(0.0, restarted=False)
+    one, other = (QuotaBucket(LIMIT._replace(reserve=4), 0.0) for _ in range(2))
+    reserve = Reserve()
+    for now in range(1, 15):
+        one.add_share(0, book.lend("crowd", "a", 1.0, now), now, now)
+    context.offers = []
+    for step in range(1, 16):
+        now = 14.0 + LENT_S + step
+        other.add_share(0, book.lend("crowd", "b", 1.0, now), now, now)
+        context.offers.append((step, reserve.offer("instance", other, now)))
+
+
+@then("it gives no permit into reserve until those of the other one have expired")
+def no_early_reserve(context):
+    early = [step for step, offered in context.offers if offered and step <= RESERVE_USED_S]
+    assert not early and context.offers[-1][1], context.offers
