--- a/review/7/case.py
+++ b/review/7/case.py
@@ -20,9 +20,9 @@
 )
 
 ZONES = ("oviedo", "torrelavega", "ponferrada")
-SEARCHERS = 6
+SEARCHERS = 8
 #: Clients of each instance, which send one request after the other.
-CLIENTS = 3
+CLIENTS = 4
 #: Share of the requests that a searcher in trouble fails, and for how many seconds it does.
 FAILED_SHARE = 0.4
 GREY_S = 6.5
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -391,6 +391,7 @@
         async with self.running:
             self.waiting -= 1
             self.ran.append(request_id)
+            self.record(f"{self.name} runs {request_id}")
             await self.work(request)
         await self.answer(request, writer, head)
         return True
