Test crowds whose bodies go further, that leave and return, and of rattanrelay serve

The crowds so far stop short of the end of a request. New rows: complete bodies, also pipelined and in chunks, to one searcher, to a gather over 24 shards, to searchers that read 2,000 bytes a second, and through other instances; crowds that leave and return ten times; crowds with an address for each connection; pipelined requests whose responses nobody reads; the listener of `rattanrelay serve`; and a single body of the largest size, which must be served. Memory counts what the kernel holds unsent as well. The bounds are the limits in the settings (64 MB, 312 sockets, and 96 MB for `serve`).

--- a/tests/harness/crowd.py
+++ b/tests/harness/crowd.py
@@ -1,4 +1,4 @@
-"""One instance as a process, with stand-ins in a thread, and crowds of misbehaving clients."""
+"""Instances as processes, with stand-ins in a thread, and crowds of misbehaving clients."""
 
 import contextlib
 import os
@@ -9,7 +9,7 @@
 import socket
 import threading
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from pathlib import Path
 
 import trio
@@ -17,146 +17,44 @@
 from rattanrelay.platform.documents import HEADERS
 from rattanrelay.platform.settings import METRICS_PORT, SETTINGS_VARIABLE
 
+from .fleet import Entry, Fleet
+from .floods import MAX_BODY, MAX_HEADER, QUERY_PATH, request_head
 from .processes import HANG_LIMIT_S, HarnessError, Process, Processes, free_ports, wait_until
 from .relay_world import StandInSearcher, StandInStore
 
-__all__ = ["BYTES_OF", "FILE_FDS", "FLOODS", "MAX_FDS", "MEMORY_MB", "Crowd", "LoneInstance"]
+__all__ = ["Crowd", "Host", "OwnerHost", "SmallInstance"]
+
+MB = 1024 * 1024
 
 #: Limits in the test's settings. An instance without load takes about 40 MB.
 MEMORY_MB = 64
+#: The same of `rattanrelay serve`, which takes about 50 MB without load.
+OWNER_MEMORY_MB = 96
 MAX_FDS = 512
 #: Descriptors that are for files, of those in `MAX_FDS`.
 FILE_FDS = 200
-#: Limits of the configuration; the usual ones, apart from the times.
-MAX_HEADER = 16_384
-MAX_BODY = 262_144
 #: Long enough that no connection of a crowd times out during a scenario.
 HEADER_TIMEOUT_MS = 120_000
 IDLE_TIMEOUT_MS = 120_000
 
-INSTANCE = "entry-1"
 #: Bytes of a response of the service `large`.
 LARGE_RESPONSE = 400_000
 #: Seconds for which a request of the service `slow` runs.
 SLOW_S = 100.0
+#: Shards of the gathered routes; all their searchers are in domain `b`.
+SHARDS = 24
+#: Bytes that a searcher that reads slowly takes per second.
+SLOW_READ_RATE = 2000
 #: Seconds without a byte taken by the instance after which a crowd has sent what it can.
 STALL_S = 3.0
+#: Seconds for which the clients of a crowd that returns stay after they have sent what they can.
+STAY_S = 0.5
 #: Seconds after which a caller counts as left without an answer.
 CALLER_HANG_S = 30.0
-#: Bytes of each write of a crowd that sends piece by piece.
-PIECE = 1024
-
-#: What each connection of a crowd sends, by the name of the misbehaviour.
-FLOODS: dict[str, Callable[[], bytes]] = {}
-
-
-def flood(name: str):
-    """Return a decorator that registers a function returning the bytes of one connection."""
-
-    def register(function: Callable[[], bytes]) -> Callable[[], bytes]:
-        FLOODS[name] = function
-        return function
-
-    return register
-
-
-def _head(method: str, path: str, *lines: str) -> bytes:
-    named = ("Host: test.example", f"{HEADERS.deadline_ms}: 100000", *lines)
-    return "\r\n".join([f"{method} {path} HTTP/1.1", *named, "", ""]).encode()
-
-
-@flood("a body that stops one byte short")
-@flood("a body that stops one byte short, piece by piece")
-def short_body() -> bytes:
-    """Return a request with all but the last byte of the largest body."""
-    return _head("POST", "/box/1", f"Content-Length: {MAX_BODY}") + b"x" * (MAX_BODY - 1)
-
-
-@flood("one large chunk that stops short")
-def short_chunk() -> bytes:
-    """Return a request with all but the last byte of one chunk of the largest body."""
-    size = f"{MAX_BODY:x}\r\n".encode()
-    return _head("POST", "/box/1", "Transfer-Encoding: chunked") + size + b"x" * (MAX_BODY - 1)
-
-
-@flood("40,000 chunks of one byte and no end")
-def small_chunks() -> bytes:
-    """Return a request with many small chunks."""
-    return _head("POST", "/box/1", "Transfer-Encoding: chunked") + b"1\r\nx\r\n" * 40_000
-
-
-@flood("chunks of one byte with extensions of 15,000 bytes and no end")
-def extensions() -> bytes:
-    """Return a request whose chunks consist of extensions for the most part."""
-    chunk = b"1;" + b"e" * 15_000 + b"\r\nx\r\n"
-    return _head("POST", "/box/1", "Transfer-Encoding: chunked") + chunk * 40
-
-
-@flood("headers just under the limit and a body that stops one byte short")
-def many_headers() -> bytes:
-    """Return a request with as many short headers as the limit allows, and a short body."""
-    lines = [f"h{number}: 1" for number in range(1_650)]
-    head = _head("POST", "/box/1", f"Content-Length: {MAX_BODY // 2}", *lines)
-    assert 0.9 * MAX_HEADER < len(head) < MAX_HEADER, len(head)
-    return head + b"x" * (MAX_BODY // 2 - 1)
-
-
-@flood("headers just under the limit and no end")
-def endless_headers() -> bytes:
-    """Return headers that stop just under the limit."""
-    lines = [f"h{number}: 1" for number in range(1_650)]
-    return _head("POST", "/box/1", *lines)[:-2]
-
-
-@flood("pipelined requests behind a slow one")
-def pipelined() -> bytes:
-    """Return a request that takes long, and many others."""
-    other = _head("POST", "/box/1", "Content-Length: 4096") + b"x" * 4096
-    return _head("GET", "/slow/1") + other * 120
-
-
-@flood("Expect: 100-continue and silence")
-def expecting() -> bytes:
-    """Return the headers of a request whose body waits for an interim response."""
-    return _head("POST", "/box/1", f"Content-Length: {MAX_BODY}", "Expect: 100-continue")
-
-
-@flood("requests whose responses nobody reads")
-def unread() -> bytes:
-    """Return requests with large responses."""
-    return _head("GET", "/large/1") * 4
-
-
-@flood("no byte")
-def nothing() -> bytes:
-    """Return nothing."""
-    return b""
-
-
-@flood("bytes that are no frame")
-def no_frame() -> bytes:
-    """Return bytes with an unknown kind of frame."""
-    return b"\xff" * MAX_BODY
-
-
-@flood("a frame header with a length of 4 GB")
-def huge_frame() -> bytes:
-    """Return the header of a frame that is longer than any, and some of its bytes."""
-    return b"\xff\xff\xff\xff" + bytes(10) + b"x" * MAX_BODY
-
-
-@flood("a frame of 8 MB that stops short")
-def long_frame() -> bytes:
-    """Return the header of the longest frame and a part of its bytes."""
-    return (8 * 1024 * 1024).to_bytes(4, "big") + bytes([0, 1]) + bytes(8) + b"x" * 1_000_000
-
-
-#: Bytes of a single write, by the name of the misbehaviour; others send as much as is taken.
-BYTES_OF = {"a body that stops one byte short, piece by piece": PIECE}
 
 
-class _StandIns:
-    """The store and three searchers in a thread with an event loop of its own."""
+class StandIns:
+    """The store and the searchers in a thread with an event loop of its own."""
 
     def __init__(self) -> None:
         self.store = StandInStore()
@@ -164,18 +62,32 @@
             StandInSearcher("s-box", "box", "a"),
             StandInSearcher("s-slow", "slow", "a", work=SLOW_S),
             StandInSearcher("s-large", "large", "a", records=b"r" * LARGE_RESPONSE),
+            StandInSearcher("s-reads-slowly", "reads-slowly", "a"),
         ]
+        for number in range(SHARDS):
+            for service in ("all", "all-slow"):
+                shard = f"{service}-{number:02}"
+                searcher = StandInSearcher(f"s-{shard}", shard, "b", records=b"r" * 64)
+                self.searchers.append(searcher)
+        for searcher in self.searchers:
+            if searcher.service.startswith(("all-slow", "reads-slowly")):
+                searcher.read_rate = SLOW_READ_RATE
         self.started = threading.Event()
         self.scope: trio.CancelScope | None = None
         self.token: trio.lowlevel.TrioToken | None = None
         self.thread = threading.Thread(target=trio.run, args=(self._run,), daemon=True)
 
-    def start(self) -> None:
+    def start(self, *instances: str) -> None:
+        """Serve until `stop`, with a listener of the store for each instance."""
+        self.instances = instances
         self.thread.start()
         if not self.started.wait(HANG_LIMIT_S):
             raise HarnessError("the stand-ins did not start")
 
     def stop(self) -> None:
+        """End the thread."""
+        if self.token is None:
+            return
         with contextlib.suppress(trio.RunFinishedError):
             self.token.run_sync_soon(self.scope.cancel)
         self.thread.join(HANG_LIMIT_S)
@@ -188,25 +100,31 @@
                 await nursery.start(searcher.run)
                 self.store.write(f"servers/{searcher.name}", searcher.entry())
             self.store.write("op/config", _configuration([one.service for one in self.searchers]))
-            await nursery.start(self.store.serve, INSTANCE)
+            for instance in self.instances:
+                await nursery.start(self.store.serve, instance)
             self.started.set()
 
 
 def _configuration(services: list[str]) -> dict:
+    usual = {
+        "hostname": "test.example",
+        "type": "idempotent",
+        "timeout_ms": 100_000,
+        "target_latency_ms": 50_000,
+        "priority": 1,
+        "attempts": 1,
+    }
     routes = [
-        {
-            "name": name,
-            "hostname": "test.example",
-            "prefix": f"/{name}/",
-            "service": name,
-            "type": "idempotent",
-            "timeout_ms": 100_000,
-            "target_latency_ms": 50_000,
-            "priority": 1,
-            "attempts": 1,
-        }
+        {**usual, "name": name, "prefix": f"/{name}/", "service": name}
         for name in services
+        if not name.startswith("all-")
     ]
+    once = {"name": "once", "prefix": "/once/", "service": "reads-slowly"}
+    routes.append({**usual, **once, "type": "non_idempotent"})
+    for name in ("all", "all-slow"):
+        shards = [f"{name}-{number:02}" for number in range(SHARDS)]
+        gather = {"gather": shards, "top_k": 10, "min_shard_ratio": 0.75}
+        routes.append({**usual, "name": name, "prefix": f"/{name}/", **gather})
     rows = [{"name": name, "max_connections": 400, "warmup_per_s": 0.0} for name in services]
     limits = {
         "max_header_bytes": MAX_HEADER,
@@ -217,79 +135,45 @@
     return {"version": 5, "routes": routes, "services": rows, "limits": limits}
 
 
-class LoneInstance:
-    """Context manager of an instance with its stand-ins; `addresses` names its listeners."""
+class MeasuredProcess:
+    """A process with limits; `addresses` names its listeners."""
 
-    def __init__(self) -> None:
-        self.processes = Processes()
-        self.standins = _StandIns()
-        # The port for metrics is fixed, so that each instance has an IP address of its own.
-        rng = random.Random(os.urandom(8))
-        self.host = f"127.{rng.randrange(60, 90)}.{rng.randrange(1, 250)}.{rng.randrange(2, 250)}"
-        front, ready, peers = free_ports(3, self.host)
-        self.addresses = {
-            "clients": (self.host, front),
-            "readiness": (self.host, ready),
-            "metrics": (self.host, METRICS_PORT),
-            "other instances": (self.host, peers),
-        }
-        self.process: Process | None = None
-        #: Largest sum of resident memory and bytes that were received and not read.
+    #: Its limit of memory, in bytes.
+    memory = MEMORY_MB * MB
+    process: Process
+
+    def __init__(self, addresses: dict[str, tuple[str, int]]) -> None:
+        self.addresses = addresses
+        #: Largest sum of resident memory and bytes that the kernel holds for its connections.
         self.peak_bytes = 0
-        #: What the kernel held unread when the sum was largest.
+        #: What the kernel held unread and unsent when the sum was largest.
         self.peak_unread = 0
+        self.peak_unsent = 0
         #: Largest number of open sockets.
         self.peak_sockets = 0
 
-    def __enter__(self) -> "LoneInstance":
-        try:
-            self._start()
-        except BaseException:
-            self.__exit__()
-            raise
-        return self
-
-    def __exit__(self, *exception) -> None:
-        self.processes.close()
-        if self.standins.token is not None:
-            self.standins.stop()
-
-    def _start(self) -> None:
-        self.standins.start()
-        names = {name: f"{host}:{port}" for name, (host, port) in self.addresses.items()}
-        text = f"""
-node_name = "{INSTANCE}"
-zone = "a"
-internal_ports = [{self.addresses["other instances"][1]}]
-bootstrap = true
-[listen_addrs]
-front = "{names["clients"]}"
-ready = "{names["readiness"]}"
-[platform]
-address = "127.0.0.1:{self.standins.store.ports[INSTANCE]}"
-[limits]
-memory_mb = {MEMORY_MB}
-max_fds = {MAX_FDS}
-"""
-        path = self.processes.write("node.toml", text.encode())
-        os.environ[SETTINGS_VARIABLE] = str(path)
-        try:
-            self.process = self.processes.start(INSTANCE, "-m", "rattanrelay.platform")
-        finally:
-            del os.environ[SETTINGS_VARIABLE]
+    @property
+    def figures(self) -> str:
+        """What was measured, for a report."""
+        return (
+            f"peak {self.peak_bytes / MB:.1f} MB of {self.memory / MB:.0f}, of them"
+            f" {self.peak_unread / MB:.1f} unread and {self.peak_unsent / MB:.1f} unsent,"
+            f" {self.peak_sockets} sockets of {MAX_FDS - FILE_FDS}"
+        )
+
+    def limit_descriptors(self) -> None:
+        """Set the limit that the settings state."""
         resource.prlimit(self.process.child.pid, resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
-        self.process.wait_ready(lambda: self.ask("readiness", "/ready") == 200)
-        for service in ("box", "large"):
-            wait_until(lambda path=f"/{service}/1": self.ask("clients", path) == 200, service)
-        self.measure()
 
-    def ask(self, listener: str, path: str, body: bytes = b"") -> int:
+    def ask(self, listener: str, path: str, body: bytes = b"", *lines: str) -> int:
         """Return the status of one request on a connection of its own; raises `OSError`."""
         with socket.create_connection(self.addresses[listener], CALLER_HANG_S) as caller:
             caller.settimeout(CALLER_HANG_S)
             named = f"{HEADERS.request_id}: {os.urandom(6).hex()}"
-            lines = (named, "Connection: close", *([f"Content-Length: {len(body)}"] * bool(body)))
-            caller.sendall(_head("POST" if body else "GET", path, *lines) + body)
+            sized = [f"Content-Length: {len(body)}"] * bool(body)
+            method = "POST" if body else "GET"
+            head = request_head(method, path, named, "Connection: close", *sized, *lines)
+            caller.sendall(head + body)
             received = b""
             while data := caller.recv(65536):
                 received += data
@@ -298,10 +182,10 @@
             raise ConnectionError(f"no response but {received[:80]!r}")
         return int(match[1])
 
-    def ask_outcome(self, listener: str, path: str, body: bytes = b"") -> str:
+    def ask_outcome(self, listener: str, path: str, body: bytes = b"", *lines: str) -> str:
         """Return the status of one request as text, or the error that ended it."""
         try:
-            return str(self.ask(listener, path, body))
+            return str(self.ask(listener, path, body, *lines))
         except OSError as error:
             return repr(error)
 
@@ -312,47 +196,208 @@
         root = Path(f"/proc/{self.process.child.pid}")
         status = (root / "status").read_text()
         resident = int(re.search(r"VmRSS:\s+(\d+) kB", status)[1]) * 1024
-        unread = self._unread()
-        if resident + unread > self.peak_bytes:
-            self.peak_bytes = resident + unread
-            self.peak_unread = unread
-        sockets = 0
+        sockets = set()
         for entry in (root / "fd").iterdir():
             with contextlib.suppress(OSError):
-                sockets += os.readlink(entry).startswith("socket:")
-        self.peak_sockets = max(self.peak_sockets, sockets)
-
-    def _unread(self) -> int:
-        """Return the number of bytes that the kernel holds for the instance to read."""
+                if match := re.match(r"socket:\[(\d+)\]", os.readlink(entry)):
+                    sockets.add(match[1])
+        unread, unsent = self._kernel_bytes(sockets)
+        if resident + unread + unsent > self.peak_bytes:
+            self.peak_bytes = resident + unread + unsent
+            self.peak_unread, self.peak_unsent = unread, unsent
+        self.peak_sockets = max(self.peak_sockets, len(sockets))
+
+    def _kernel_bytes(self, sockets: set[str]) -> tuple[int, int]:
+        """Return the bytes that the kernel holds unread and unsent for connections.
+
+        Those that wait to be accepted are no sockets of the process yet.
+        """
         # The kernel writes an IPv4 address as a number in the byte order of the machine.
-        own = f"{int.from_bytes(socket.inet_aton(self.host), 'little'):08X}:"
-        total = 0
+        listeners = {
+            f"{int.from_bytes(socket.inet_aton(host), 'little'):08X}:{port:04X}"
+            for host, port in self.addresses.values()
+        }
+        unread = unsent = 0
         for line in Path("/proc/net/tcp").read_text().splitlines()[1:]:
-            _, local, _, state, queues, *_ = line.split()
-            # In state LISTEN the column holds the number of connections to accept.
-            if local.startswith(own) and state != "0A":
-                total += int(queues.partition(":")[2], 16)
-        return total
+            _, local, _, state, queues, _, _, _, _, inode, *_ = line.split()
+            # In state LISTEN the columns hold the number of connections to accept.
+            if state != "0A" and (inode in sockets or local in listeners):
+                sending, _, receiving = queues.partition(":")
+                unsent += int(sending, 16)
+                unread += int(receiving, 16)
+        return unread, unsent
+
+
+class SmallInstance(MeasuredProcess):
+    """An instance of the relay with small limits."""
+
+    def __init__(self, name: str, domain: str) -> None:
+        self.name = name
+        self.domain = domain
+        # The port for metrics is fixed, so that each instance has an IP address of its own.
+        rng = random.Random(os.urandom(8))
+        host = f"127.{rng.randrange(60, 90)}.{rng.randrange(1, 250)}.{rng.randrange(2, 250)}"
+        front, ready, peers = free_ports(3, host)
+        super().__init__(
+            {
+                "clients": (host, front),
+                "readiness": (host, ready),
+                "metrics": (host, METRICS_PORT),
+                "other instances": (host, peers),
+            }
+        )
+
+    def start(self, processes: Processes, store_port: int) -> None:
+        """Start the process; it may not be ready when this returns."""
+        names = {name: f"{host}:{port}" for name, (host, port) in self.addresses.items()}
+        text = f"""
+node_name = "{self.name}"
+zone = "{self.domain}"
+internal_ports = [{self.addresses["other instances"][1]}]
+bootstrap = true
+[listen_addrs]
+front = "{names["clients"]}"
+ready = "{names["readiness"]}"
+[platform]
+address = "127.0.0.1:{store_port}"
+[limits]
+memory_mb = {MEMORY_MB}
+max_fds = {MAX_FDS}
+"""
+        path = processes.write(f"{self.name}.toml", text.encode())
+        os.environ[SETTINGS_VARIABLE] = str(path)
+        try:
+            self.process = processes.start(self.name, "-m", "rattanrelay.platform")
+        finally:
+            del os.environ[SETTINGS_VARIABLE]
+        self.limit_descriptors()
+
+    def wait_serving(self) -> None:
+        """Wait until the instance answers on all kinds of routes."""
+        self.process.wait_ready(lambda: self.ask("readiness", "/ready") == 200)
+        for service in ("box", "large", "all"):
+            wait_until(lambda path=f"/{service}/1": self.ask("clients", path) == 200, service)
+        self.measure()
+
+    def ask_ordinary(self) -> list[str]:
+        """Return the outcomes of an ordinary request and of a readiness check."""
+        return [
+            self.ask_outcome("clients", "/box/1", b"ordinary"),
+            self.ask_outcome("readiness", "/ready"),
+        ]
+
+
+class OwnerInstance(MeasuredProcess):
+    """The instance of a fleet that `rattanrelay serve` runs."""
+
+    memory = OWNER_MEMORY_MB * MB
+
+    def __init__(self, entry: Entry) -> None:
+        host, _, port = entry.callers.rpartition(":")
+        super().__init__({"clients": (host, int(port))})
+        self.process = entry.process
+        self.limit_descriptors()
+
+    def ask_ordinary(self) -> list[str]:
+        """Return the outcomes of an ordinary query and of a readiness check."""
+        return [
+            self.ask_outcome(
+                "clients", QUERY_PATH, b'{"filter": {"core": 1}}', "X-Tenant: tenant-1"
+            ),
+            self.ask_outcome("clients", "/readyz"),
+        ]
+
+
+class OwnerHost:
+    """Context manager of a fleet with one instance of `rattanrelay serve`."""
+
+    def __init__(self) -> None:
+        self.fleet = Fleet(entries=1, limits={"memory_mb": OWNER_MEMORY_MB, "max_fds": MAX_FDS})
+        self.instances: list[OwnerInstance] = []
+
+    def __enter__(self) -> "OwnerHost":
+        try:
+            self.fleet.__enter__().start_entries()
+        except BaseException:
+            self.__exit__()
+            raise
+        [entry] = self.fleet.entries.values()
+        self.instances = [OwnerInstance(entry)]
+        wait_until(lambda: set(self.instances[0].ask_ordinary()) == {"200"}, "a query is answered")
+        self.measure()
+        return self
+
+    def __exit__(self, *exception) -> None:
+        self.fleet.close()
+
+    def measure(self) -> None:
+        """Record memory and open sockets of the instance."""
+        self.instances[0].measure()
+
+
+class Host:
+    """Context manager of stand-ins and instances: one in domain `a`, the others in `b`."""
+
+    def __init__(self, count: int = 1) -> None:
+        self.processes = Processes()
+        self.standins = StandIns()
+        self.instances = [
+            SmallInstance(f"entry-{number}", "b" if number > 1 else "a")
+            for number in range(1, count + 1)
+        ]
+
+    def __enter__(self) -> "Host":
+        try:
+            self.standins.start(*(one.name for one in self.instances))
+            for instance in self.instances:
+                instance.start(self.processes, self.standins.store.ports[instance.name])
+            for instance in self.instances:
+                instance.wait_serving()
+        except BaseException:
+            self.__exit__()
+            raise
+        return self
+
+    def __exit__(self, *exception) -> None:
+        self.processes.close()
+        self.standins.stop()
+
+    def measure(self) -> None:
+        """Record memory and open sockets of all instances."""
+        for instance in self.instances:
+            instance.measure()
 
 
 class Crowd:
-    """Connections that send the same bytes, stay open and read nothing."""
+    """Connections to the first instance that send the same bytes, stay open and read nothing."""
 
-    def __init__(self, instance: LoneInstance, listener: str, size: int) -> None:
-        self.instance = instance
-        self.address = instance.addresses[listener]
+    def __init__(
+        self, host: Host | OwnerHost, listener: str, size: int, *, own_addresses: bool = False
+    ) -> None:
+        self.host = host
+        self.address = host.instances[0].addresses[listener]
         self.size = size
+        #: Whether each connection comes from an IP address of its own.
+        self.own_addresses = own_addresses
         self.connections: list[socket.socket] = []
 
     def close(self) -> None:
         """Close all connections."""
         for connection in self.connections:
             connection.close()
+        self.connections.clear()
+
+    def send_and_return(self, data: bytes, rounds: int) -> None:
+        """Connect, send `data`, stay for a moment and close all connections, again and again."""
+        for _ in range(rounds):
+            self.send(data, stall=STAY_S)
+            self.close()
 
-    def send(self, data: bytes, piece: int = 0) -> None:
+    def send(self, data: bytes, piece: int = 0, stall: float = STALL_S) -> None:
         """Connect and send `data` on each connection as far as the instance takes it.
 
-        Writes of `piece` bytes alternate between the connections, if it is not 0.
+        Writes of `piece` bytes alternate between the connections, if it is not 0. What the instance
+        holds is measured until `stall` seconds after it has taken the last byte.
         """
         sent: dict[int, int] = {}
         by_number: dict[int, socket.socket] = {}
@@ -364,8 +409,8 @@
             poller.register(number, select.POLLOUT)
         # Counted from here: connecting takes seconds if the queue of the listener is full.
         progress = time.monotonic()
-        while by_number and time.monotonic() < progress + STALL_S:
-            self.instance.measure()
+        while by_number and time.monotonic() < progress + stall:
+            self.host.measure()
             for number, _ in poller.poll(100):
                 done = _send_some(by_number[number], data, sent[number], piece)
                 if done is None or done == len(data):
@@ -374,14 +419,16 @@
                 if done is None or done > sent[number]:
                     progress = time.monotonic()
                     sent[number] = done or 0
-        end = time.monotonic() + STALL_S
+        end = time.monotonic() + stall
         while time.monotonic() < end:
-            self.instance.measure()
+            self.host.measure()
             time.sleep(0.05)
 
     def _connect(self) -> Iterator[socket.socket]:
-        for _ in range(self.size):
+        for number in range(self.size):
             connection = socket.socket()
+            if self.own_addresses:
+                connection.bind(("127.100.{}.{}".format(*divmod(number, 250)), 0))
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
             connection.settimeout(STALL_S)
             self.connections.append(connection)
--- a/tests/harness/fleet.py
+++ b/tests/harness/fleet.py
@@ -97,9 +97,12 @@
         proxied_store: bool = False,
         proxied_servers: bool = False,
         own_routes: bool = False,
+        limits: dict[str, int] | None = None,
         **options,
     ) -> None:
         self.own_routes = own_routes
+        #: Limits of memory and descriptors in the settings of each entry.
+        self.limits = limits or {}
         self.processes = Processes()
         self.deployment: Deployment = DEPLOYMENTS[deployment](instances=entries, **options)
         self.entries = self._make_entries()
@@ -155,7 +158,8 @@
             return entry
         token_file = self.processes.write("operators.token", ADMIN_TOKEN.encode())
         settings = entry.settings(self._store_of(name), self.hosts["instances"], token_file)
-        path = self.processes.write(f"{name}.toml", tomli_w.dumps(settings).encode())
+        data = tomli_w.dumps({**self.limits, **settings}).encode()
+        path = self.processes.write(f"{name}.toml", data)
         entry.process = self.processes.start_daemon(name, path)
         return entry
 
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -315,6 +315,8 @@
         #: seconds until its new entry is in the store.
         self.cold_ms = 0
         self.entry_delay = 0.0
+        #: Bytes per second that it reads of each connection; 0 for no limit.
+        self.read_rate = 0
         self._process = trio.CancelScope()
 
     def entry(self, **changes) -> dict:
@@ -371,6 +373,9 @@
             stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
             stream.socket.close()
             return
+        if self.read_rate:
+            # Else the kernel would take what is not read here.
+            stream.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, self.read_rate)
         wire = h11.Connection(h11.SERVER)
         self.open_connections += 1
         try:
@@ -388,7 +393,9 @@
         while True:
             event = wire.next_event()
             if event is h11.NEED_DATA:
-                wire.receive_data(await stream.receive_some(65536))
+                wire.receive_data(await stream.receive_some(self.read_rate or 65536))
+                if self.read_rate:
+                    await trio.sleep(1.0)
             elif isinstance(event, h11.Request):
                 head = event
             elif isinstance(event, h11.Data):
--- a/tests/steps/crowds_steps.py
+++ b/tests/steps/crowds_steps.py
@@ -2,54 +2,79 @@
 
 from behave import given, then, when
 
-from tests.harness.crowd import (
-    BYTES_OF,
-    FILE_FDS,
-    FLOODS,
-    MAX_FDS,
-    MEMORY_MB,
-    Crowd,
-    LoneInstance,
-)
-
-MB = 1024 * 1024
+from tests.harness.crowd import FILE_FDS, MAX_FDS, Crowd, Host, OwnerHost
+from tests.harness.floods import BYTES_OF, FLOODS, MAX_BODY
 
 
 @given("an instance with small limits")
 def small_instance(context):
-    instance = LoneInstance()
-    context.add_cleanup(instance.__exit__)
-    context.instance = instance.__enter__()
+    _start(context, Host())
+
+
+@given("{count:d} instances with small limits")
+def small_instances(context, count):
+    _start(context, Host(count))
+
+
+@given("an instance of `rattanrelay serve` with small limits")
+def owner_instance(context):
+    _start(context, OwnerHost())
+
+
+def _start(context, host):
+    context.add_cleanup(host.__exit__)
+    context.host = host.__enter__()
 
 
 @when('{size:d} connections to its listener for {listener} send "{flood}"')
 def crowd_sends(context, size, listener, flood):
-    crowd = Crowd(context.instance, listener, size)
+    _crowd(context, listener, size).send(FLOODS[flood](), BYTES_OF.get(flood, 0))
+
+
+@when('{size:d} clients with addresses of their own send "{flood}"')
+def crowd_of_addresses_sends(context, size, flood):
+    _crowd(context, "clients", size, own_addresses=True).send(FLOODS[flood]())
+
+
+@when('{size:d} clients send "{flood}" and leave, {rounds:d} times')
+def crowd_returns(context, size, flood, rounds):
+    _crowd(context, "clients", size).send_and_return(FLOODS[flood](), rounds)
+
+
+def _crowd(context, listener, size, *, own_addresses=False):
+    crowd = Crowd(context.host, listener, size, own_addresses=own_addresses)
     context.add_cleanup(crowd.close)
-    crowd.send(FLOODS[flood](), BYTES_OF.get(flood, 0))
+    return crowd
+
+
+@when("one client sends a body of the largest size to {route}")
+def one_body(context, route):
+    context.answer = context.host.instances[0].ask_outcome(
+        "clients", f"/{route}/1", b"x" * MAX_BODY
+    )
+
+
+@then("it is answered with 200")
+def body_answered(context):
+    assert context.answer == "200", context.answer
 
 
 @then("the instance runs, within its memory and descriptors")
+@then("all instances run, within their memory and descriptors")
 def within_limits(context):
-    instance = context.instance
-    instance.measure()
-    outcomes = [
-        instance.ask_outcome("clients", "/box/1", b"ordinary"),
-        instance.ask_outcome("readiness", "/ready"),
-    ]
-    instance.measure()
-    context.outcomes = outcomes
-    context.figures = (
-        f"peak {instance.peak_bytes / MB:.1f} MB of {MEMORY_MB},"
-        f" {instance.peak_unread / MB:.1f} of them unread, {instance.peak_sockets} sockets of"
-        f" {MAX_FDS - FILE_FDS}, answers {outcomes}"
-    )
+    context.host.measure()
+    instances = context.host.instances
+    context.outcomes = [outcome for one in instances for outcome in one.ask_ordinary()]
+    context.host.measure()
+    context.figures = "; ".join([*(one.figures for one in instances), str(context.outcomes)])
     print(context.figures)
-    assert instance.process.running, instance.process.tail()
-    assert instance.peak_bytes <= MEMORY_MB * MB, context.figures
-    assert instance.peak_sockets <= MAX_FDS - FILE_FDS, context.figures
+    for instance in instances:
+        assert instance.process.running, instance.process.tail()
+        assert instance.peak_bytes <= instance.memory, context.figures
+        assert instance.peak_sockets <= MAX_FDS - FILE_FDS, context.figures
 
 
 @then("an ordinary request and a readiness check are answered with 200")
+@then("an ordinary request and a readiness check of each are answered with 200")
 def ordinary_answered(context):
-    assert context.outcomes == ["200", "200"], context.figures
+    assert set(context.outcomes) == {"200"}, context.figures
