Count the connections to all searchers in one place again

Callers saw requests that failed or waited for 30 s: with 200 clients that send pipelined requests to 24 shards, a process of 512 descriptors opened up to 426 connections to searchers, where 91 are meant for them, and then "Too many open files" for every purpose.

Evidence: during such a crowd the metric rattanrelay_searcher_connections stayed at 0 with 419 sockets to searchers open; the code in question is two lines of `apply_record`.

--- a/rattanrelay/relay/deployment.py
+++ b/rattanrelay/relay/deployment.py
@@ -168,10 +168,9 @@
             return
         if known is not None:
             self._remove(known, "restarted", now)
-        searcher = Searcher(record, self.names, now)
-        searcher.all_connections = self.all_connections
         load = self._service_loads.setdefault(record.service, ServiceLoad())
         searcher = Searcher(record, self.names, now, load)
+        searcher.all_connections = self.all_connections
         searcher.freed = partial(self.connections.freed, record.service)
         if known is not None:
             # Requests that the new process has got before its entry was read count as well.
