Leave connections to searchers for other services than the slowest

Callers of one service got 503 because a crowd used another: with a limit of 12 connections to searchers and 30 requests to a service that takes 20 s, the slow requests held all 12 and a request to an idle service found none.

Cause: the limit of all connections was first come, first served.

Why it works: a service may open another connection only while it has fewer than are free. One service then gets at most half of the limit, n services 1/(n + 1) each, and another one always finds room. Waiting requests are tried again at each closed connection from half of the limit on; below it none can wait.

--- a/rattanrelay/relay/connections.py
+++ b/rattanrelay/relay/connections.py
@@ -1,6 +1,7 @@
 """Requests that wait for a connection to a searcher of their service."""
 
 import math
+from collections import Counter
 from collections.abc import Callable, Hashable
 from enum import Enum, auto
 
@@ -24,32 +25,41 @@
 
 
 class ConnectionCount:
-    """Connections to all searchers together, whose number the descriptors of the process limit."""
+    """Connections to all searchers together, whose number the descriptors of the process limit.
+
+    A service gets no more of them than remain for others, so that requests to one whose searchers
+    are slow never use up all.
+    """
 
     def __init__(self, limit: float = math.inf) -> None:
         self.limit = limit
         self.open = 0
-        #: Called when a connection is closed while the limit is reached.
+        self.by_service: Counter[str] = Counter()
+        #: Called when a connection is closed while services may wait for it.
         self.freed: Callable[[], None] = lambda: None
 
-    @property
-    def room(self) -> bool:
-        """Whether another connection may be opened."""
-        return self.open < self.limit
+    def room(self, service: str) -> bool:
+        """Return whether another connection to a searcher of a service may be opened."""
+        return self.by_service[service] < self.limit - self.open
 
     @property
     def keeps_idle(self) -> bool:
         """Whether idle connections are kept."""
         return self.open <= KEPT_SHARE * self.limit
 
-    def add(self) -> None:
+    def add(self, service: str) -> None:
         """Count a connection."""
         self.open += 1
+        self.by_service[service] += 1
 
-    def remove(self) -> None:
+    def remove(self, service: str) -> None:
         """Count a connection no longer."""
         self.open -= 1
-        if self.open + 1 >= self.limit:
+        self.by_service[service] -= 1
+        if not self.by_service[service]:
+            del self.by_service[service]
+        # No service has more than all together, so that none waits while half of them are free.
+        if self.open + 1 >= self.limit / 2:
             self.freed()
 
 
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -385,7 +385,7 @@
             return
         if not searcher.usable(now) or self.deployment.wait(searcher, now):
             return
-        if not self.deployment.all_connections.room:
+        if not self.deployment.all_connections.room(shard.service):
             return
         if self._launch(shard, now, hedge=True, again=searcher):
             event(
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -123,6 +123,8 @@
     ) -> None:
         self.record = record
         self.names = names
+        #: Service under which its connections are counted; a newer entry may name another one.
+        self.service = record.service
         #: Short form of its name, used between instances.
         self.name_hash = name_hash(record.searcher)
         self.pacer = Pacer(record.searcher, now + record.cold_for)
@@ -220,7 +222,7 @@
 
         A request that needs a new connection replaces an idle one.
         """
-        return bool(self._idle) or (self.open_connections < limit and self.all_connections.room)
+        return bool(self._idle) or (self.open_connections < limit and self._room)
 
     def reserve(self, limit: int, *, reuse: bool, keep: bool = True) -> HttpConnection | None:
         """Take an idle connection for a request, or count one that the request will open.
@@ -232,7 +234,7 @@
         self.connection_limit, self.keeps_idle = limit, keep
         connection = self._reuse_idle() if reuse else None
         if connection is None:
-            full = self.open_connections >= limit or not self.all_connections.room
+            full = self.open_connections >= limit or not self._room
             if full and self._idle:
                 self._close(self._idle.pop(0).connection)
             self._count()
@@ -331,7 +333,7 @@
             await trio.sleep(pause)
             if self._idle and self.open_connections >= self.connection_limit:
                 self._close(self._idle.pop(0).connection)
-            if self.open_connections < self.connection_limit and self.all_connections.room:
+            if self.open_connections < self.connection_limit and self._room:
                 return True
         return False
 
@@ -359,6 +361,10 @@
         """Whether there are more connections than allowed, as after the start of an instance."""
         return self.open_connections > self.connection_limit
 
+    @property
+    def _room(self) -> bool:
+        return self.all_connections.room(self.service)
+
     @property
     def _keeps_idle(self) -> bool:
         return self.keeps_idle and self.all_connections.keeps_idle
@@ -532,11 +538,11 @@
 
     def _count(self) -> None:
         self.open_connections += 1
-        self.all_connections.add()
+        self.all_connections.add(self.service)
 
     def _uncount(self) -> None:
         self.open_connections -= 1
-        self.all_connections.remove()
+        self.all_connections.remove(self.service)
         self.freed()
 
 
--- a/tests/relay/connections.feature
+++ b/tests/relay/connections.feature
@@ -27,3 +27,13 @@
     Given 12 instances, and 1 searchers that accept 8 connections each
     When a client of each instance asks twice a second for 6 s
     Then all of these requests are answered, and no searcher has reset a connection
+
+  Scenario: The count of connections to all searchers keeps to the limit of the process
+    Given a process with 12 connections to searchers, and a service whose requests take 20 s
+    When 30 clients send requests to the slow service
+    Then the process has opened at most 12 connections
+
+  Scenario: Slow requests to one service leave connections for others
+    Given a process with 12 connections to searchers, and a service whose requests take 20 s
+    When 30 clients send requests to the slow service
+    Then a request to another service is answered with 200
--- a/tests/steps/connections_steps.py
+++ b/tests/steps/connections_steps.py
@@ -1,5 +1,7 @@
 """Steps for the connections that instances open to searchers."""
 
+from functools import partial
+
 import trio
 from behave import given, then, when
 from relay_steps import build
@@ -117,3 +119,44 @@
                     clients.start_soon(client, world, at, number)
 
     run_on_mock_clock(scenario)
+
+
+@given("a process with {limit:d} connections to searchers, and a service whose requests take 20 s")
+def limited_process(context, limit):
+    context.limit = limit
+    slow = [StandInSearcher(f"slow-{index}", "slow", "a", work=20.0) for index in range(2)]
+    build(context, [*slow, StandInSearcher("quick", "quick", "a")])
+    context.world.service_fields["max_connections"] = 400
+    for service in ("slow", "quick"):
+        common = {"timeout_ms": 30_000, "target_latency_ms": 10_000, "attempts": 1}
+        context.world.route(service, service=service, **common)
+
+
+@when("{count:d} clients send requests to the slow service")
+def send_slow(context, count):
+    async def scenario():
+        async with context.world.open() as world, trio.open_nursery() as clients:
+            daemon = world.daemons["entry-1"]
+            daemon.deployment.all_connections.limit = context.limit
+            for _ in range(count):
+                clients.start_soon(partial(world.ask, "slow", deadline_ms=30_000))
+            # Until the connection that was kept in advance has expired.
+            await trio.sleep(8.0)
+            context.opened = sum(one.open_connections for one in context.searchers)
+            context.status = 0
+            with trio.move_on_after(3.0):
+                _, response = await world.ask("quick", deadline_ms=2000)
+                context.status = response.status
+            clients.cancel_scope.cancel()
+
+    run_on_mock_clock(scenario)
+
+
+@then("the process has opened at most {most:d} connections")
+def opened_at_most(context, most):
+    assert 0 < context.opened <= most, context.opened
+
+
+@then("a request to another service is answered with {status:d}")
+def other_service_answered(context, status):
+    assert context.status == status, context.status
