Bound what the kernel holds unsent

An instance held up to 23 MB of unsent bytes beside its own memory, and passed 64 MB: bodies on the way to searchers that read slowly, and responses that clients do not read.

Cause: receive buffers had a limit, send buffers had none, and the kernel grows each to some MB. A request that its client has left goes on to its searcher from there.

Evidence: the column of unsent bytes in /proc/net/tcp, summed over the sockets of the process: 23.1 MB while clients leave after complete bodies, 13.2 MB with large responses that nobody reads.

Why it works: connections that others open get a send buffer of the size of their receive buffer, from one budget, on all listeners; connections to searchers and other instances get their part of a tenth of the spare memory, 16 KB at least, which holds most requests at once. The body itself is one object for all shards.

--- a/rattanrelay/decide/intake.py
+++ b/rattanrelay/decide/intake.py
@@ -42,21 +42,28 @@
 
 #: Memory of a process without load, which takes 36 to 40 MB, and some growth of its state.
 BASE_BYTES = 44 * MB
-#: Shares of the remaining memory: bytes of messages that come in, receive buffers of the kernel,
+#: Shares of the remaining memory: bytes of messages that come in, buffers of the kernel for
+#: connections of others, connections that wait to be accepted, send buffers of own connections,
 #: connections, and responses that are being received. The rest is for everything else.
 MESSAGE_SHARE = 0.25
-BUFFER_SHARE = 0.15
+BUFFER_SHARE = 0.2
+QUEUE_SHARE = 0.15
+SEND_SHARE = 0.1
 CONNECTION_SHARE = 0.15
 RESPONSE_SHARE = 0.25
 #: Memory of a connection and its tasks.
 CONNECTION_BYTES = 12 * 1024
 MAX_RESPONSE_BYTES = 32 * MB
 MIN_RESPONSE_BYTES = 2 * MB
-#: Bounds of the size of a receive buffer as it is set; the kernel uses up to twice of it.
+#: Bounds of the size of a buffer as it is set; the kernel uses up to twice of it.
 MIN_BUFFER_BYTES = 8 * 1024
 MAX_BUFFER_BYTES = 128 * 1024
-#: Share of the unused memory for receive buffers that one connection gets.
+#: Memory of the two buffers of a connection for each byte of the size that is set.
+BUFFER_FACTOR = 4
+#: Share of the unused memory for buffers that one connection gets.
 BUFFER_PART = 1 / 32
+#: Least size of the send buffer of an own connection; most requests fit into it.
+MIN_SEND_BYTES = 16 * 1024
 #: Bytes that the kernel takes for a connection that is not accepted. While an instance of 152 MB
 #: parsed large heads, it held 72 MB with a queue of 1,024.
 QUEUED_BYTES = 64 * 1024
@@ -104,7 +111,7 @@
 
     #: Bytes of all messages that are being received or handled.
     messages: int
-    #: Memory of the receive buffers of all connections, apart from their minimum.
+    #: Memory of the kernel's buffers of connections that others open, apart from their minimum.
     buffers: int
     #: Bytes of responses that are being received.
     responses: int
@@ -114,6 +121,8 @@
     searchers: int
     #: Number of connections that wait to be accepted, on a listener.
     queued: int = MAX_QUEUED
+    #: Size of the send buffer of a connection to a searcher or another instance.
+    send_buffer: int = MIN_SEND_BYTES
 
 
 def derive_limits(memory: int = 0, descriptors: int = 0) -> IntakeLimits:
@@ -136,13 +145,16 @@
     }
     to_peers = int(sockets * PEER_SOCKETS)
     rest = sockets - sum(connections.values()) - to_peers - OTHER_SOCKETS
+    searchers = max(MIN_CONNECTIONS, rest)
+    send_buffer = int(spare * SEND_SHARE / (searchers + to_peers))
     return IntakeLimits(
         messages=int(spare * MESSAGE_SHARE),
         buffers=int(spare * BUFFER_SHARE),
         responses=max(MIN_RESPONSE_BYTES, min(MAX_RESPONSE_BYTES, int(spare * RESPONSE_SHARE))),
         connections=connections,
-        searchers=max(MIN_CONNECTIONS, rest),
-        queued=max(MIN_QUEUED, min(MAX_QUEUED, int(spare * BUFFER_SHARE / QUEUED_BYTES))),
+        searchers=searchers,
+        queued=max(MIN_QUEUED, min(MAX_QUEUED, int(spare * QUEUE_SHARE / QUEUED_BYTES))),
+        send_buffer=max(MIN_SEND_BYTES, min(MAX_BUFFER_BYTES, send_buffer)),
     )
 
 
@@ -192,7 +204,7 @@
         self.total = 0
         self.by_address: dict[str, int] = {}
         self.counts: dict[Lane, int] = dict.fromkeys(Lane, 0)
-        #: Memory of receive buffers beyond their minimum.
+        #: Sum of the sizes of buffers beyond their minimum.
         self.buffers = 0
 
     def open(self, key: Hashable, lane: Lane, address: str, now: float) -> tuple[Hashable, ...]:
@@ -209,8 +221,8 @@
         self.buffers += buffer - MIN_BUFFER_BYTES
         return closed
 
-    def receive_buffer(self, key: Hashable) -> int:
-        """Return the size of the receive buffer to set for a connection."""
+    def buffer(self, key: Hashable) -> int:
+        """Return the size of the receive and the send buffer to set for a connection."""
         return self.entries[key].buffer
 
     def remove(self, key: Hashable) -> None:
@@ -334,5 +346,6 @@
             del self.by_address[entry.address]
 
     def _next_buffer(self) -> int:
-        part = int((self.limits.buffers - 2 * self.buffers) * BUFFER_PART)
+        unused = self.limits.buffers - BUFFER_FACTOR * self.buffers
+        part = int(unused * BUFFER_PART)
         return max(MIN_BUFFER_BYTES, min(MAX_BUFFER_BYTES, part))
--- a/rattanrelay/http/intake.py
+++ b/rattanrelay/http/intake.py
@@ -104,10 +104,11 @@
         """Record what the connection does from now on."""
         self.account.intake.record_stage(self, stage, trio.current_time())
 
-    def set_buffer(self, sock: socket.socket | trio.socket.SocketType) -> None:
-        """Limit the bytes that the kernel holds for a connection that is not read."""
-        size = self.account.intake.receive_buffer(self)
+    def set_buffers(self, sock: socket.socket | trio.socket.SocketType) -> None:
+        """Limit the bytes that the kernel holds for a connection that is not read, on each side."""
+        size = self.account.intake.buffer(self)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
     def close(self) -> None:
         """Remove the connection from the account."""
--- a/rattanrelay/http/plain.py
+++ b/rattanrelay/http/plain.py
@@ -33,6 +33,10 @@
     by then.
     """
 
+    #: Size of the send buffers of connections that the process opens; 0 for the kernel's default,
+    #: which grows to some MB.
+    send_buffer = 0
+
     def __init__(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         self.socket = sock
@@ -51,6 +55,8 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if cls.send_buffer:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, cls.send_buffer)
             if sock.connect_ex((host, port)) not in (0, errno.EINPROGRESS):
                 raise OSError(f"cannot connect to {host}:{port}")
             await trio.lowlevel.wait_writable(sock)
--- a/rattanrelay/http/server.py
+++ b/rattanrelay/http/server.py
@@ -97,7 +97,7 @@
         self.share = share
         sock = _plain_socket(self.stream)
         if share is not None and sock is not None:
-            share.set_buffer(sock)
+            share.set_buffers(sock)
         try:
             async with self.stream:
                 with self._scope:
--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -13,6 +13,7 @@
 from ..decide.intake import MB, Lane, derive_limits
 from ..http import HttpConnection, HttpLimits, serve_http
 from ..http.intake import Account
+from ..http.plain import PlainStream
 from ..log import event
 from ..metrics import Metrics
 from ..settings import Address, Settings
@@ -59,6 +60,7 @@
         intake = derive_limits(settings.memory_mb * MB, settings.max_fds)
         self.account = Account(intake)
         HttpConnection.memory.limit = intake.responses
+        PlainStream.send_buffer = intake.send_buffer
         self.addresses: Addresses | None = None
         self.peer_listeners: list[trio.SocketListener] = []
         self._stop = trio.Event()
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -255,6 +255,7 @@
         self.account.intake.limits = limits
         self.deployment.all_connections.limit = limits.searchers
         HttpConnection.memory.limit = limits.responses
+        PlainStream.send_buffer = limits.send_buffer
 
     async def handle(self, request: Request, arrival: Arrival) -> Response:
         """Answer one request of a client."""
@@ -534,7 +535,7 @@
             if share is None:
                 connection.stream.close()
                 continue
-            share.set_buffer(accepted)
+            share.set_buffers(accepted)
             self.connections.add(connection)
             self.background.start_soon(self._connection, connection, share)
 
--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -296,7 +296,7 @@
     async def run(self, share: Share | None = None) -> None:
         self.share = share
         if share is not None:
-            share.set_buffer(self.stream.socket)
+            share.set_buffers(self.stream.socket)
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
