Count the body of a request as long as it is held

An instance passed its memory while clients sent complete bodies on a route that is not idempotent and left: the requests run on, and each holds its body.

Cause: a body counted as part of its client's connection. When the connection ended, by the client or because memory was short, the account gave its room to others, while the sub-requests kept the body until they ended.

Why it works: a large body counts as detached from the end of its connection or the answer until the last sub-request frees it. Large messages get so much less room, and are refused after the usual wait if none is left; small ones and other connections are not touched, since closing them would free nothing.

tests/decide/intake has a scenario for the decision.

--- a/rattanrelay/decide/intake.py
+++ b/rattanrelay/decide/intake.py
@@ -203,6 +203,8 @@
         #: Bytes held by all connections, and by those of each address.
         self.total = 0
         self.by_address: dict[str, int] = {}
+        #: Bytes of requests that still run although their connections have ended.
+        self.detached = 0
         self.counts: dict[Lane, int] = dict.fromkeys(Lane, 0)
         #: Sum of the sizes of buffers beyond their minimum.
         self.buffers = 0
@@ -253,7 +255,9 @@
         if entry is None:
             return Verdict(closed=(key,))
         budget = self.limits.messages
-        limit = int(budget * (1 - SMALL_SHARE))
+        freed = int(budget * FREED_SHARE)
+        # Closing connections frees nothing of what is detached: only large messages give way to it.
+        limit = int(budget * (1 - SMALL_SHARE)) - self.detached
         if limit - self.total >= READ_BYTES:
             entry.waiting_since = None
             return Verdict(READ_BYTES)
@@ -269,7 +273,10 @@
             waited = now - entry.waiting_since
             if waited < PATIENCE_S:
                 return Verdict(wait=PATIENCE_S - waited)
-        closed = self._make_room(entry, limit - int(budget * FREED_SHARE), now, spare_self=small)
+            if limit <= freed:
+                self.remove(key)
+                return Verdict(closed=(key,))
+        closed = self._make_room(entry, limit - freed, now, spare_self=small)
         if key in closed:
             return Verdict(closed=closed)
         entry.waiting_since = None
--- a/rattanrelay/http/intake.py
+++ b/rattanrelay/http/intake.py
@@ -8,7 +8,7 @@
 
 from ..decide.intake import Intake, IntakeLimits, Lane, Stage, derive_limits
 
-__all__ = ["Account", "Share"]
+__all__ = ["Account", "RequestBody", "Share"]
 
 #: Parsing steps of one connection per iteration of the event loop; a step takes some microseconds.
 STEPS_PER_TURN = 64
@@ -110,6 +110,11 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size)
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
+    def detach(self, body: bytes) -> None:
+        """Count the body of a request until it is freed, not as part of the connection any more."""
+        if isinstance(body, RequestBody):
+            body.detach(self.account.intake)
+
     def close(self) -> None:
         """Remove the connection from the account."""
         # The connection refers to this object: what it holds would stay until the garbage collector
@@ -121,3 +126,20 @@
 
 def _nothing() -> None:
     """Abandon a connection that has been closed."""
+
+
+class RequestBody(bytes):
+    """Body of a request, which sub-requests may use after the client's connection has ended."""
+
+    intake: Intake | None = None
+
+    def detach(self, intake: Intake) -> None:
+        """Count it until it is freed."""
+        if self.intake is None:
+            self.intake = intake
+            intake.detached += len(self)
+
+    def __del__(self) -> None:
+        """Count it no longer."""
+        if self.intake is not None:
+            self.intake.detached -= len(self)
--- a/rattanrelay/relay/front.py
+++ b/rattanrelay/relay/front.py
@@ -10,8 +10,8 @@
 from ..decide.intake import Stage
 from ..decide.timing import ROUND_TRIP_S
 from ..http import Request, Response
-from ..http.intake import STEPS_PER_TURN, Account, Share
-from ..http.memory import HeldBody
+from ..http.intake import STEPS_PER_TURN, Account, RequestBody, Share
+from ..http.memory import UNCOUNTED_BYTES, HeldBody
 from ..http.plain import PlainStream
 from ..log import event
 from .model import ClientLimits
@@ -109,6 +109,8 @@
         #: Bytes of the request that were handed to the parser.
         self._parsed = 0
         self._reader: _RequestReader | None = None
+        #: Body of the request that is being served.
+        self._served_body = b""
         #: Bytes held beside the buffer and the body: what the parser may hold, headers, a request
         #: that is being served, and a response that is not sent.
         self._other_bytes = 0
@@ -123,6 +125,7 @@
                 await self._serve()
                 nursery.cancel_scope.cancel()
         finally:
+            self._detach_body()
             share.close()
             self.stream.close()
 
@@ -136,6 +139,7 @@
         self._reading = False
         self.buffer.clear()
         self._body.clear()
+        self._detach_body()
         if self._reader is not None:
             self._reader.head = None
         # Closed here and not when its tasks end, since others are accepted before that.
@@ -196,7 +200,9 @@
             self._reading = False
             round_trip = self.stream.round_trip_time() or ROUND_TRIP_S
             self.share.record_stage(Stage.BUSY)
+            self._served_body = request.body
             response = await self._handle(request, Arrival(arrived, round_trip, self.first))
+            self._detach_body()
             self.share.record_stage(Stage.OPEN)
             self.first = False
             if response is None:
@@ -213,6 +219,11 @@
             self._record()
             self.idle = True
 
+    def _detach_body(self) -> None:
+        """Leave the body of the request to its sub-requests, of which some may still run."""
+        body, self._served_body = self._served_body, b""
+        self.share.detach(body)
+
     async def _handle(self, request: Request, arrival: Arrival) -> Response | None:
         with trio.CancelScope() as self.request_scope:
             if self.client_gone:
@@ -398,7 +409,8 @@
 
     def request(self) -> Request:
         """Return the complete request."""
-        return self.head._replace(body=bytes(self.body))
+        body = RequestBody(self.body) if len(self.body) > UNCOUNTED_BYTES else bytes(self.body)
+        return self.head._replace(body=body)
 
     def _too_large(self) -> _BadRequest:
         return _BadRequest(413, f"the body exceeds {self.limits.max_body} bytes")
--- a/rattanrelay/relay/metrics.py
+++ b/rattanrelay/relay/metrics.py
@@ -128,6 +128,7 @@
         """Set the collectors of the memory account."""
         limits = account.intake.limits
         self.intake_bytes.set({"kind": "held"}, account.intake.total)
+        self.intake_bytes.set({"kind": "detached"}, account.intake.detached)
         self.intake_bytes.set({"kind": "limit"}, limits.messages)
         for lane, count in account.intake.counts.items():
             listener = lane.name.lower()
--- a/tests/decide/intake.feature
+++ b/tests/decide/intake.feature
@@ -18,6 +18,12 @@
     When a large message finds the budget used up by others that make progress
     Then it waits 0.25 s, and then gets room by closing the largest
 
+  Scenario: Bodies that outlive their connections keep large messages out, and no small ones
+    When bodies whose clients have left use three quarters of the budget
+    Then a large message is refused after 0.25 s, and closes no other connection
+    And an ordinary request is admitted at once
+    And the large message is admitted when the bodies are freed
+
   Scenario: The connections that wait longest are closed first
     When a listener with 32 connections of one address gets another one
     Then the two that had waited longest were closed
--- a/tests/steps/intake_decide_steps.py
+++ b/tests/steps/intake_decide_steps.py
@@ -8,12 +8,14 @@
     FILE_FDS,
     MB,
     PATIENCE_S,
+    SMALL_BYTES,
     Intake,
     IntakeLimits,
     Lane,
     Stage,
     derive_limits,
 )
+from rattanrelay.http.intake import RequestBody
 
 BUDGET = 2 * MB
 CONNECTIONS = 32
@@ -223,3 +225,36 @@
         assert sockets <= context.descriptors - FILE_FDS, limits
         held = limits.messages + limits.buffers + limits.responses
         assert held <= (context.memory - 40) * MB, limits
+
+
+@when("bodies whose clients have left use three quarters of the budget")
+def detached_bodies(context):
+    context.intake = Intake(_limits())
+    context.bodies = [RequestBody(BUDGET // 4) for _ in range(3)]
+    for body in context.bodies:
+        body.detach(context.intake)
+    for key in ("ordinary", "large", "other"):
+        context.intake.open(key, Lane.CLIENTS, "a", 0.0)
+    for key in ("large", "other"):
+        context.intake.record(key, SMALL_BYTES, 0.0)
+
+
+@then("a large message is refused after 0.25 s, and closes no other connection")
+def large_refused(context):
+    assert context.intake.ask("large", 1.0).wait == PATIENCE_S
+    assert context.intake.ask("large", 1.0 + PATIENCE_S).closed == ("large",)
+
+
+@then("an ordinary request is admitted at once")
+def small_admitted(context):
+    verdict = context.intake.ask("ordinary", 2.0)
+    assert verdict.size >= ORDINARY_BYTES and not verdict.closed, verdict
+
+
+@then("the large message is admitted when the bodies are freed")
+def large_admitted(context):
+    assert context.intake.detached == 3 * (BUDGET // 4), context.intake.detached
+    context.bodies.clear()
+    assert context.intake.detached == 0
+    verdict = context.intake.ask("other", 3.0)
+    assert verdict.size and not verdict.closed, verdict
