Abandon a connection that has not begun to run

A process ended with "'NoneType' object has no attribute 'detach'": a connection was closed for another one in the turn of the event loop in which it was accepted, before its task ran.

--- a/rattanrelay/relay/front.py
+++ b/rattanrelay/relay/front.py
@@ -222,7 +222,9 @@
     def _detach_body(self) -> None:
         """Leave the body of the request to its sub-requests, of which some may still run."""
         body, self._served_body = self._served_body, b""
-        self.share.detach(body)
+        # A connection that is abandoned before it runs has no share yet, and no body.
+        if body:
+            self.share.detach(body)
 
     async def _handle(self, request: Request, arrival: Arrival) -> Response | None:
         with trio.CancelScope() as self.request_scope:
