Limit the receive buffers of connections that are not accepted

A crowd that sends large bodies made the kernel hold 108 MB that an instance of 300 MB had not read.

Cause: the listeners for clients and other instances, and all of `rattanrelay serve`, left the receive buffer at the kernel's default until a connection was accepted. While the process is busy, hundreds of connections wait for that, each with most of a body.

Why it works: a connection inherits the buffer of its listener, 32 KB, for which the kernel takes 64 KB, and gets its own when it is accepted. The number of those that wait was bounded already, now also for `serve`.

--- a/rattanrelay/decide/intake.py
+++ b/rattanrelay/decide/intake.py
@@ -11,6 +11,7 @@
 
 __all__ = [
     "MB",
+    "QUEUED_BUFFER_BYTES",
     "READ_BYTES",
     "SMALL_BYTES",
     "SMALL_READ_BYTES",
@@ -67,6 +68,8 @@
 #: Bytes that the kernel takes for a connection that is not accepted. While an instance of 152 MB
 #: parsed large heads, it held 72 MB with a queue of 1,024.
 QUEUED_BYTES = 64 * 1024
+#: Size of the receive buffer of such a connection, of which the kernel uses up to twice.
+QUEUED_BUFFER_BYTES = QUEUED_BYTES // 2
 MIN_QUEUED = 64
 MAX_QUEUED = 1024
 #: Memory and descriptors of a process whose settings state none.
--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -2,6 +2,7 @@
 
 import ipaddress
 import random
+import socket
 import ssl
 from collections.abc import Callable
 from functools import partial
@@ -10,7 +11,7 @@
 import trio
 import uuid6
 
-from ..decide.intake import MB, Lane, derive_limits
+from ..decide.intake import MB, QUEUED_BUFFER_BYTES, Lane, derive_limits
 from ..http import HttpConnection, HttpLimits, serve_http
 from ..http.intake import Account
 from ..http.plain import PlainStream
@@ -101,7 +102,8 @@
     async def _listen(self) -> dict[str, list[trio.SocketListener]]:
         settings = self.settings
         wanted = {"callers": settings.callers, "peers": settings.peers, "admin": settings.admin}
-        listeners = {name: await _open(address) for name, address in wanted.items()}
+        queued = self.account.intake.limits.queued
+        listeners = {name: await _open(address, queued) for name, address in wanted.items()}
         ports = {name: _address(wanted[name], opened) for name, opened in listeners.items()}
         self.addresses = Addresses(**ports)
         self.peer_listeners = listeners["peers"]
@@ -237,8 +239,12 @@
         return self.store.failing
 
 
-async def _open(address: Address) -> list[trio.SocketListener]:
-    return await trio.open_tcp_listeners(address.port, host=address.host, backlog=BACKLOG)
+async def _open(address: Address, queued: int) -> list[trio.SocketListener]:
+    backlog = min(BACKLOG, queued)
+    listeners = await trio.open_tcp_listeners(address.port, host=address.host, backlog=backlog)
+    for listener in listeners:
+        listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, QUEUED_BUFFER_BYTES)
+    return listeners
 
 
 def _source(listeners: list[trio.SocketListener]) -> str | None:
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -10,7 +10,7 @@
 
 from ..decide.access import Access
 from ..decide.canary import SharedEntry
-from ..decide.intake import IntakeLimits, Lane, derive_limits
+from ..decide.intake import QUEUED_BUFFER_BYTES, IntakeLimits, Lane, derive_limits
 from ..decide.refusal import NOT_READY, QUARANTINED, STOPPING, UNVERIFIED_KEY, refusal
 from ..decide.timing import can_finish, response_due_at
 from ..errors import RelayError
@@ -199,7 +199,7 @@
         async with trio.open_nursery() as nursery:
             self.background = self.admission.background = Background(nursery)
             queued = settings.intake.queued
-            clients = await _listen(settings.clients, queued)
+            clients = await _listen(settings.clients, queued, QUEUED_BUFFER_BYTES)
             nursery.start_soon(self._accept, clients)
             ready = await _listen(settings.ready, CHECK_BACKLOG, CHECK_BUFFER_BYTES)
             nursery.start_soon(self._serve_checks, self._answer_ready, ready, Lane.READINESS)
@@ -210,7 +210,9 @@
                 nursery.start_soon(
                     self._serve_checks, self._answer_metrics, metrics_listener, Lane.METRICS
                 )
-            peer_listener = trio.SocketListener(await _listen(settings.peers, queued))
+            peer_listener = trio.SocketListener(
+                await _listen(settings.peers, queued, QUEUED_BUFFER_BYTES)
+            )
             nursery.start_soon(serve_peers, self.handlers, [peer_listener], self.account)
             self.peers.start(self.background, self.handlers)
             self.quarantine.start(self.background, self.handlers)
@@ -655,12 +657,11 @@
             await trio.sleep(DRAIN_POLL_S)
 
 
-async def _listen(address: Listen, backlog: int, buffer: int = 0) -> trio.socket.SocketType:
-    """Listen on an address; `buffer` is the size of the receive buffers, 0 for the default."""
+async def _listen(address: Listen, backlog: int, buffer: int) -> trio.socket.SocketType:
+    """Listen on an address; `buffer` is the size of the receive buffers until others are set."""
     listener = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_STREAM)
     listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_REUSEADDR, 1)
     await listener.bind((address.host, address.port))
-    if buffer:
-        listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, buffer)
+    listener.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_RCVBUF, buffer)
     listener.listen(backlog)
     return listener
