Let crowds of misbehaving clients join the soak

Beside the other faults of a seed, from random numbers of their own so that the faults of known seeds stay as they are, crowds of 20 to 120 connections from one address send bodies and chunks that stop short, small chunks, heads without an end, complete bodies to all shards and on the route that is not idempotent, and requests whose responses nobody reads; they stay for 0.2 to 3 s and overlap. The instances have limits of 96 MB and 1,024 descriptors, and a process that held more is a violation (MEMORY), as one that ended is (ENDED).

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -38,8 +38,10 @@
     connected: bool
 
 
-def violations(world: SoakWorld, sent: list[Sent], healed_at: float) -> list[str]:
-    """Return a line for each violated guarantee."""
+def violations(
+    world: SoakWorld, sent: list[Sent], healed_at: float, crowd_ids: set[str]
+) -> list[str]:
+    """Return a line for each violated guarantee; `crowd_ids` are of clients that misbehave."""
     found = []
     runs: dict[str, list[str]] = {}
     for searcher in world.searchers:
@@ -47,7 +49,7 @@
             runs.setdefault(request_id, []).append(searcher.service)
     for one in sent:
         found += _request_violations(world, one, runs.get(one.request_id, []))
-    known = {one.request_id for one in sent}
+    known = {one.request_id for one in sent} | crowd_ids
     found += [f"UNASKED {request_id}" for request_id in runs if request_id not in known]
     found += _drain_violations(world, sent)
     found += _budget_violations(world)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,6 +12,7 @@
 from rattanrelay.platform.documents import HEADERS
 
 from .checks import Sent, violations
+from .crowd import Crowds
 from .world import GRACE_S, SoakInstance, SoakWorld
 
 __all__ = ["FAULTS", "run_seed"]
@@ -47,6 +48,7 @@
         self.world = SoakWorld(self.rng, instances)
         self.sent: list[Sent] = []
         self.log: list[str] = []
+        self.crowds = Crowds(seed, self.world, self.log)
         self.out: set[str] = set()
         self.ending = False
         #: Logs of the instances, at the end.
@@ -65,6 +67,7 @@
                     tasks.start_soon(self._balance)
                     async with trio.open_nursery() as faults:
                         end = trio.current_time() + self.seconds
+                        faults.start_soon(self.crowds.run, end)
                         while trio.current_time() < end:
                             faults.start_soon(self._inject_fault)
                             await trio.sleep(self.rng.expovariate(1.0 / 1.2))
@@ -74,7 +77,9 @@
                 ended = [one for one in world.instances if not one.process.running]
                 self.logs = [one.process.log.read_bytes() for one in world.instances]
                 nursery.cancel_scope.cancel()
-        found = violations(world, self.sent, healed)
+        found = violations(world, self.sent, healed, self.crowds.ids)
+        for name, peak in self.crowds.exceeded.items():
+            found.append(f"MEMORY {name}: {peak / 1e6:.0f} MB")
         return found + [f"ENDED {one.name}, exit status {one.process.status}" for one in ended]
 
     async def _inject_fault(self) -> None:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,12 +13,23 @@
 from tests.harness.processes import Process, Processes
 from tests.harness.relay_world import StandInSearcher, StandInStore, free_port
 
-__all__ = ["DRAIN_S", "GRACE_S", "SHARDS", "ProxiedSearcher", "SoakInstance", "SoakWorld"]
+__all__ = [
+    "DRAIN_S",
+    "GRACE_S",
+    "MEMORY_MB",
+    "SHARDS",
+    "ProxiedSearcher",
+    "SoakInstance",
+    "SoakWorld",
+]
 
 SHARDS = 8
 COPIES = 2
 DRAIN_S = 3.0
 GRACE_S = 4.0
+#: Limits in the settings of the instances.
+MEMORY_MB = 96
+MAX_FDS = 1024
 HOST = "127.0.0.1"
 DOMAINS = ("a", "b")
 #: Seconds within which a started instance must be ready, with ample room for a busy machine.
@@ -72,6 +83,7 @@
                 "warmup_slack": 5,
             },
             "platform": {"address": store},
+            "limits": {"memory_mb": MEMORY_MB, "max_fds": MAX_FDS},
         }
 
 
