Bound the copies of a body that wait to be sent to other instances

An instance whose gathers others lead held a copy of each body for each of them, beside its account: 231.6 MB of 300 with 600 clients and only two other instances that do not read (a trial; without copies about 165 MB).

Cause: a message to another instance has a copy of the request's body; frames that wait on links were bounded by their number (1,024 a link), not by bytes.

Evidence: the trial above, with the two instances that gather suspended; the new scenario in tests/wire/link asks for room 60 times and has no equivalent on the code before. The new row of tests/system/crowds.feature (suspended instances gather for clients that leave) passed on the code before as well, since two groups are few.

Why it works: room for a body above 32 KB is reserved when its shards are handed over, before any task runs, and the frame counts until it has been sent or its link has ended. Without room this instance gathers the shards itself: its requests to searchers share one body, so that a single request is served whatever its size. Small bodies need no room.

--- a/rattanrelay/decide/intake.py
+++ b/rattanrelay/decide/intake.py
@@ -45,11 +45,13 @@
 BASE_BYTES = 44 * MB
 #: Shares of the remaining memory: bytes of messages that come in, buffers of the kernel for
 #: connections of others, connections that wait to be accepted, send buffers of own connections,
-#: connections, and responses that are being received. The rest is for everything else.
+#: frames that wait to be sent to other instances, connections, and responses that are being
+#: received. The rest is for everything else.
 MESSAGE_SHARE = 0.25
 BUFFER_SHARE = 0.2
 QUEUE_SHARE = 0.15
 SEND_SHARE = 0.1
+FRAME_SHARE = 0.05
 CONNECTION_SHARE = 0.15
 RESPONSE_SHARE = 0.25
 #: Memory of a connection and its tasks.
@@ -126,6 +128,8 @@
     queued: int = MAX_QUEUED
     #: Size of the send buffer of a connection to a searcher or another instance.
     send_buffer: int = MIN_SEND_BYTES
+    #: Bytes of frames with large bodies that wait to be sent to other instances.
+    frames: int = MB
 
 
 def derive_limits(memory: int = 0, descriptors: int = 0) -> IntakeLimits:
@@ -157,6 +161,7 @@
         connections=connections,
         searchers=searchers,
         queued=max(MIN_QUEUED, min(MAX_QUEUED, int(spare * QUEUE_SHARE / QUEUED_BYTES))),
+        frames=int(spare * FRAME_SHARE),
         send_buffer=max(MIN_SEND_BYTES, min(MAX_BUFFER_BYTES, send_buffer)),
     )
 
--- a/rattanrelay/node/daemon.py
+++ b/rattanrelay/node/daemon.py
@@ -19,7 +19,7 @@
 from ..metrics import Metrics
 from ..settings import Address, Settings
 from ..store import StoreClient
-from ..wire import Handlers, serve_peers
+from ..wire import Handlers, PeerLink, serve_peers
 from .admin import Admin
 from .callers import CallerApi
 from .claims import Claims
@@ -62,6 +62,7 @@
         self.account = Account(intake)
         HttpConnection.memory.limit = intake.responses
         PlainStream.send_buffer = intake.send_buffer
+        PeerLink.frames.limit = intake.frames
         self.addresses: Addresses | None = None
         self.peer_listeners: list[trio.SocketListener] = []
         self._stop = trio.Event()
--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -19,7 +19,7 @@
 from ..http.plain import PlainStream
 from ..log import BoundedSink, event, traceback
 from ..wire import GatherShards, Handlers, serve_peers
-from ..wire.link import Emit
+from ..wire.link import Emit, PeerLink
 from .access import CallerAccess
 from .admission import Admission
 from .background import Background
@@ -258,6 +258,7 @@
         self.deployment.all_connections.limit = limits.searchers
         HttpConnection.memory.limit = limits.responses
         PlainStream.send_buffer = limits.send_buffer
+        PeerLink.frames.limit = limits.frames
 
     async def handle(self, request: Request, arrival: Arrival) -> Response:
         """Answer one request of a client."""
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -37,7 +37,7 @@
 from ..http import HttpConnection, Response
 from ..log import event, traceback
 from ..wire import GatheredPart, GatheredParts, GatherShards, HeaderField
-from ..wire.link import Emit
+from ..wire.link import Emit, PeerLink
 from .background import Background
 from .connections import Retry
 from .deployment import DeploymentState
@@ -641,6 +641,12 @@
                 group.append(shard)
             if not group:
                 continue
+            if not PeerLink.frames.reserve(len(self.sub.body)):
+                # A message has a copy of the body, which all sub-requests of this instance share.
+                for shard in group:
+                    shard.reclaim()
+                own_shards += group
+                continue
             delegated_group = _DelegatedGroup(peer, {shard.service: shard for shard in group})
             self._groups.append(delegated_group)
             self.background.start_soon(self._gather_through_peer, delegated_group)
@@ -651,6 +657,7 @@
         started = trio.current_time()
         first_after = hedge_delay(self.latency.median, self.latency.median)
         reason = "peer_unavailable"
+        reserved = len(self.sub.body)
         with group.scope:
             try:
                 message = self._gather_message(group, started, first_after)
@@ -667,6 +674,10 @@
                     self.peers.linked(group.peer) as link,
                     link.open_stream(message) as items,
                 ):
+                    # The frame is queued and counts there.
+                    PeerLink.frames.free(reserved)
+                    reserved = 0
+                    del message
                     async for item in items:
                         if not group.responded:
                             group.responded = True
@@ -685,6 +696,8 @@
             except Exception as error:
                 reason = "internal"
                 event("gather.failed", request=self.sub.request_id, reason=traceback(error))
+            finally:
+                PeerLink.frames.free(reserved)
         if not self.closed:
             self._reclaim(group, reason)
 
--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -5,19 +5,19 @@
 """
 
 import itertools
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import asynccontextmanager, contextmanager
 
 import trio
 
-from ..decide.intake import Lane, Stage
+from ..decide.intake import SMALL_BYTES, Lane, Stage
 from ..errors import CODES, RelayError
 from ..http.intake import STEPS_PER_TURN, Account, Share
 from ..log import event, traceback
 from .framing import Frame, FrameKind, FrameReader, encode_frame
 from .messages import Failure
 
-__all__ = ["Emit", "Handlers", "PeerLink", "open_link", "serve_peers"]
+__all__ = ["Emit", "FrameMemory", "Handlers", "PeerLink", "open_link", "serve_peers"]
 
 #: Sends one item of a stream of replies.
 Emit = Callable[[tuple], Awaitable[None]]
@@ -25,6 +25,8 @@
 RECEIVE_BYTES = 65536
 WRITE_QUEUE_FRAMES = 1024
 STREAM_QUEUE_ITEMS = 4096
+#: Bytes of frames that wait to be sent by a process whose limits are not known.
+MAX_WAITING_BYTES = 32 * 1024 * 1024
 #: Time in seconds between two regular checks of a link.
 CHECK_PERIOD_S = 10.0
 #: Time in seconds in which an instance that works answers a check for which a request waits, and
@@ -72,23 +74,92 @@
         return register
 
 
+class FrameMemory:
+    """Bytes of frames that wait to be sent on all links of a process.
+
+    A frame with the body of a request is a copy of it, one for each instance that gathers a part.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self.limit = limit
+        #: Bytes that wait, and those that are reserved for frames which do not wait yet.
+        self.waiting = 0
+        self.reserved = 0
+
+    def reserve(self, size: int) -> bool:
+        """Reserve room for the body of a frame; return False if there is none.
+
+        Small ones need no room. `free` ends the reservation.
+        """
+        if size > SMALL_BYTES:
+            if self.waiting + self.reserved + size > self.limit:
+                return False
+            self.reserved += size
+        return True
+
+    def free(self, size: int) -> None:
+        """End a reservation: the frame waits now, or is not sent."""
+        if size > SMALL_BYTES:
+            self.reserved -= size
+
+
 class _FrameWriter:
     """Writes queued frames to a stream; all frames that are ready go in one system call."""
 
     def __init__(self, stream: trio.abc.Stream) -> None:
         self.stream = stream
         self.sender, self.receiver = trio.open_memory_channel[bytes](WRITE_QUEUE_FRAMES)
+        #: Bytes of the frames that wait to be sent.
+        self.waiting = 0
+        self.ended = False
+
+    async def send(self, frame: bytes) -> None:
+        """Queue a frame; raises `trio.BrokenResourceError` after the end of `run`."""
+        with self._counted(frame):
+            await self.sender.send(frame)
+
+    def send_nowait(self, frame: bytes) -> None:
+        """Queue a frame; raises `trio.WouldBlock` as well if the queue is full."""
+        with self._counted(frame):
+            self.sender.send_nowait(frame)
+
+    @contextmanager
+    def _counted(self, frame: bytes) -> Iterator[None]:
+        if self.ended:
+            raise trio.BrokenResourceError("the link has ended")
+        self._count(len(frame))
+        try:
+            yield
+        except BaseException:
+            if not self.ended:
+                self._count(-len(frame))
+            raise
 
     async def run(self) -> None:
-        async for frame in self.receiver:
-            ready = self.receiver.statistics().current_buffer_used
-            batch = [self.receiver.receive_nowait() for _ in range(ready)]
-            await self.stream.send_all(b"".join((frame, *batch)))
+        try:
+            async for frame in self.receiver:
+                ready = self.receiver.statistics().current_buffer_used
+                batch = [self.receiver.receive_nowait() for _ in range(ready)]
+                data = b"".join((frame, *batch))
+                del frame, batch
+                await self.stream.send_all(data)
+                self._count(-len(data))
+        finally:
+            self.ended = True
+            self.receiver.close()
+            self._count(-self.waiting)
+
+    def _count(self, size: int) -> None:
+        self.waiting += size
+        PeerLink.frames.waiting += size
 
 
 class PeerLink:
     """The client side of a connection to another instance."""
 
+    #: Frames that wait to be sent on all links of the process.
+    frames = FrameMemory(MAX_WAITING_BYTES)
+
     def __init__(self, stream: trio.abc.Stream, peer: str) -> None:
         self.stream = stream
         self.peer = peer
@@ -208,13 +279,13 @@
 
     def _cancel(self, call_id: int) -> None:
         try:
-            self.writer.sender.send_nowait(encode_frame(FrameKind.CANCEL, call_id))
+            self.writer.send_nowait(encode_frame(FrameKind.CANCEL, call_id))
         except (trio.WouldBlock, trio.BrokenResourceError, trio.ClosedResourceError):
             self.closed = True
 
     async def _send(self, data: bytes) -> None:
         try:
-            await self.writer.sender.send(data)
+            await self.writer.send(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             raise self._unavailable("not_run") from None
 
@@ -381,7 +452,7 @@
     async def _answer(self, frame: Frame) -> None:
         if frame.kind is FrameKind.CALL and frame.message is None:
             self.checked = True
-            await self.writer.sender.send(encode_frame(FrameKind.REPLY, frame.call_id))
+            await self.writer.send(encode_frame(FrameKind.REPLY, frame.call_id))
             return
         streamed = frame.kind is FrameKind.STREAM
         handlers = self.handlers.streams if streamed else self.handlers.calls
@@ -391,15 +462,15 @@
             raise RelayError("bad_request", f"no handler for {name}", step="peer call")
         if streamed:
             await handler(frame.message, self._emitter(frame.call_id))
-            await self.writer.sender.send(encode_frame(FrameKind.END, frame.call_id))
+            await self.writer.send(encode_frame(FrameKind.END, frame.call_id))
             return
         reply = await handler(frame.message)
         if frame.kind is FrameKind.CALL:
-            await self.writer.sender.send(encode_frame(FrameKind.REPLY, frame.call_id, reply))
+            await self.writer.send(encode_frame(FrameKind.REPLY, frame.call_id, reply))
 
     def _emitter(self, call_id: int) -> Emit:
         async def emit(item: tuple) -> None:
-            await self.writer.sender.send(encode_frame(FrameKind.ITEM, call_id, item))
+            await self.writer.send(encode_frame(FrameKind.ITEM, call_id, item))
 
         return emit
 
@@ -409,7 +480,7 @@
         failure = Failure(error.code, error.message, error.step, error.peer, error.ran)
         data = encode_frame(FrameKind.ERROR, frame.call_id, failure)
         try:
-            await self.writer.sender.send(data)
+            await self.writer.send(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
 
--- a/tests/steps/crowds_steps.py
+++ b/tests/steps/crowds_steps.py
@@ -26,6 +26,18 @@
     context.host = host.__enter__()
 
 
+@given("the others are suspended")
+def suspend_others(context):
+    for instance in context.host.instances[1:]:
+        instance.process.pause()
+
+
+@when("the others are resumed")
+def resume_others(context):
+    for instance in context.host.instances[1:]:
+        instance.process.resume()
+
+
 @when('{size:d} connections to its listener for {listener} send "{flood}"')
 def crowd_sends(context, size, listener, flood):
     _crowd(context, listener, size).send(FLOODS[flood](), BYTES_OF.get(flood, 0))
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -5,12 +5,14 @@
 import resource
 import struct
 import time
+from contextlib import AsyncExitStack
 
 import thriftpy2
 import trio
 from behave import given, then, when
 from thriftpy2.thrift import TType
 
+from rattanrelay.decide.intake import MB
 from rattanrelay.emulator.config import ProxyConfig
 from rattanrelay.emulator.faultproxy import ProxyRoute
 from rattanrelay.errors import RelayError
@@ -35,7 +37,7 @@
     open_link,
     serve_peers,
 )
-from rattanrelay.wire.link import _PeerConnection
+from rattanrelay.wire.link import FrameMemory, PeerLink, _PeerConnection
 from rattanrelay.wire.structs import STRUCTS
 from tests.harness.relay_world import run_on_mock_clock
 
@@ -459,3 +461,64 @@
 @then("the link works")
 def link_works(context):
     assert context.works
+
+
+@given(
+    "links to {count:d} instances that read nothing, and a limit of {limit:d} MB for frames that "
+    "wait"
+)
+def unread_links(context, count, limit):
+    context.count = count
+    context.frames = FrameMemory(limit * MB)
+
+
+@when(
+    "{number:d} messages with bodies of {size:d} KB are to be sent on each, as far as there is room"
+)
+def send_as_room_permits(context, number, size):
+    frames, body = context.frames, bytes(size * 1024)
+    context.sent = 0
+    context.most = 0
+
+    async def send(link):
+        # The call is never answered; its frame is queued or with the kernel.
+        with contextlib.suppress(RelayError):
+            async with link.open_stream(Document("name", 1, body)):
+                frames.free(len(body))
+                await trio.sleep_forever()
+
+    async def scenario():
+        async with AsyncExitStack() as stack:
+            links = []
+            for _ in range(context.count):
+                [listener] = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                stack.callback(listener.socket.close)
+                port = listener.socket.getsockname()[1]
+                links.append(await stack.enter_async_context(open_link("127.0.0.1", port)))
+            async with trio.open_nursery() as nursery:
+                for link in links * number:
+                    if frames.reserve(len(body)):
+                        context.sent += 1
+                        nursery.start_soon(send, link)
+                    await trio.sleep(0.002)
+                    context.most = max(context.most, frames.waiting + frames.reserved)
+                context.small = frames.reserve(1000)
+                nursery.cancel_scope.cancel()
+
+    before, PeerLink.frames = PeerLink.frames, frames
+    try:
+        trio.run(scenario)
+    finally:
+        PeerLink.frames = before
+
+
+@then("at most {limit:d} MB wait, and a message with a small body always finds room")
+def waiting_bounded(context, limit):
+    assert 0 < context.most <= (limit + 0.01) * MB, context.most
+    assert 0 < context.sent < 60, context.sent
+    assert context.small
+
+
+@then("nothing is counted once the links are closed")
+def nothing_counted(context):
+    assert (context.frames.waiting, context.frames.reserved) == (0, 0), vars(context.frames)
--- a/tests/system/crowds.feature
+++ b/tests/system/crowds.feature
@@ -85,6 +85,14 @@
       | 200  | a complete body to 24 shards that read slowly                  |
       | 200  | pipelined bodies of 15,000 bytes to 24 shards that read slowly |
 
+  Scenario: 100 clients send bodies to 24 shards for which suspended instances gather, and leave
+    Given 3 instances with small limits
+    And the others are suspended
+    When 100 clients send "a complete body to 24 shards" and leave, 5 times
+    And the others are resumed
+    Then all instances run, within their memory and descriptors
+    And an ordinary request and a readiness check of each are answered with 200
+
   Scenario Outline: <size> clients with addresses of their own send <flood>
     Given an instance with small limits
     When <size> clients with addresses of their own send "<flood>"
--- a/tests/wire/link.feature
+++ b/tests/wire/link.feature
@@ -88,3 +88,9 @@
       | busy |
       | 100  |
       | 600  |
+
+  Scenario: Large frames that an instance does not read wait within the limit of the process
+    Given links to 3 instances that read nothing, and a limit of 2 MB for frames that wait
+    When 20 messages with bodies of 256 KB are to be sent on each, as far as there is room
+    Then at most 2 MB wait, and a message with a small body always finds room
+    And nothing is counted once the links are closed
