Bound the bodies that an instance handles for others

An instance that gathers for others held 61.0 MB of 64 while 40 clients of each of eight others sent bodies to 24 shards that read slowly; with more of them it would have ended, although no client sent it anything.

Cause: the account of a link covers the bytes that are being received. A message that is complete is handled until its deadline and was not counted, and each instance that asks has a budget of its own.

Why it works: a body above 32 KB counts while its call is handled, within a limit of its own, so that links go on reading; a call beyond it is refused as not run, and the instance that asked gathers the shards itself. tests/wire/link has a scenario.

--- a/rattanrelay/decide/intake.py
+++ b/rattanrelay/decide/intake.py
@@ -128,7 +128,8 @@
     queued: int = MAX_QUEUED
     #: Size of the send buffer of a connection to a searcher or another instance.
     send_buffer: int = MIN_SEND_BYTES
-    #: Bytes of frames with large bodies that wait to be sent to other instances.
+    #: Bytes of frames with large bodies that wait to be sent to other instances, and as many of
+    #: bodies that are handled for them.
     frames: int = MB
 
 
@@ -213,6 +214,8 @@
         self.by_address: dict[str, int] = {}
         #: Bytes of requests that still run although their connections have ended.
         self.detached = 0
+        #: Bytes of large bodies of calls that are handled for other instances.
+        self.calls = 0
         self.counts: dict[Lane, int] = dict.fromkeys(Lane, 0)
         #: Sum of the sizes of buffers beyond their minimum.
         self.buffers = 0
@@ -290,6 +293,22 @@
         entry.waiting_since = None
         return Verdict(SMALL_READ_BYTES, closed=closed)
 
+    def begin_call(self, size: int) -> bool:
+        """Count the body of a call of another instance; return False if there is no room for it.
+
+        Small ones need none. The caller can send the request itself.
+        """
+        if size > SMALL_BYTES:
+            if self.calls + size > self.limits.frames:
+                return False
+            self.calls += size
+        return True
+
+    def end_call(self, size: int) -> None:
+        """Count the body of a call no longer."""
+        if size > SMALL_BYTES:
+            self.calls -= size
+
     def shrink(self, key: Hashable, now: float) -> tuple[Hashable, ...]:
         """Return connections to close because one holds more than fits; it may be one of them."""
         if self.total <= self.limits.messages or key not in self.entries:
--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -437,7 +437,8 @@
         with scope:
             try:
                 await trio.lowlevel.checkpoint_if_cancelled()
-                await self._answer(frame)
+                with self._counted(frame):
+                    await self._answer(frame)
             except RelayError as error:
                 await self._send_failure(frame, error)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -449,6 +450,21 @@
                 if frame.kind is not FrameKind.CAST:
                     self.scopes.pop(frame.call_id, None)
 
+    @contextmanager
+    def _counted(self, frame: Frame) -> Iterator[None]:
+        """Count the body of a message while it is handled; raises `peer_unavailable`."""
+        size = len(getattr(frame.message, "body", b""))
+        if self.share is None:
+            yield
+            return
+        intake = self.share.account.intake
+        if not intake.begin_call(size):
+            raise RelayError("peer_unavailable", "memory is short", step="peer call")
+        try:
+            yield
+        finally:
+            intake.end_call(size)
+
     async def _answer(self, frame: Frame) -> None:
         if frame.kind is FrameKind.CALL and frame.message is None:
             self.checked = True
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -12,10 +12,11 @@
 from behave import given, then, when
 from thriftpy2.thrift import TType
 
-from rattanrelay.decide.intake import MB
+from rattanrelay.decide.intake import MB, SMALL_BYTES, derive_limits
 from rattanrelay.emulator.config import ProxyConfig
 from rattanrelay.emulator.faultproxy import ProxyRoute
 from rattanrelay.errors import RelayError
+from rattanrelay.http.intake import Account
 from rattanrelay.wire import (
     Document,
     DocumentRevision,
@@ -25,6 +26,7 @@
     FrameReader,
     GatheredPart,
     GatheredParts,
+    GatherShards,
     Handlers,
     Heartbeat,
     Pull,
@@ -522,3 +524,64 @@
 @then("nothing is counted once the links are closed")
 def nothing_counted(context):
     assert (context.frames.waiting, context.frames.reserved) == (0, 0), vars(context.frames)
+
+
+@given("a peer with {limit:d} MB for messages whose handlers do not end")
+def full_peer(context, limit):
+    context.limits = derive_limits()._replace(frames=limit * MB)
+    context.handled = []
+
+
+@when("{number:d} calls with bodies of {size:d} KB are sent to it, and one with a small body")
+def large_calls(context, number, size):
+    handlers = Handlers()
+    context.refused = []
+
+    @handlers.on_stream(GatherShards)
+    async def handle(message, emit):
+        context.handled.append(len(message.body))
+        await trio.sleep_forever()
+
+    async def send(link, body):
+        message = GatherShards("q", "r", "POST", "/", (), body, (), 1, 1, 1, 1, 1, 1, b"")
+        try:
+            async with link.open_stream(message) as items:
+                async for _ in items:
+                    pass
+        except RelayError as error:
+            context.refused.append(error.ran)
+
+    async def use(link):
+        async with trio.open_nursery() as nursery:
+            for _ in range(number):
+                nursery.start_soon(send, link, bytes(size * 1024))
+                await trio.sleep(0.05)
+            nursery.start_soon(send, link, bytes(1000))
+            await trio.sleep(0.2)
+            context.held = context.account.intake.calls
+            nursery.cancel_scope.cancel()
+        with trio.move_on_after(HANG_LIMIT_S):
+            while context.account.intake.calls:  # noqa: ASYNC110
+                await trio.sleep(0.01)
+        context.held_after = context.account.intake.calls
+
+    async def serve(listeners):
+        context.account = Account(context.limits)
+        await serve_peers(handlers, listeners, context.account)
+
+    trio.run(_with_link, serve, use)
+
+
+@then("the large calls beyond its room fail, and state that they have not run")
+def large_refused(context):
+    large = [size for size in context.handled if size > SMALL_BYTES]
+    assert len(large) + len(context.refused) == 6, (context.handled, context.refused)
+    assert set(context.refused) == {"not_run"}, context.refused
+    assert 0 < sum(large) <= context.limits.frames, large
+
+
+@then("the small one is handled, and the bodies count until the calls end")
+def bodies_count(context):
+    assert 1000 in context.handled, context.handled
+    assert context.held == sum(context.handled) - 1000, (context.held, context.handled)
+    assert context.held_after == 0, context.held_after
--- a/tests/wire/link.feature
+++ b/tests/wire/link.feature
@@ -94,3 +94,9 @@
     When 20 messages with bodies of 256 KB are to be sent on each, as far as there is room
     Then at most 2 MB wait, and a message with a small body always finds room
     And nothing is counted once the links are closed
+
+  Scenario: Bodies that are handled count, and a large one for which there is no room is refused
+    Given a peer with 1 MB for messages whose handlers do not end
+    When 6 calls with bodies of 256 KB are sent to it, and one with a small body
+    Then the large calls beyond its room fail, and state that they have not run
+    And the small one is handled, and the bodies count until the calls end
