Keep the process when a connection fails to close

Cause of the class: the account closes connections from the task that accepts others, which only expects OSError, and whose failure ends the process.

Each connection is now closed on its own, with a log line if that fails.

--- a/rattanrelay/http/intake.py
+++ b/rattanrelay/http/intake.py
@@ -2,11 +2,12 @@
 
 import socket
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import trio
 
 from ..decide.intake import Intake, IntakeLimits, Lane, Stage, derive_limits
+from ..log import event, traceback
 
 __all__ = ["Account", "RequestBody", "Share"]
 
@@ -39,16 +40,13 @@
         share = Share(self, abandon)
         closed = self.intake.open(share, lane, address, trio.current_time())
         self.closed_for_connections[lane] += len(closed)
-        for other in closed:
-            if other is not share:
-                other.abandon()
+        _abandon(other for other in closed if other is not share)
         return None if share in closed else share
 
     def close_for_memory(self, shares: tuple) -> None:
         """Close connections that have been removed from the account."""
         self.closed_for_memory += len(shares)
-        for share in shares:
-            share.abandon()
+        _abandon(shares)
         self.wake()
 
     def wake(self) -> None:
@@ -124,6 +122,15 @@
         self.account.wake()
 
 
+def _abandon(shares: Iterable[Share]) -> None:
+    """Close connections; one that fails to close leaves the others and the process alone."""
+    for share in shares:
+        try:
+            share.abandon()
+        except Exception as error:
+            event("connection.abandon_failed", reason=traceback(error))
+
+
 def _nothing() -> None:
     """Abandon a connection that has been closed."""
 
--- a/tests/decide/intake.feature
+++ b/tests/decide/intake.feature
@@ -24,6 +24,10 @@
     And an ordinary request is admitted at once
     And the large message is admitted when the bodies are freed
 
+  Scenario: A connection that fails to close leaves the others alone
+    When connections are closed for lack of memory, and the first one fails to close
+    Then the others are closed, and the account goes on
+
   Scenario: The connections that wait longest are closed first
     When a listener with 32 connections of one address gets another one
     Then the two that had waited longest were closed
--- a/tests/steps/intake_decide_steps.py
+++ b/tests/steps/intake_decide_steps.py
@@ -1,7 +1,9 @@
 """Steps for the admission of bytes and connections to the memory account."""
 
 import random
+from functools import partial
 
+import trio
 from behave import then, when
 
 from rattanrelay.decide.intake import (
@@ -15,7 +17,7 @@
     Stage,
     derive_limits,
 )
-from rattanrelay.http.intake import RequestBody
+from rattanrelay.http.intake import Account, RequestBody
 
 BUDGET = 2 * MB
 CONNECTIONS = 32
@@ -258,3 +260,29 @@
     assert context.intake.detached == 0
     verdict = context.intake.ask("other", 3.0)
     assert verdict.size and not verdict.closed, verdict
+
+
+@when("connections are closed for lack of memory, and the first one fails to close")
+def failing_close(context):
+    context.abandoned = []
+
+    def fail():
+        raise AttributeError("no share")
+
+    async def scenario():
+        account = Account(_limits())
+        shares = [
+            account.open(Lane.CLIENTS, "a", partial(context.abandoned.append, number))
+            for number in range(3)
+        ]
+        shares[0].abandon = fail
+        account.close_for_memory(tuple(shares))
+        context.opened = account.open(Lane.CLIENTS, "a", fail)
+
+    trio.run(scenario)
+
+
+@then("the others are closed, and the account goes on")
+def others_closed(context):
+    assert context.abandoned == [1, 2], context.abandoned
+    assert context.opened is not None
