Relay no status of a searcher that denies a request it ran

A signed 421 was worse: the request was sent to a second searcher and ran twice.

Cause: a signed response counts as the searcher's answer, or as a failure that is kept, and both left through `_relayed_response` with their status, whatever it states about the request. A 421 counted as "not run" whether it was signed or not.

Change: `permitted_status` in decide/refusal.py decides whether a response may have a status that states "not run"; `refusal` uses it as well. A signed 408, 421, 429 or 503 is a failure of the searcher: an idempotent request goes to another one within its attempts, and if none answers, the caller gets 502 without signature and Retry-After. All other statuses are relayed unchanged.

--- a/rattanrelay/decide/refusal.py
+++ b/rattanrelay/decide/refusal.py
@@ -1,12 +1,25 @@
 """Responses to requests that are not served.
 
-A refusal (status 503) states that the request has not run and never will. It is sent only if no
-searcher can have started the request; all other failures leave that open.
+Some statuses state that the request has not run and never will. `permitted_status` decides whether
+a response may have one of them, for every response that an instance creates or relays.
 """
 
 from typing import NamedTuple
 
-__all__ = ["RETRY_AFTER_S", "Refusal", "refusal", "register_reason"]
+__all__ = [
+    "NOT_RUN_STATUSES",
+    "RETRY_AFTER_S",
+    "Refusal",
+    "permitted_status",
+    "refusal",
+    "register_reason",
+]
+
+#: Statuses which state that the request has not run and never will.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+#: Statuses that leave open whether the request has run.
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
 
 
 class Refusal(NamedTuple):
@@ -55,13 +68,25 @@
 NO_CONNECTION = register_reason("no_connection", 0.05)
 
 
+def permitted_status(status: int, *, may_have_run: bool, otherwise: int = BAD_GATEWAY) -> int:
+    """Return a status for the response to a request; `otherwise` in place of a false statement.
+
+    `may_have_run` is whether any searcher, asked by any instance, may have run the request or may
+    still run it.
+    """
+    return otherwise if may_have_run and status in NOT_RUN_STATUSES else status
+
+
 def refusal(reason: str, *, may_have_run: bool, timed_out: bool = False) -> Refusal:
     """Return the response to a request that is not served.
 
     The status is 503 if the request has not run, or 429 if that is for its quota; otherwise 504
     after a timeout and else 502.
     """
-    if may_have_run:
-        return Refusal(504 if timed_out else 502, reason, 0.0)
-    status = 429 if reason in (QUOTA, QUOTA_UNKNOWN) else 503
-    return Refusal(status, reason, RETRY_AFTER_S.get(reason, 0.1))
+    status = permitted_status(
+        429 if reason in (QUOTA, QUOTA_UNKNOWN) else 503,
+        may_have_run=may_have_run,
+        otherwise=GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY,
+    )
+    retry_after = 0.0 if may_have_run else RETRY_AFTER_S.get(reason, 0.1)
+    return Refusal(status, reason, retry_after)
--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -22,6 +22,7 @@
     RATE_LIMITED,
     RETRY_AFTER_S,
     Refusal,
+    permitted_status,
     refusal,
 )
 from ..decide.timing import (
@@ -455,7 +456,7 @@
 
     def _record_outcome(self, shard: _Shard, outcome: Outcome) -> None:
         if outcome.kind == "answer" and (outcome.succeeded or not self.route.shards):
-            if outcome.response.status < 500:
+            if outcome.answered:
                 shard.answer = shard.answer or outcome.response
                 self._limit_in_flight(shard)
                 return
@@ -870,6 +871,11 @@
         return Response(200, headers, greatest_records(bodies, self.route.top_k))
 
     def _relayed_response(self, answer: Response) -> Response:
+        """Return a searcher's response; not if its status denies that the request has run."""
+        if permitted_status(answer.status, may_have_run=True) != answer.status:
+            return self._refuse(
+                refusal(f"searcher_failed: status {answer.status}", may_have_run=True)
+            )
         headers = {name: value for name, value in answer.headers.items() if name not in HOP_HEADERS}
         headers.pop(self.deployment.names.load, None)
         return Response(answer.status, headers, answer.body)
--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -12,6 +12,7 @@
 from ..decide.name_hashes import name_hash
 from ..decide.pacing import Pacer
 from ..decide.placement import Kind, Offer, ServiceLoad, Work
+from ..decide.refusal import NOT_RUN_STATUSES
 from ..decide.timing import silence_delay
 from ..errors import RelayError
 from ..http import MAX_RESPONSE_BYTES, HttpConnection, InvalidResponse, Request, Response
@@ -95,6 +96,14 @@
         """Whether the searcher answered with a status of 2xx."""
         return self.response is not None and 200 <= self.response.status < 300
 
+    @property
+    def answered(self) -> bool:
+        """Whether the response is final; a searcher that ran the request may still have failed."""
+        if self.kind != "answer":
+            return False
+        status = self.response.status
+        return status < 500 and status not in NOT_RUN_STATUSES
+
 
 class ExpectedCost(NamedTuple):
     """A request whose cost is expected and learned; its number in the searcher's work, its kind."""
@@ -429,13 +438,16 @@
         else:
             # Non-idempotent requests always open a new connection, so this one is not reused.
             self._close(connection)
-        if response.status == MISDIRECTED:
+        signed = self.names.signature in headers
+        misdirected = response.status == MISDIRECTED
+        if misdirected:
             self.removed = True
             self.close_idle()
+        # A signature proves that the request has run, unless the response denies it.
+        if misdirected and not signed:
             return Outcome("refused", "other_searcher")
         if self.names.not_run in headers:
-            return Outcome("refused", "shed")
-        signed = self.names.signature in headers
+            return Outcome("refused", "other_searcher" if misdirected else "shed")
         if not signed or (response.status < 300 and answered is None):
             connection.close_now()
             return Outcome("lost", "unsigned_response")
@@ -466,14 +478,14 @@
 
     def _observe(self, outcome: Outcome, latency: float, median_latency: float) -> None:
         now = trio.current_time()
-        if outcome.kind == "answer" and outcome.response.status < 500:
+        if outcome.answered:
             self.failures_in_row = 0
             self.estimate.record_response(latency, median_latency, now)
         else:
             self.estimate.record_failure(now)
 
     def _learn_cost(self, outcome: Outcome, token: int, kind: Kind) -> None:
-        if outcome.kind != "answer" or outcome.response.status >= 500:
+        if not outcome.answered:
             self.work.record_end(token)
             return
         now = trio.current_time()
--- a/tests/decide/relay_rules.feature
+++ b/tests/decide/relay_rules.feature
@@ -64,6 +64,10 @@
     And a request that may have run gets 502 and none
     And a request whose deadline has passed gets 504 and none
 
+  Scenario: No response states that a request has not run if it may have run
+    Then of all statuses 408, 421, 429 and 503 are replaced for a request that may have run
+    And none is replaced for a request that has not run
+
   Scenario: Shards without a searcher in the own domain are handed to an instance in theirs
     Given 20 shards of which 7 have searchers in domain b only
     When an instance in domain a plans them with 3 instances in domain b
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -302,6 +302,8 @@
         self.limit = ""
         self.retry_after = ""
         self.leaving = False
+        #: Status of its answers in mode "fail".
+        self.failure_status = 500
         #: Load that its answers state, as text.
         self.load = ""
         #: Whether it has answered before, so that a copy of that answer may still arrive.
@@ -445,7 +447,9 @@
         if mode == "silent":
             await trio.sleep_forever()
         if mode == "fail":
-            return await self._reply(stream, wire, 500, good, b"broken")
+            if self.retry_after:
+                good["retry-after"] = self.retry_after
+            return await self._reply(stream, wire, self.failure_status, good, b"broken")
         if mode == "unsigned":
             return await self._reply(stream, wire, 200, {HEADERS.request_id: request_id}, b"x")
         if mode == "endless":
--- /dev/null
+++ b/tests/relay/not_run.feature
@@ -0,0 +1,56 @@
+Feature: A response states that a request has not run only if that is true
+  Guards against clients that send a request again because a response denies that it has run.
+
+  Scenario Outline: The failure of a searcher that ran a request does not say that it has not run
+    Guards against a searcher's own 503, 429, 421 or 408 that is relayed to the client.
+    Given a service with 2 searchers that run each request and answer <status> <pause> Retry-After
+    When a client asks once with a non-idempotent request
+    Then it gets status 502 without a signature and the request ran once
+
+    Examples:
+      | status | pause     |
+      | 503    | without a |
+      | 503    | with a    |
+      | 429    | without a |
+      | 429    | with a    |
+      | 421    | without a |
+      | 408    | without a |
+
+  Scenario Outline: An idempotent request that all searchers ran and failed is not denied either
+    Given a service with 2 searchers that run each request and answer <status> <pause> Retry-After
+    When a client asks once
+    Then it gets status 502 without a signature and the request ran at both searchers
+
+    Examples:
+      | status | pause     |
+      | 503    | without a |
+      | 503    | with a    |
+      | 429    | with a    |
+      | 408    | without a |
+
+  Scenario Outline: An idempotent request that one searcher ran and failed is served by another
+    Guards against a 429 or 408 of one searcher that ends a request which others can serve.
+    Given a service whose first of 2 searchers runs each request and answers <status>
+    When a client asks 10 times
+    Then it gets status 200 each time
+
+    Examples:
+      | status |
+      | 503    |
+      | 429    |
+      | 408    |
+
+  Scenario Outline: Other statuses of a searcher are relayed unchanged
+    Given a service with 2 searchers that run each request and answer <status> with a Retry-After
+    When a client asks once with <kind> request
+    Then it gets status <status> with the signature and the Retry-After of a searcher
+
+    Examples:
+      | status | kind             |
+      | 400    | a non-idempotent |
+      | 404    | an idempotent    |
+      | 409    | a non-idempotent |
+      | 500    | a non-idempotent |
+      | 500    | an idempotent    |
+      | 502    | a non-idempotent |
+      | 504    | an idempotent    |
--- a/tests/steps/relay_decide_steps.py
+++ b/tests/steps/relay_decide_steps.py
@@ -15,7 +15,7 @@
 from rattanrelay.decide.missing_entries import grace_until
 from rattanrelay.decide.name_hashes import join_hashes, name_hash, split_hashes
 from rattanrelay.decide.records import greatest_records, needed_parts
-from rattanrelay.decide.refusal import SHED, refusal
+from rattanrelay.decide.refusal import SHED, permitted_status, refusal
 from rattanrelay.decide.split import SmoothSplit
 from rattanrelay.decide.timing import (
     HANDLING_S,
@@ -395,6 +395,20 @@
     assert refused.status == 504 and refused.retry_after == 0.0
 
 
+@then("of all statuses 408, 421, 429 and 503 are replaced for a request that may have run")
+def replaced_statuses(context):
+    sent = {status: permitted_status(status, may_have_run=True) for status in range(200, 600)}
+    replaced = {status for status in sent if sent[status] != status}
+    assert replaced == {408, 421, 429, 503}
+    assert {sent[status] for status in replaced} == {502}
+
+
+@then("none is replaced for a request that has not run")
+def kept_statuses(context):
+    statuses = list(range(200, 600))
+    assert [permitted_status(one, may_have_run=False) for one in statuses] == statuses
+
+
 @given("{count:d} shards of which {remote:d} have searchers in domain b only")
 def partly_remote(context, count, remote):
     context.shards = [f"s{number:02}" for number in range(count)]
