Count answered shards as run when a gather fails

Seen by callers: a gather of which 15 shards answered and 5 were refused by their searchers was answered 503 with a Retry-After, which states that nothing ran, in a gather of one instance as in one that another instance led.

Cause: a shard was marked as possibly run only when its sub-request failed, so the shards that had answered were left out when the gather was refused. Single requests and gathers each decided for themselves what may have run.

Change: an answer marks its shard as run, one's own as one that another instance reports. `Scatter.may_have_run` looks at all shards, those in flight and those that other instances gather, and `Scatter.refusal` is the only way to a refusal once a request is served; the pause of searchers that take no requests now is stated only where nothing ran, as before.

--- a/rattanrelay/relay/scatter.py
+++ b/rattanrelay/relay/scatter.py
@@ -226,7 +226,7 @@
         now = trio.current_time()
         served = sum(self.deployment.serves(shard.service, now) for shard in self.shards)
         if served < self.needed:
-            return self._refuse(refusal(NO_SEARCHER, may_have_run=False))
+            return self._refuse(self.refusal(NO_SEARCHER))
         wait = self._wait_for_needed(now) if self.deployment.restricted(now) else 0.0
         if wait and now + wait > self.patient_until:
             return self._refuse(self._rate_limited(wait))
@@ -237,6 +237,15 @@
         finally:
             self._close()
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether any searcher may have run or may still run it, asked by any instance."""
+        return any(shard.may_have_run or shard.may_be_running for shard in self.shards)
+
+    def refusal(self, reason: str, *, timed_out: bool = False) -> Refusal:
+        """Return the response if the request is not served, from what may have run."""
+        return refusal(reason, may_have_run=self.may_have_run, timed_out=timed_out)
+
     @property
     def summary(self) -> RequestSummary:
         """Outcome so far, for the log."""
@@ -286,14 +295,13 @@
             return self._merged_response()
         open_shards = len(self.shards) - settled
         if late or answered + open_shards < self.needed:
-            may_have_run = any(shard.may_have_run or shard.may_be_running for shard in self.shards)
             reasons = [
                 shard.reason for shard in self.shards if shard.answer is None and shard.reason
             ]
             reason = "deadline" if late else _base_reason(reasons[0] if reasons else NO_SEARCHER)
-            if reason == RATE_LIMITED and not may_have_run:
+            if reason == RATE_LIMITED:
                 return self._refuse(self._rate_limited(self._wait_for_needed(now)))
-            return self._refuse(refusal(reason, may_have_run=may_have_run, timed_out=late))
+            return self._refuse(self.refusal(reason, timed_out=late))
         return None
 
     def _decide_single(self, shard: _Shard, late: bool) -> Response | None:
@@ -303,11 +311,10 @@
             return None
         if shard.failure is not None and not shard.in_flight:
             return self._relayed_response(shard.failure)
-        may_have_run = shard.may_have_run or bool(shard.in_flight)
         reason = "deadline" if late else _base_reason(shard.reason or NO_SEARCHER)
-        if reason == RATE_LIMITED and not may_have_run:
+        if reason == RATE_LIMITED:
             return self._refuse(self._rate_limited(self._wait_for(shard, trio.current_time())))
-        return self._refuse(refusal(reason, may_have_run=may_have_run, timed_out=late))
+        return self._refuse(self.refusal(reason, timed_out=late))
 
     def _launch(
         self, shard: _Shard, now: float, *, hedge: bool = False, again: Searcher | None = None
@@ -455,14 +462,14 @@
         shard.reason = QUARANTINED
 
     def _record_outcome(self, shard: _Shard, outcome: Outcome) -> None:
+        if outcome.kind != "refused":
+            shard.may_have_run = True
         if outcome.kind == "answer" and (outcome.succeeded or not self.route.shards):
             if outcome.answered:
                 shard.answer = shard.answer or outcome.response
                 self._limit_in_flight(shard)
                 return
             shard.failure = outcome.response
-        if outcome.kind != "refused":
-            shard.may_have_run = True
         shard.reason = outcome.reason or "searcher_failed"
         if shard.answer is None and not shard.in_flight:
             self._plan_retry(shard, outcome)
@@ -520,9 +527,12 @@
 
     def _rate_limited(self, wait: float) -> Refusal:
         """Return the refusal of a request whose searchers take none for some seconds."""
+        refused = self.refusal(RATE_LIMITED)
+        if not refused.retry_after:
+            return refused
         # Spread, so that those who wait for the same searcher do not return together.
         seconds = min(max(MIN_RETRY_AFTER_S, wait), MAX_PAUSE_S) * self.rng.uniform(1.0, 1.5)
-        return refusal(RATE_LIMITED, may_have_run=False)._replace(retry_after=seconds)
+        return refused._replace(retry_after=seconds)
 
     def _serving(self, shard: _Shard, now: float) -> list[Searcher]:
         """Return the searchers that may get the shard's request, now or after a pause."""
@@ -788,6 +798,7 @@
                 # The other instance has merged this shard's records into its message, so a response
                 # that this instance has received itself is dropped.
                 shard.answer = Response(200, {self.deployment.names.signature: row.signature})
+                shard.may_have_run = True
                 self._limit_in_flight(shard)
                 accepted += 1
                 continue
@@ -872,10 +883,8 @@
 
     def _relayed_response(self, answer: Response) -> Response:
         """Return a searcher's response; not if its status denies that the request has run."""
-        if permitted_status(answer.status, may_have_run=True) != answer.status:
-            return self._refuse(
-                refusal(f"searcher_failed: status {answer.status}", may_have_run=True)
-            )
+        if permitted_status(answer.status, may_have_run=self.may_have_run) != answer.status:
+            return self._refuse(self.refusal(f"searcher_failed: status {answer.status}"))
         headers = {name: value for name, value in answer.headers.items() if name not in HOP_HEADERS}
         headers.pop(self.deployment.names.load, None)
         return Response(answer.status, headers, answer.body)
--- a/tests/relay/not_run.feature
+++ b/tests/relay/not_run.feature
@@ -54,3 +54,28 @@
       | 500    | an idempotent    |
       | 502    | a non-idempotent |
       | 504    | an idempotent    |
+
+  Scenario Outline: A gather that fails after some searchers ran it does not say that it has not run
+    Guards against a 503 for a gather of which some shards answered while others were refused.
+    Given <shards>
+    And the searchers of 5 shards shed each request <pause> Retry-After
+    When a client gathers at the instance in a
+    Then it gets status 502 without a signature, and 15 shards ran the request
+
+    Examples:
+      | shards                                                           | pause     |
+      | 20 shards with 2 searchers each                                  | without a |
+      | 20 shards with 2 searchers each                                  | with a    |
+      | 20 shards with searchers in domain b, an instance in a and one in b | without a |
+      | 20 shards with searchers in domain b, an instance in a and one in b | with a    |
+
+  Scenario Outline: A gather that no searcher ran is still refused with a Retry-After
+    Given <shards>
+    And all searchers shed
+    When a client gathers at the instance in a
+    Then it gets status 503 with a Retry-After and no searcher ran it
+
+    Examples:
+      | shards                                                           |
+      | 20 shards with 2 searchers each                                  |
+      | 20 shards with searchers in domain b, an instance in a and one in b |
--- a/tests/steps/not_run_steps.py
+++ b/tests/steps/not_run_steps.py
@@ -60,3 +60,19 @@
     signatures = {searcher.signature(request_id) for searcher in context.searchers}
     assert response.headers[HEADERS.signature] in signatures
     assert response.headers["retry-after"] == RETRY_AFTER
+
+
+@given("the searchers of {count:d} shards shed each request {pause} Retry-After")
+def some_shards_shed(context, count, pause):
+    for searcher in context.searchers:
+        if searcher.service in context.set[:count]:
+            searcher.mode = "shed"
+            searcher.retry_after = "" if pause == "without a" else RETRY_AFTER
+
+
+@then("it gets status {status:d} without a signature, and {count:d} shards ran the request")
+def failed_gather(context, status, count):
+    own_failure(context, status)
+    request_id = context.replies[0][0]
+    ran = {searcher.service for searcher in context.searchers if request_id in searcher.ran}
+    assert len(ran) == count, ran
