Refuse no gather as not run at a stop while other instances run it

Seen by callers: a gather that a planned stop cut off was answered 503 `stopping` with a Retry-After of 0.01 s although all of its 20 shards ran it, since another instance had sent the sub-requests.

Cause: the daemon took the number of sub-requests that it had sent itself for what the request may have done.

Change: it asks the request (`Scatter.refusal`), which knows the shards that others gather. A request that has been sent but that each searcher turned away may now be refused with 503, which is true: nothing is sent once the request has been cut off.

--- a/rattanrelay/relay/daemon.py
+++ b/rattanrelay/relay/daemon.py
@@ -355,8 +355,7 @@
             with scope:
                 response = await scatter.run()
             if response is None:
-                stopped = refusal(STOPPING, may_have_run=scatter.sent > 0)
-                response = refusal_response(stopped, request_id, deployment)
+                response = refusal_response(scatter.refusal(STOPPING), request_id, deployment)
                 outcome = STOPPING
             else:
                 outcome = scatter.summary.reason or "answered"
--- a/tests/relay/not_run.feature
+++ b/tests/relay/not_run.feature
@@ -79,3 +79,11 @@
       | shards                                                           |
       | 20 shards with 2 searchers each                                  |
       | 20 shards with searchers in domain b, an instance in a and one in b |
+
+  Scenario: A gather that a stop cuts off may have run at other instances
+    Guards against a 503 for a gather whose parts only other instances have sent to searchers.
+    Given 20 shards with searchers in domain b, an instance in a and one in b
+    And all searchers hang
+    When the instance in a stops while it gathers
+    Then it gets status 502 without a signature, and 20 shards ran the request
+    And the instance in a sent no request to a searcher
--- a/tests/steps/not_run_steps.py
+++ b/tests/steps/not_run_steps.py
@@ -1,5 +1,6 @@
 """Steps for what responses state about requests that may have run."""
 
+import trio
 from behave import given, then, when
 
 from rattanrelay.platform.documents import HEADERS
@@ -76,3 +77,18 @@
     request_id = context.replies[0][0]
     ran = {searcher.service for searcher in context.searchers if request_id in searcher.ran}
     assert len(ran) == count, ran
+
+
+@when("the instance in a stops while it gathers")
+def stop_while_gathering(context):
+    async def scenario():
+        async with context.world.open() as world, trio.open_nursery() as clients:
+            clients.start_soon(ask, world)
+            await trio.sleep(0.1)
+            world.daemons["entry-1"].stop("test")
+
+    async def ask(world):
+        context.replies = [await world.ask("long", deadline_ms=20_000)]
+
+    context.world.route("long", gather=context.set, top_k=20, timeout_ms=20_000)
+    run_on_mock_clock(scenario)
