Take an empty signature for none

Seen by callers: a response of a searcher whose signature is empty was relayed as a success, and a gather of such parts ended with a closed connection. An instance that gathers for another one reports a part without a signature as one that it gave up and that nobody ran.

Cause: the presence of the header counted, not its value.

Change: a response with an empty signature counts as unsigned: the request may have run, and a single non-idempotent one gets 502.

Result: the row "send answers with an empty signature" of relay/passing and the scenario of relay/not_run failed before this change and pass; both features pass (54 scenarios).

--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -438,7 +438,7 @@
         else:
             # Non-idempotent requests always open a new connection, so this one is not reused.
             self._close(connection)
-        signed = self.names.signature in headers
+        signed = bool(headers.get(self.names.signature))
         misdirected = response.status == MISDIRECTED
         if misdirected:
             self.removed = True
--- a/tests/harness/relay_world.py
+++ b/tests/harness/relay_world.py
@@ -267,6 +267,8 @@
         self.work = work
         self.records = records
         self.mode = "good"
+        #: Its behaviour from the second request on, if that is another one.
+        self.later_mode = ""
         self.port = free_port()
         #: Port in its entry, if it is reached through a proxy.
         self.listed_port = 0
@@ -415,6 +417,7 @@
 
     async def _behave(self, stream, wire, request_id: str, headers: dict) -> bool:
         mode = self.mode
+        self.mode = self.later_mode or mode
         if headers[HEADERS.expected_searcher] != self.name:
             return await self._reply(stream, wire, 421, {}, b"")
         if mode == "shed":
@@ -435,7 +438,8 @@
             self.cancelled.append(request_id)
             return False
         self.finished.append(request_id)
-        good = {HEADERS.signature: self.signature(request_id), HEADERS.request_id: request_id}
+        signature = "" if mode == "blank" else self.signature(request_id)
+        good = {HEADERS.signature: signature, HEADERS.request_id: request_id}
         if self.limit:
             good[HEADERS.limit] = self.limit
         if self.load:
--- a/tests/relay/not_run.feature
+++ b/tests/relay/not_run.feature
@@ -80,6 +80,13 @@
       | 20 shards with 2 searchers each                                  |
       | 20 shards with searchers in domain b, an instance in a and one in b |
 
+  Scenario: A gather whose searchers sign with nothing is not reported as not run
+    Guards against a part without a signature that another instance reports as one that nobody ran.
+    Given 20 shards with searchers in domain b, an instance in a and one in b
+    And all searchers sign their answers with nothing and shed later requests
+    When a client gathers at the instance in a
+    Then it gets status 502 without a signature, and 20 shards ran the request
+
   Scenario: A gather that a stop cuts off may have run at other instances
     Guards against a 503 for a gather whose parts only other instances have sent to searchers.
     Given 20 shards with searchers in domain b, an instance in a and one in b
--- a/tests/relay/passing.feature
+++ b/tests/relay/passing.feature
@@ -49,9 +49,10 @@
     Then it gets status 502 and the request ran once
 
     Examples:
-      | fault                   |
-      | send truncated answers  |
-      | send unsigned answers   |
+      | fault                                |
+      | send truncated answers               |
+      | send unsigned answers                |
+      | send answers with an empty signature |
 
   Scenario Outline: A response without an end is given up and the request sent elsewhere
     Given a service with 2 searchers, one answering with <part> without an end
--- a/tests/steps/not_run_steps.py
+++ b/tests/steps/not_run_steps.py
@@ -71,6 +71,13 @@
             searcher.retry_after = "" if pause == "without a" else RETRY_AFTER
 
 
+@given("all searchers sign their answers with nothing and shed later requests")
+def blank_signatures(context):
+    for searcher in context.searchers:
+        searcher.mode = "blank"
+        searcher.later_mode = "shed"
+
+
 @then("it gets status {status:d} without a signature, and {count:d} shards ran the request")
 def failed_gather(context, status, count):
     own_failure(context, status)
--- a/tests/steps/relay_steps.py
+++ b/tests/steps/relay_steps.py
@@ -37,6 +37,7 @@
     "resets after it ran a request": "reset",
     "send truncated answers": "truncate",
     "send unsigned answers": "unsigned",
+    "send answers with an empty signature": "blank",
     "send extra answers": "extra",
     "sends late failures without an id": "stray failure",
     "fail": "fail",
