Count a call as possibly run if its error has no reason

What callers could see: a gather whose other instance answers with an error frame without a failure was taken for one that instance had not run, and could be refused as not run. No instance of this code sends such a frame; a later or a faulty one may.

Cause: `PeerLink` raised that error with the default of `RelayError`, which is "not run", although the message had been sent.

Change: the error says that this is unknown.

--- a/rattanrelay/wire/link.py
+++ b/rattanrelay/wire/link.py
@@ -312,9 +312,8 @@
     def _error_from(self, frame: Frame) -> RelayError:
         failure = frame.message
         if not isinstance(failure, Failure):
-            return RelayError(
-                "bad_answer", "error frame without a failure", step="peer call", peer=self.peer
-            )
+            text = "error frame without a failure"
+            return RelayError("bad_answer", text, step="peer call", peer=self.peer, ran="unknown")
         code = failure.code if failure.code in CODES else "internal"
         return RelayError(
             code, failure.message, step=failure.step, peer=failure.peer, ran=failure.ran
--- a/tests/steps/link_steps.py
+++ b/tests/steps/link_steps.py
@@ -418,8 +418,18 @@
 
 @given("a peer that answers a check with an error, as older builds do")
 def older_peer(context):
+    failing_peer(
+        context, Failure("bad_request", "no handler for NoneType", "peer call", "", "not_run")
+    )
+
+
+@given("a peer that answers each call with an error without a reason")
+def unreasoning_peer(context):
+    failing_peer(context, None)
+
+
+def failing_peer(context, failure):
     async def serve(stream):
-        failure = Failure("bad_request", "no handler for NoneType", "peer call", "", "not_run")
         reader = FrameReader()
         async for data in stream:
             for frame in reader.feed(data):
--- a/tests/wire/link.feature
+++ b/tests/wire/link.feature
@@ -12,6 +12,12 @@
     When one call is made over the link
     Then the call fails with code "peer_unavailable" and ran "unknown"
 
+  Scenario: A call whose error has no reason may have run
+    Guards against a request that is reported as not run after another instance got it.
+    Given a peer that answers each call with an error without a reason
+    When one call is made over the link
+    Then the call fails with code "bad_answer" and ran "unknown"
+
   Scenario: Frames are decoded however their bytes are split
     When 200 random frame sequences are split at random positions
     Then each sequence decodes to the frames that were encoded
