Give no code of rattanrelay serve a status that denies its outcome

Seen by callers: `rattanrelay serve` answered 503 with the outcome `unknown`, or 429 or 503 for an action that had run, since the status belonged to the code alone: a query of which one server broke off and the others were draining, an action whose owner did not answer.

Cause: the outcome decided on the status only for codes that this version does not know.

Change: `response_status` in errors.py gives each code its status through `permitted_status`: 408, 429 and 503 only with the outcome `not_run`, else 504 if that is unknown and 502 if it ran. Responses to queries, to actions and of the administration interface use it; the rule for unknown codes, which is the same, is no longer stated a second time.

--- a/rattanrelay/decide/refusal.py
+++ b/rattanrelay/decide/refusal.py
@@ -7,6 +7,8 @@
 from typing import NamedTuple
 
 __all__ = [
+    "BAD_GATEWAY",
+    "GATEWAY_TIMEOUT",
     "NOT_RUN_STATUSES",
     "RETRY_AFTER_S",
     "Refusal",
--- a/rattanrelay/errors.py
+++ b/rattanrelay/errors.py
@@ -4,7 +4,21 @@
 
 import msgspec
 
-__all__ = ["CODES", "DECODE_ERRORS", "ErrorCode", "Ran", "RelayError", "register_code"]
+from .decide.refusal import BAD_GATEWAY, GATEWAY_TIMEOUT, permitted_status
+
+__all__ = [
+    "CODES",
+    "DECODE_ERRORS",
+    "ErrorCode",
+    "Ran",
+    "RelayError",
+    "register_code",
+    "response_status",
+]
+
+#: Status for a code that this version does not know. An instance of a later version may send such a
+#: code, or have stored it with the outcome of a request.
+UNKNOWN_CODE_STATUS = 503
 
 #: What is known about the execution of a request at a backend server.
 Ran = Literal["not_run", "done", "unknown"]
@@ -34,6 +48,20 @@
     return code
 
 
+def response_status(code: str, ran: str) -> int:
+    """Return the HTTP status of a response with an error code.
+
+    `ran` is an outcome as in `Ran`. A status which states that the request has not run is replaced
+    by 504 if that is unknown, and by 502 if the request has run.
+    """
+    known = CODES.get(code)
+    return permitted_status(
+        UNKNOWN_CODE_STATUS if known is None else known.status,
+        may_have_run=ran != "not_run",
+        otherwise=BAD_GATEWAY if ran == "done" else GATEWAY_TIMEOUT,
+    )
+
+
 class RelayError(Exception):
     """An error with a registered code.
 
@@ -56,7 +84,7 @@
     @property
     def status(self) -> int:
         """HTTP status of the response to a caller."""
-        return CODES[self.code].status
+        return response_status(self.code, self.ran)
 
     def __str__(self) -> str:
         parts = [("step", self.step), ("peer", self.peer)]
--- a/rattanrelay/node/callers.py
+++ b/rattanrelay/node/callers.py
@@ -9,7 +9,7 @@
 import trio
 import uuid6
 
-from ..errors import CODES, DECODE_ERRORS, RelayError
+from ..errors import DECODE_ERRORS, RelayError, response_status
 from ..http import Request, Response, json_response
 from ..log import event
 from ..metrics import Metrics
@@ -24,10 +24,6 @@
 MAX_CLASSES = 16
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:-]{0,63}")
 NUMBER = re.compile(r"[0-9]{1,9}")
-#: HTTP status by outcome for codes that this version does not know. An instance of a later version
-#: may send such a code, or have stored it with the outcome of a request.
-UNKNOWN_CODE_STATUS = {"not_run": 503, "done": 502}
-OTHER_OUTCOME_STATUS = 504
 SERVICE_PATH = re.compile(r"/v1/services/([^/]+)/(query|actions)")
 
 
@@ -266,14 +262,7 @@
     body: dict[str, Any] = {"request_id": request_id, "outcome": result.outcome}
     if result.code or result.outcome != "done":
         code = result.code or "outcome_unknown"
-        status = _action_status(code, result.outcome)
+        status = response_status(code, result.outcome)
         return json_response(status, {**body, "code": code, "message": result.message})
     body["result"] = msgspec.Raw(result.payload or b"null")
     return json_response(200, body)
-
-
-def _action_status(code: str, outcome: str) -> int:
-    known = CODES.get(code)
-    if known is not None:
-        return known.status
-    return UNKNOWN_CODE_STATUS.get(outcome, OTHER_OUTCOME_STATUS)
--- a/tests/node/callers.feature
+++ b/tests/node/callers.feature
@@ -66,6 +66,15 @@
       | outcome_unknown  | unknown | 504    |
       | no_owner         | not_run | 503    |
 
+    Examples: codes whose status states that the request has not run
+      | code             | outcome | status |
+      | overloaded       | not_run | 429    |
+      | overloaded       | unknown | 504    |
+      | no_owner         | unknown | 504    |
+      | peer_unavailable | unknown | 504    |
+      | shedding         | done    | 502    |
+      | key_reused       | unknown | 409    |
+
     Examples: codes of a later version on another instance
       | code             | outcome | status |
       | a_later_code     | not_run | 503    |
--- a/tests/node/entry.feature
+++ b/tests/node/entry.feature
@@ -20,16 +20,18 @@
     Then each answer is complete and nothing is retried
 
   Scenario Outline: A query without any result says truly whether it may have run
-    Guards against outcome not_run for a query that servers may have run.
+    Guards against outcome not_run or status 503 for a query that servers may have run.
     When a query gets <reason> from all shards
     Then the query fails with "<code>" and outcome "<ran>"
+    And its status is <status>
 
     Examples:
-      | reason          | code            | ran     |
-      | nothing         | deadline        | unknown |
-      | connection_lost | connection_lost | unknown |
-      | draining        | draining        | not_run |
-      | no_quorum       | no_quorum       | not_run |
+      | reason                              | code            | ran     | status |
+      | nothing                             | deadline        | unknown | 504    |
+      | connection_lost                     | connection_lost | unknown | 502    |
+      | draining                            | draining        | not_run | 503    |
+      | no_quorum                           | no_quorum       | not_run | 503    |
+      | connection_lost once, else draining | draining        | unknown | 504    |
 
   Scenario: Hedges stay within the budget while replicas straggle
     Given owners of which 5 in 100 sub-requests straggle
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -179,7 +179,9 @@
     def answer(target, sub):
         if reason == "nothing":
             return 60.0, []
-        return 0.01, [refused_result(target, sub, reason)]
+        one, _, others = reason.partition(" once, else ")
+        given = one if target.shard == "h3" else others or one
+        return 0.01, [refused_result(target, sub, given)]
 
     async def main():
         entry, _ = make_entry(answer)
@@ -196,6 +198,11 @@
     assert (context.error.code, context.error.ran) == (code, ran), context.error
 
 
+@then("its status is {status:d}")
+def entry_query_status(context, status):
+    assert context.error.status == status, context.error
+
+
 @given('an owner "{name}" that cannot be reached')
 def entry_lost_owner(context, name):
     def answer(target, sub):
