Say of a query that cannot restart that it may have run

Cause: a restart that cannot be planned raised the error of a query that has not begun.

Change: the error of a restart says `unknown` if the first run may have reached a server.

--- a/rattanrelay/node/entry.py
+++ b/rattanrelay/node/entry.py
@@ -181,7 +181,12 @@
         if first.restart:
             proven = proven or first.gather.answered > 0
             canary = "" if proven else fingerprint
-            second = await self._scatter(query, row, state, soft_deadline, canary, first)
+            try:
+                second = await self._scatter(query, row, state, soft_deadline, canary, first)
+            except RelayError as error:
+                if first.may_have_run:
+                    error.ran = "unknown"
+                raise
             best = max(second, first, key=lambda scatter: scatter.gather.answered)
         if row.canary and best.gather.answered:
             state.proven.record_success(fingerprint, started)
--- a/tests/node/entry.feature
+++ b/tests/node/entry.feature
@@ -94,6 +94,13 @@
     Then each answer covers all shards of snapshot "v1"
     And at most 5 messages name snapshot "v2"
 
+  Scenario: A query that cannot restart may have run before
+    Guards against outcome not_run and status 503 for a query that ran against another snapshot.
+    Given searchers that no longer hold snapshot "v2" of shard "h3"
+    When a query finds no catalog when it restarts
+    Then the query fails with "not_ready" and outcome "unknown"
+    And its status is 504
+
   Scenario Outline: A request that crashes servers is stopped by its canaries
     Guards against a fan-out that crashes all servers at once.
     Given a request that crashes each server that runs it, and owners that <memory> it
--- a/tests/steps/entry_steps.py
+++ b/tests/steps/entry_steps.py
@@ -198,6 +198,27 @@
     assert (context.error.code, context.error.ran) == (code, ran), context.error
 
 
+@when("a query finds no catalog when it restarts")
+def entry_restart_fails(context):
+    async def main():
+        entry, _ = make_entry(context.answer)
+        run_scatter, earlier = entry._scatter, []
+
+        async def scatter(*args):
+            if earlier:
+                entry.configuration.set(entry.configuration.value._replace(catalogs={}))
+            earlier.append(args)
+            return await run_scatter(*args)
+
+        entry._scatter = scatter
+        try:
+            await entry.query(make_query())
+        except RelayError as error:
+            context.error = error
+
+    run_entry(main)
+
+
 @then("its status is {status:d}")
 def entry_query_status(context, status):
     assert context.error.status == status, context.error
