Let one module choose all statuses which state that a request has not run

The 408 for a request that is sent too slowly and the 503 for one whose memory is needed for others were written out in relay/front.py, the 429 of quotas by a list in `refusal`. Each is now the status of a registered reason, and goes through `permitted_status` like the others. Nothing that callers see changes: the bytes of the 503 are the same.

--- a/rattanrelay/decide/refusal.py
+++ b/rattanrelay/decide/refusal.py
@@ -34,9 +34,11 @@
 
 #: Seconds until another attempt may succeed, by the reason why a request has not run.
 RETRY_AFTER_S: dict[str, float] = {}
+#: Statuses other than 503, by reason.
+REASON_STATUSES: dict[str, int] = {}
 
 
-def register_reason(name: str, retry_after: float) -> str:
+def register_reason(name: str, retry_after: float, status: int = 503) -> str:
     """Register a reason for which a request is refused before it runs, and return its name.
 
     Raises `ValueError` if the reason is already registered.
@@ -44,6 +46,8 @@
     if name in RETRY_AFTER_S:
         raise ValueError(f"reason {name!r} is registered twice")
     RETRY_AFTER_S[name] = retry_after
+    if status != 503:
+        REASON_STATUSES[name] = status
     return name
 
 
@@ -63,11 +67,15 @@
 #: in touch with the store.
 UNVERIFIED_KEY = register_reason("unverified_key", 0.05)
 #: The workspace has used up its quota.
-QUOTA = register_reason("quota", 0.1)
+QUOTA = register_reason("quota", 0.1, 429)
 #: No instance can be reached that may tell whether the workspace has used up its quota.
-QUOTA_UNKNOWN = register_reason("quota_unknown", 0.2)
+QUOTA_UNKNOWN = register_reason("quota_unknown", 0.2, 429)
 #: All connections to a service are in use.
 NO_CONNECTION = register_reason("no_connection", 0.05)
+#: The request was not sent in time.
+SLOW_REQUEST = register_reason("slow_request", 0.0, 408)
+#: The memory of a request that is not complete is needed for others.
+INCOMPLETE = register_reason("incomplete", 1.0)
 
 
 def permitted_status(status: int, *, may_have_run: bool, otherwise: int = BAD_GATEWAY) -> int:
@@ -82,11 +90,11 @@
 def refusal(reason: str, *, may_have_run: bool, timed_out: bool = False) -> Refusal:
     """Return the response to a request that is not served.
 
-    The status is 503 if the request has not run, or 429 if that is for its quota; otherwise 504
-    after a timeout and else 502.
+    The status is that of the reason if the request has not run; otherwise 504 after a timeout and
+    else 502.
     """
     status = permitted_status(
-        429 if reason in (QUOTA, QUOTA_UNKNOWN) else 503,
+        REASON_STATUSES.get(reason, 503),
         may_have_run=may_have_run,
         otherwise=GATEWAY_TIMEOUT if timed_out else BAD_GATEWAY,
     )
--- a/rattanrelay/relay/front.py
+++ b/rattanrelay/relay/front.py
@@ -2,12 +2,14 @@
 
 import math
 from collections.abc import Awaitable, Callable
+from http import HTTPStatus
 from typing import NamedTuple, Protocol
 
 import h11
 import trio
 
 from ..decide.intake import Stage
+from ..decide.refusal import INCOMPLETE, SLOW_REQUEST, Refusal, refusal
 from ..decide.timing import ROUND_TRIP_S
 from ..http import Request, Response
 from ..http.intake import STEPS_PER_TURN, Account, RequestBody, Share
@@ -49,11 +51,6 @@
 HEADER_MEMORY = 250
 #: Responses up to this size are sent in one system call, longer ones without a copy.
 JOINED_BYTES = 64 * 1024
-#: Response to a request that is abandoned before it has run.
-ABANDONED_RESPONSE = (
-    b"HTTP/1.1 503 Service Unavailable\r\n"
-    b"retry-after: 1\r\nconnection: close\r\ncontent-length: 0\r\n\r\n"
-)
 #: Time in seconds for which a connection stays open after a rejected request, so that the client
 #: can read the response.
 REJECTED_LINGER_S = 0.5
@@ -79,6 +76,20 @@
     reason: str
 
 
+def _encoded(refused: Refusal) -> bytes:
+    """Return a response without a body that closes its connection."""
+    return (
+        f"HTTP/1.1 {refused.status} {HTTPStatus(refused.status).phrase}\r\n"
+        f"retry-after: {refused.retry_after:g}\r\n"
+        "connection: close\r\ncontent-length: 0\r\n\r\n"
+    ).encode()
+
+
+# A request that is not complete has not been handed over, so that it has not run.
+_SLOW = refusal(SLOW_REQUEST, may_have_run=False)
+_ABANDONED_RESPONSE = _encoded(refusal(INCOMPLETE, may_have_run=False))
+
+
 class ClientConnection:
     """One connection of a client."""
 
@@ -133,7 +144,7 @@
         """Free the memory of the connection and close it; refuse a request that has not run."""
         if self._reading and self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             try:
-                self.stream.send_some(ABANDONED_RESPONSE)
+                self.stream.send_some(_ABANDONED_RESPONSE)
             except (trio.BrokenResourceError, trio.ClosedResourceError):
                 self.client_gone = True
         self._reading = False
@@ -268,7 +279,7 @@
                     return (
                         None
                         if self.client_gone or not self._reading
-                        else _BadRequest(408, "the request was not sent in time")
+                        else _BadRequest(_SLOW.status, "the request was not sent in time")
                     )
                 data = bytes(self.buffer[:PARSED_BYTES])
                 del self.buffer[:PARSED_BYTES]
