Let the soak's searchers run requests and deny it

Searchers of the soak that fail now answer 408, 421, 429, 502 or 503 as well as 500, with and without a Retry-After, and at times all searchers of a service do so at once. No route may get a status which denies a request that ran; before, that was checked for non-idempotent requests only.

Seed 4103 joins soak.feature.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -7,7 +7,7 @@
 
 from .world import DRAIN_S, SHARDS, SoakWorld
 
-__all__ = ["Sent", "violations"]
+__all__ = ["NOT_RUN_STATUSES", "Sent", "violations"]
 
 #: Response statuses which state that a request has not run and will not run.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -72,7 +72,7 @@
             found.append(f"LOST {name}: no answer on an open connection")
         return found
     status = one.response.status
-    if status in NOT_RUN_STATUSES and runs and one.route == "once":
+    if status in NOT_RUN_STATUSES and runs:
         found.append(f"REFUSED {name}: {status}, but it ran")
     if status == 200:
         found += [f"MIXED {name}: {text}" for text in _wrong_answer(world, one)]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,7 +11,7 @@
 from rattanrelay.http import HttpConnection, Request
 from rattanrelay.platform.documents import HEADERS
 
-from .checks import Sent, violations
+from .checks import NOT_RUN_STATUSES, Sent, violations
 from .crowd import Crowds
 from .world import GRACE_S, SoakInstance, SoakWorld
 
@@ -29,6 +29,10 @@
 #: Seconds after its deadline at which a client abandons a request without a response.
 GIVE_UP_S = 4.0
 
+#: Statuses with which searchers fail that have run a request, and pauses that they may ask for.
+FAILURE_STATUSES = (500, 502, 503, 503, 429, 408, 421)
+FAILURE_PAUSES = ("", "0.2")
+
 Fault = Callable[["Soak"], Awaitable[None]]
 FAULTS: dict[str, Fault] = {}
 
@@ -44,6 +48,8 @@
 
     def __init__(self, seed: int, seconds: float, instances: int) -> None:
         self.rng = random.Random(seed)
+        #: Choices of their own, so that they change nothing else that a seed plays.
+        self.failure_rng = random.Random(f"{seed}/failures")
         self.seconds = seconds
         self.world = SoakWorld(self.rng, instances)
         self.sent: list[Sent] = []
@@ -289,10 +295,25 @@
     searcher = soak.rng.choice(soak.world.searchers)
     modes = ["shed", "reset", "fail", "unsigned", "truncate", "extra", "silent"]
     searcher.mode = soak.rng.choice(modes)
+    searcher.failure_status = soak.failure_rng.choice(FAILURE_STATUSES)
+    searcher.retry_after = soak.failure_rng.choice(FAILURE_PAUSES)
     await trio.sleep(soak.rng.uniform(0.5, 4.0))
     searcher.mode = "good"
 
 
+@fault
+async def deny_runs(soak: Soak) -> None:
+    """Let all searchers of a service run requests and then deny it, for 0.5 to 2 seconds."""
+    service = soak.rng.choice([*soak.world.split, min(soak.world.sets[-1])])
+    chosen = [one for one in soak.world.searchers if one.service == service and one.mode == "good"]
+    status, pause = soak.rng.choice(NOT_RUN_STATUSES), soak.rng.choice(FAILURE_PAUSES)
+    for searcher in chosen:
+        searcher.mode, searcher.failure_status, searcher.retry_after = "fail", status, pause
+    await trio.sleep(soak.rng.uniform(0.5, 2.0))
+    for searcher in chosen:
+        searcher.mode = "good"
+
+
 @fault
 async def searcher_link(soak: Soak) -> None:
     """Delay, black-hole, refuse or reset the connections to a searcher."""
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -11,6 +11,10 @@
       | 1    | 10      | 4         |
       | 2    | 10      | 4         |
 
+    Examples: Statuses of searchers denied requests that had run, some of which ran twice
+      | seed | seconds | instances |
+      | 4103 | 15      | 4         |
+
     Examples: Silent connections and a restored store, not seen to fail
       | seed | seconds | instances |
       | 3    | 10      | 4         |
