Keep a searcher whose 421 proves that it ran the request

Cause: any 421 takes the searcher for one that another process has replaced at its address, which only the entry of a new start ends. A signed 421 that does not deny the run is this searcher's own.

Change: such an answer is a failure like a signed 503.

--- a/rattanrelay/relay/searchers.py
+++ b/rattanrelay/relay/searchers.py
@@ -439,15 +439,16 @@
             # Non-idempotent requests always open a new connection, so this one is not reused.
             self._close(connection)
         signed = bool(headers.get(self.names.signature))
-        misdirected = response.status == MISDIRECTED
-        if misdirected:
+        denied = self.names.not_run in headers
+        # A signature proves that this searcher has run the request, unless the response denies it.
+        if response.status == MISDIRECTED and (denied or not signed):
+            if not self.removed:
+                event("searcher.replaced", searcher=self.record.searcher, host=self.record.host)
             self.removed = True
             self.close_idle()
-        # A signature proves that the request has run, unless the response denies it.
-        if misdirected and not signed:
             return Outcome("refused", "other_searcher")
-        if self.names.not_run in headers:
-            return Outcome("refused", "other_searcher" if misdirected else "shed")
+        if denied:
+            return Outcome("refused", "shed")
         if not signed or (response.status < 300 and answered is None):
             connection.close_now()
             return Outcome("lost", "unsigned_response")
--- a/tests/relay/not_run.feature
+++ b/tests/relay/not_run.feature
@@ -40,6 +40,12 @@
       | 429    |
       | 408    |
 
+  Scenario: Searchers that answer 421 to requests which they ran serve later ones
+    Guards against a service without searchers for good after a moment of such answers.
+    Given a service with 2 searchers that run each request and answer 421 without a Retry-After
+    When a client asks once, and again when they answer as usual
+    Then it gets status 502, and then 200
+
   Scenario Outline: Other statuses of a searcher are relayed unchanged
     Given a service with 2 searchers that run each request and answer <status> with a Retry-After
     When a client asks once with <kind> request
--- a/tests/steps/not_run_steps.py
+++ b/tests/steps/not_run_steps.py
@@ -34,6 +34,23 @@
     run_on_mock_clock(lambda: send_requests(context, 1, method="POST", body=b"x"))
 
 
+@when("a client asks once, and again when they answer as usual")
+def ask_again_later(context):
+    async def scenario():
+        async with context.world.open() as world:
+            first = await world.ask("one")
+            for searcher in context.searchers:
+                searcher.mode = "good"
+            context.replies = [first, await world.ask("one")]
+
+    run_on_mock_clock(scenario)
+
+
+@then("it gets status {first:d}, and then {second:d}")
+def statuses_in_turn(context, first, second):
+    assert [response.status for _, response in context.replies] == [first, second]
+
+
 @then("it gets status {status:d} without a signature and the request ran once")
 def unsigned_failure(context, status):
     own_failure(context, status)
